Set up the workspace, wire messages, settings, events and policy lists

The starting point of the parts that are built side by side: message schema with committed generated code, checked settings, structured logs, admin HTTP, policy lists and their shards.

--- /dev/null
+++ b/crates/citron-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control path of the citronlanding proxy fleet.
--- /dev/null
+++ b/crates/citron-daemon/src/log.rs
@@ -0,0 +1,41 @@
+//! Structured logs on standard error.
+
+use std::io;
+
+use log::LevelFilter;
+use serde_json::json;
+
+use crate::Clock;
+
+/// Sends log records of at least `level` to standard error, one JSON object a line.
+///
+/// # Errors
+/// Fails if a logger is already set.
+pub fn init(
+    level: LevelFilter,
+    host: &str,
+    program: &'static str,
+    clock: Clock,
+) -> Result<(), log::SetLoggerError> {
+    let host = host.to_owned();
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("citron", level)
+        .filter(move |meta| {
+            meta.level() <= LevelFilter::Warn || meta.target().starts_with("citron")
+        })
+        .level(level)
+        .format(move |out, message, record| {
+            let line = json!({
+                "wall_ms": clock.wall_ms(),
+                "level": record.level().as_str(),
+                "host": host,
+                "program": program,
+                "module": record.target(),
+                "message": message.to_string(),
+            });
+            out.finish(format_args!("{line}"));
+        })
+        .chain(io::stderr())
+        .apply()
+}
--- /dev/null
+++ b/crates/citron-daemon/src/record.rs
@@ -0,0 +1,86 @@
+//! Records the events of this process.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use citron::{
+    event::{Event, Kind, Ring},
+    hlc::{self, Stamp},
+};
+use parking_lot::Mutex;
+
+use crate::Clock;
+
+/// The number of events a process keeps.
+const EVENT_CAPACITY: usize = 8192;
+
+/// Stamps events, logs them and keeps the recent ones; clones share one record.
+#[derive(Debug, Clone)]
+pub struct Recorder {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    host: String,
+    program: &'static str,
+    clock: Clock,
+    hybrid: Mutex<hlc::Clock>,
+    ring: Mutex<Ring>,
+}
+
+impl Recorder {
+    /// Opens the record of one process.
+    pub fn open(host: &str, program: &'static str, clock: Clock) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                host: host.to_owned(),
+                program,
+                clock,
+                hybrid: Mutex::default(),
+                ring: Mutex::new(Ring::new(EVENT_CAPACITY)),
+            }),
+        }
+    }
+
+    /// Records an event with its fields.
+    pub fn record(&self, kind: Kind, subject: &str, fields: &[(&str, &str)]) {
+        let event = Event {
+            stamp: self.stamp(),
+            host: self.shared.host.clone(),
+            program: self.shared.program.to_owned(),
+            kind,
+            subject: subject.to_owned(),
+            fields: fields
+                .iter()
+                .map(|(k, v)| ((*k).to_owned(), (*v).to_owned()))
+                .collect::<BTreeMap<_, _>>(),
+        };
+        log::info!("{kind} {subject} {:?}", event.fields);
+        self.shared.ring.lock().push(event);
+    }
+
+    /// Returns a clock reading for an outgoing message.
+    pub fn stamp(&self) -> Stamp {
+        self.shared.hybrid.lock().tick(self.shared.clock.wall_ms())
+    }
+
+    /// Takes in the clock reading of a received message.
+    pub fn observe(&self, stamp: Stamp) {
+        self.shared.hybrid.lock().observe(self.shared.clock.wall_ms(), stamp);
+    }
+
+    /// Returns the events later than `after`, oldest first.
+    pub fn since(&self, after: Stamp) -> Vec<Event> {
+        self.shared.ring.lock().since(after)
+    }
+
+    /// Returns the host of this process.
+    pub fn host(&self) -> &str {
+        &self.shared.host
+    }
+
+    /// Returns the clock of this process.
+    pub fn clock(&self) -> Clock {
+        self.shared.clock
+    }
+}
--- /dev/null
+++ b/crates/citron-daemon/src/setting.rs
@@ -0,0 +1,228 @@
+//! Settings from flags and environment variables, checked before anything starts.
+
+use std::{
+    collections::BTreeMap,
+    ffi::OsString,
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+};
+
+/// Describes one setting.
+#[derive(Debug, Copy, Clone)]
+pub struct Spec {
+    /// The flag without dashes, such as `listen`.
+    pub flag: &'static str,
+    /// The environment variable, such as `CITRON_LISTEN`.
+    pub variable: &'static str,
+    /// The value when neither is given; `None` makes the setting required, `Some("")` optional.
+    pub default: Option<&'static str>,
+    /// What it sets, with its unit.
+    pub help: &'static str,
+    /// What a valid value looks like.
+    pub valid: &'static str,
+}
+
+/// What the command line asked for.
+#[derive(Debug)]
+pub enum Request {
+    /// Print this text and exit with code 0.
+    Print(String),
+    /// Run with these values.
+    Run(Values),
+}
+
+/// The settings as given, not yet parsed.
+#[derive(Debug)]
+pub struct Values {
+    specs: &'static [Spec],
+    given: BTreeMap<&'static str, (String, Origin)>,
+    /// Words that are not flags, in order.
+    pub words: Vec<String>,
+}
+
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum Origin {
+    Flag,
+    Variable,
+    Default,
+}
+
+/// A fault in the settings.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub enum Error {
+    /// A flag that does not exist, or one without its value.
+    Usage(String),
+    /// A required setting that is not given.
+    Missing {
+        /// The flag.
+        flag: &'static str,
+        /// The environment variable.
+        variable: &'static str,
+        /// What would be valid.
+        valid: &'static str,
+    },
+    /// A value that is not valid.
+    Invalid {
+        /// The flag.
+        flag: &'static str,
+        /// The environment variable.
+        variable: &'static str,
+        /// The value as given.
+        value: String,
+        /// Why it is not valid.
+        reason: String,
+        /// What would be valid.
+        valid: &'static str,
+    },
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(message) => write!(f, "{message}; see --help"),
+            Self::Missing { flag, variable, valid } => {
+                write!(f, "--{flag} is missing; give --{flag} or set {variable} to {valid}")
+            }
+            Self::Invalid { flag, variable, value, reason, valid } => write!(
+                f,
+                "--{flag} (or {variable}) has the value {value:?}, which is not valid: {reason}; use {valid}"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reads flags, then environment variables, then defaults.
+///
+/// `--help` and `--version` give a text to print.
+///
+/// # Errors
+/// Fails on an unknown flag or a flag without a value.
+pub fn read(
+    program: &str,
+    about: &str,
+    specs: &'static [Spec],
+    args: impl IntoIterator<Item = OsString>,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Request, Error> {
+    let usage = |error: lexopt::Error| Error::Usage(error.to_string());
+    let mut given = BTreeMap::new();
+    let mut words = Vec::new();
+    let mut parser = lexopt::Parser::from_args(args);
+    while let Some(arg) = parser.next().map_err(usage)? {
+        match arg {
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
+                return Ok(Request::Print(help(program, about, specs)));
+            }
+            lexopt::Arg::Long("version") | lexopt::Arg::Short('V') => {
+                return Ok(Request::Print(format!("{program} {}\n", env!("CARGO_PKG_VERSION"))));
+            }
+            lexopt::Arg::Long(name) => {
+                let Some(spec) = specs.iter().find(|spec| spec.flag == name) else {
+                    return Err(usage(arg.unexpected()));
+                };
+                let value = parser.value().map_err(usage)?;
+                let value = value.into_string().map_err(|_| {
+                    Error::Usage(format!("--{} has a value that is not UTF-8", spec.flag))
+                })?;
+                given.insert(spec.flag, (value, Origin::Flag));
+            }
+            lexopt::Arg::Value(word) => words.push(word.to_string_lossy().into_owned()),
+            lexopt::Arg::Short(_) => return Err(usage(arg.unexpected())),
+        }
+    }
+    for spec in specs {
+        if given.contains_key(spec.flag) {
+            continue;
+        }
+        if let Some(value) = variable(spec.variable) {
+            given.insert(spec.flag, (value, Origin::Variable));
+        } else if let Some(default) = spec.default {
+            given.insert(spec.flag, (default.to_owned(), Origin::Default));
+        }
+    }
+    Ok(Request::Run(Values { specs, given, words }))
+}
+
+impl Values {
+    /// Returns the parsed value of a setting.
+    ///
+    /// # Errors
+    /// Fails if the setting is required and missing, or not valid.
+    pub fn get<T>(&self, flag: &'static str) -> Result<T, Error>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.get_with(flag, |text| text.parse().map_err(|error: T::Err| error.to_string()))
+    }
+
+    /// Returns the parsed value of an optional setting, or `None` if it is empty.
+    ///
+    /// # Errors
+    /// Fails if the value is not valid.
+    pub fn get_optional<T>(&self, flag: &'static str) -> Result<Option<T>, Error>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.given.get(flag) {
+            Some((text, _)) if text.is_empty() => Ok(None),
+            None => Ok(None),
+            Some(_) => self.get(flag).map(Some),
+        }
+    }
+
+    /// Returns the value of a setting, parsed by `parse`, which says why a value is not valid.
+    ///
+    /// # Errors
+    /// Fails if the setting is required and missing, or `parse` refuses it.
+    pub fn get_with<T>(
+        &self,
+        flag: &'static str,
+        parse: impl FnOnce(&str) -> Result<T, String>,
+    ) -> Result<T, Error> {
+        let spec = self.spec(flag);
+        let Some((text, _)) = self.given.get(flag) else {
+            return Err(Error::Missing { flag, variable: spec.variable, valid: spec.valid });
+        };
+        parse(text).map_err(|reason| Error::Invalid {
+            flag,
+            variable: spec.variable,
+            value: text.clone(),
+            reason,
+            valid: spec.valid,
+        })
+    }
+
+    /// Returns true if the setting came from a flag or an environment variable.
+    pub fn is_given(&self, flag: &'static str) -> bool {
+        self.given.get(flag).is_some_and(|(_, origin)| *origin != Origin::Default)
+    }
+
+    fn spec(&self, flag: &str) -> &'static Spec {
+        self.specs
+            .iter()
+            .find(|spec| spec.flag == flag)
+            .expect("every setting that is read has a spec")
+    }
+}
+
+fn help(program: &str, about: &str, specs: &[Spec]) -> String {
+    let mut text =
+        format!("{program}: {about}\n\nSettings (flag, environment variable, default):\n");
+    for spec in specs {
+        let default = match spec.default {
+            None => "required".to_owned(),
+            Some("") => "optional".to_owned(),
+            Some(value) => format!("default {value}"),
+        };
+        text += &format!(
+            "  --{} VALUE, {} ({default})\n      {}; {}\n",
+            spec.flag, spec.variable, spec.help, spec.valid
+        );
+    }
+    text += "  --help       print this text\n  --version    print the version\n";
+    text
+}
--- /dev/null
+++ b/crates/citron-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/citron-proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path of the citronlanding proxy fleet.
--- /dev/null
+++ b/crates/citron-stand/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, targets and callers, and the benches.
--- /dev/null
+++ b/crates/citron/src/policy/mod.rs
@@ -0,0 +1,67 @@
+//! The operators' two lists: which plan each customer has, and what each plan may use.
+
+mod head;
+mod list;
+mod shard;
+
+pub use self::{
+    head::{Digest, Head, ShardRef},
+    list::{Allowance, Class, Customer, Error, Grants, Plan, Profile, Route, Service},
+    shard::{SHARD_LIMIT_BYTES, Shard},
+};
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Both lists as one value, in force or proposed.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Policy {
+    /// The first list: customers by name.
+    pub customers: BTreeMap<String, Customer>,
+    /// The second list: services, plans and routes.
+    pub grants: Grants,
+}
+
+impl Policy {
+    /// Parses the two lists from TOML and checks them.
+    ///
+    /// # Errors
+    /// Names the list, the entry and what would be valid.
+    pub fn parse(customers: &str, grants: &str) -> Result<Self, Error> {
+        let policy = Self {
+            customers: list::parse_customers(customers)?,
+            grants: list::parse_grants(grants)?,
+        };
+        policy.check()?;
+        Ok(policy)
+    }
+
+    /// Checks that every name that is referred to exists and every number is in range.
+    ///
+    /// # Errors
+    /// Returns the first fault found.
+    pub fn check(&self) -> Result<(), Error> {
+        self.grants.check()?;
+        for (name, customer) in &self.customers {
+            if !self.grants.plans.contains_key(&customer.plan) {
+                return Err(Error::UnknownPlan {
+                    customer: name.clone(),
+                    plan: customer.plan.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the allowance of a customer for a service, or `None` if its plan does not include it.
+    pub fn allowance(&self, customer: &str, service: &str) -> Option<&Allowance> {
+        let customer = self.customers.get(customer)?;
+        self.grants.plans.get(&customer.plan)?.uses.get(service)
+    }
+
+    /// Returns the route with the longest prefix of `path`.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        self.grants.route(path)
+    }
+}
--- /dev/null
+++ b/crates/citronctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line of the citronlanding proxy fleet.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness of the whole-system tests.
