--- /dev/null
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -0,0 +1,37 @@
+//! Measurements, each ending in one line of `key=value` pairs.
+
+use std::fmt::{self, Display, Formatter};
+
+/// What a bench measured, in the order in which it is printed.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Summary {
+    pairs: Vec<(String, f64)>,
+}
+
+impl Summary {
+    /// Adds a figure; the key names its unit, such as `added_p99_ms`.
+    pub fn push(&mut self, key: impl Into<String>, value: f64) {
+        self.pairs.push((key.into(), value));
+    }
+
+    /// Returns a figure by its key.
+    pub fn get(&self, key: &str) -> Option<f64> {
+        self.pairs.iter().find(|(name, _)| name == key).map(|(_, value)| *value)
+    }
+}
+
+impl Display for Summary {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for (index, (key, value)) in self.pairs.iter().enumerate() {
+            let space = if index == 0 { "" } else { " " };
+            write!(f, "{space}{key}={}", (value * 1e4).round() / 1e4)?;
+        }
+        Ok(())
+    }
+}
+
+/// A bench: prints its tables and returns its summary; the words are the arguments after its name.
+pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
+
+/// The benches by name.
+pub const BENCHES: &[(&str, Bench)] = &[];
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform, targets and callers, and the benches.
+
+pub mod bench;
