--- /dev/null
+++ b/crates/citron-proxy/src/body.rs
@@ -0,0 +1,162 @@
+//! The body of a request on its way to the target.
+
+use std::{future::Future, io, pin::Pin, sync::Arc, task::Poll};
+
+use bytes::Bytes;
+use futures::stream;
+use parking_lot::Mutex;
+use rocket::data::{Data, DataStream, ToByteUnit};
+use tokio::{io::AsyncReadExt, sync::mpsc};
+
+use crate::{
+    intake::{Intake, Length},
+    refusal::Reason,
+};
+
+/// Bodies up to this length are held, so that a request can be sent again.
+const HELD_LIMIT_BYTES: u64 = 64 << 10;
+/// The most bytes passed on at once.
+const CHUNK_BYTES: usize = 64 << 10;
+/// Chunks that may wait for the target.
+const CHUNK_QUEUE: usize = 2;
+/// How much of a form is looked at for a method.
+const PEEK_BYTES: usize = 32;
+
+/// The body of a request.
+pub enum Body {
+    /// There is none.
+    Empty,
+    /// It is held whole and can be sent again.
+    Held(Bytes),
+    /// It is passed on as it arrives and can be sent once.
+    Streamed(Upload),
+}
+
+/// A body that is passed on as it arrives.
+pub struct Upload {
+    chunks: Arc<Mutex<Option<mpsc::Receiver<Chunk>>>>,
+}
+
+/// A part of a streamed body.
+enum Chunk {
+    Bytes(Bytes),
+    /// The body ended as the caller meant it to.
+    End,
+    Fault(io::Error),
+}
+
+/// Moves a streamed body from the caller towards the target while polled.
+pub type Pump<'r> = Pin<Box<dyn Future<Output = ()> + Send + 'r>>;
+
+/// Takes up the body of a request.
+///
+/// # Errors
+/// Gives the reason to refuse the request.
+pub async fn take<'r>(
+    intake: &Intake,
+    mut data: Data<'r>,
+    limit: u64,
+) -> Result<(Body, Option<Pump<'r>>), Reason> {
+    if intake.is_form && intake.hides_method(data.peek(PEEK_BYTES).await) {
+        return Err(Reason::FormMethodAmbiguous);
+    }
+    match intake.length {
+        Length::None => Ok((Body::Empty, None)),
+        Length::Known(length) if length > limit => Err(Reason::BodyTooLarge),
+        Length::Known(length) if length <= HELD_LIMIT_BYTES => hold(data, length).await,
+        Length::Known(length) => Ok(stream_body(data, limit, Some(length))),
+        Length::Chunked => Ok(stream_body(data, limit, None)),
+    }
+}
+
+async fn hold<'r>(data: Data<'r>, length: u64) -> Result<(Body, Option<Pump<'r>>), Reason> {
+    let mut bytes = Vec::with_capacity(length as usize);
+    let read = data.open((length + 1).bytes()).read_to_end(&mut bytes).await;
+    if read.is_err() || bytes.len() as u64 != length {
+        return Err(Reason::BodyCutShort);
+    }
+    Ok((Body::Held(bytes.into()), None))
+}
+
+fn stream_body(data: Data<'_>, limit: u64, length: Option<u64>) -> (Body, Option<Pump<'_>>) {
+    let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
+    let stream = data.open((limit + 1).bytes());
+    let upload = Upload { chunks: Arc::new(Mutex::new(Some(receiver))) };
+    (Body::Streamed(upload), Some(Box::pin(pump(stream, sender, limit, length))))
+}
+
+async fn pump(
+    mut stream: DataStream<'_>,
+    sender: mpsc::Sender<Chunk>,
+    limit: u64,
+    length: Option<u64>,
+) {
+    let mut total = 0;
+    loop {
+        let mut bytes = bytes::BytesMut::with_capacity(CHUNK_BYTES);
+        let chunk = match stream.read_buf(&mut bytes).await {
+            Ok(0) if length.is_some_and(|length| length != total) => {
+                Chunk::Fault(io::ErrorKind::UnexpectedEof.into())
+            }
+            Ok(0) => Chunk::End,
+            Ok(count) => {
+                total += count as u64;
+                if total > limit {
+                    Chunk::Fault(io::Error::other("the body is longer than the limit"))
+                } else {
+                    Chunk::Bytes(bytes.freeze())
+                }
+            }
+            Err(error) => Chunk::Fault(error),
+        };
+        let is_last = !matches!(chunk, Chunk::Bytes(_));
+        if sender.send(chunk).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+impl Upload {
+    /// Returns true if an attempt has begun to read the body.
+    pub fn is_spent(&self) -> bool {
+        self.chunks.lock().is_none()
+    }
+
+    /// Returns the body for one attempt; it counts as spent once the attempt reads from it.
+    pub fn body(&self) -> reqwest::Body {
+        let chunks = Arc::clone(&self.chunks);
+        let state = Some((chunks, None::<mpsc::Receiver<Chunk>>));
+        reqwest::Body::wrap_stream(stream::unfold(state, |state| async move {
+            let (chunks, taken) = state?;
+            let Some(mut receiver) = taken.or_else(|| chunks.lock().take()) else {
+                return Some((Err(io::Error::other("the body is spent")), None));
+            };
+            match receiver.recv().await {
+                Some(Chunk::Bytes(bytes)) => Some((Ok(bytes), Some((chunks, Some(receiver))))),
+                Some(Chunk::End) => None,
+                Some(Chunk::Fault(error)) => Some((Err(error), None)),
+                // The request was given up; the target must not take this for the end.
+                None => Some((Err(io::ErrorKind::UnexpectedEof.into()), None)),
+            }
+        }))
+    }
+}
+
+/// Runs `work` while also moving the body, until `work` is done.
+pub async fn while_pumping<T>(pump: &mut Option<Pump<'_>>, work: impl Future<Output = T>) -> T {
+    let mut work = std::pin::pin!(work);
+    std::future::poll_fn(|cx| {
+        poll_pump(pump, cx);
+        work.as_mut().poll(cx)
+    })
+    .await
+}
+
+/// Moves the body as far as it goes now.
+pub fn poll_pump(pump: &mut Option<Pump<'_>>, cx: &mut std::task::Context<'_>) {
+    if let Some(running) = pump
+        && let Poll::Ready(()) = running.as_mut().poll(cx)
+    {
+        *pump = None;
+    }
+}
--- /dev/null
+++ b/crates/citron-proxy/src/carry.rs
@@ -0,0 +1,157 @@
+//! Repeats attempts as `citron::attempt` decides, until there is an answer or none will come.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use citron::{
+    attempt::{self, Cause, Ending, Outcome, Series, Step},
+    event::Kind,
+};
+use reqwest::Response;
+use smallvec::SmallVec;
+use tokio::time;
+
+use crate::{
+    admit::Admission,
+    body::Body,
+    intake::Intake,
+    pick,
+    refusal::Refusal,
+    send::{self, Attempt},
+    service::{Service, Slot},
+    shared::Shared,
+    socket::Connection,
+};
+
+/// How long a request waits before its caller's connection is watched.
+const WATCH_AFTER: Duration = Duration::from_millis(50);
+
+/// A target's answer whose head has arrived.
+pub struct Carried {
+    /// The answer.
+    pub response: Response,
+    /// The slot that it still uses.
+    pub slot: Slot,
+}
+
+/// A request under way.
+pub struct Carriage<'a> {
+    /// The state of the proxy.
+    pub shared: &'a Arc<Shared>,
+    /// The request.
+    pub intake: &'a Intake,
+    /// Its body.
+    pub body: &'a Body,
+    /// Its service and limits.
+    pub admission: &'a Admission,
+    /// Time spent waiting for targets so far.
+    pub waited: Duration,
+}
+
+/// Waits until the caller from `peer` has gone away; forever if its connection is not found.
+pub async fn caller_gone(local: SocketAddr, peer: Option<SocketAddr>) {
+    time::sleep(WATCH_AFTER).await;
+    if let Some(connection) = peer.and_then(|peer| Connection::find(local, peer))
+        && connection.closed().await.is_ok()
+    {
+        return;
+    }
+    std::future::pending::<()>().await;
+}
+
+impl Carriage<'_> {
+    /// Carries the request until there is an answer, or none will come.
+    ///
+    /// # Errors
+    /// Gives the refusal for the caller.
+    pub async fn carry(&mut self, gone: impl Future<Output = ()>) -> Result<Carried, Refusal> {
+        let service = &self.admission.service;
+        service.budget.deposit();
+        let mut series = Series::new(self.admission.rules);
+        let mut gone = std::pin::pin!(gone);
+        let mut tried = SmallVec::<[String; 4]>::new();
+        let mut answer = None;
+        loop {
+            match series.next(self.shared.clock.now(), &service.budget) {
+                Step::Claim => tokio::select! {
+                    claim = self.claim() => series.claimed(claim),
+                    () = &mut gone => series.caller_gone(),
+                },
+                Step::Send { until, fresh } => {
+                    if !tried.is_empty() {
+                        self.shared.metrics.retries.with_label_values(&[&service.name]).inc();
+                    }
+                    let Some(slot) = pick::pick(service, &self.shared.settings.domain, &tried)
+                    else {
+                        series.unplaced();
+                        continue;
+                    };
+                    tried.push(slot.target.name.clone());
+                    tokio::select! {
+                        result = self.attempt(&slot, until, fresh) => {
+                            series.ended(result.as_ref().err().copied().unwrap_or(Ending::Answered));
+                            answer = result.ok().map(|response| Carried { response, slot });
+                        }
+                        () = &mut gone => series.caller_gone(),
+                    }
+                    if matches!(self.body, Body::Streamed(upload) if upload.is_spent()) {
+                        series.body_spent();
+                    }
+                }
+                Step::Answer => return Ok(answer.expect("an answered attempt has an answer")),
+                Step::Refuse { outcome, cause } => return Err(self.refuse(outcome, cause)),
+            }
+        }
+    }
+
+    async fn claim(&self) -> attempt::Claim {
+        let key = self.intake.key.as_deref().expect("only a request with a key claims it");
+        let digest = attempt::key_digest(&self.intake.customer, self.service_name(), key);
+        let owner = self.shared.request_id();
+        let stamp = self.shared.recorder.stamp();
+        let claim = self.shared.link.claim(stamp, digest.as_str(), &owner);
+        let deadline = self.shared.clock.instant(self.admission.rules.deadline);
+        time::timeout_at(deadline, claim).await.unwrap_or(attempt::Claim::Undecided)
+    }
+
+    async fn attempt(
+        &mut self,
+        slot: &Slot,
+        until: Duration,
+        fresh: bool,
+    ) -> Result<Response, Ending> {
+        let shared = self.shared;
+        let id = shared.request_id();
+        let start = shared.clock.now();
+        let attempt = Attempt {
+            intake: self.intake,
+            body: self.body,
+            target: &slot.target,
+            id: &id,
+            until,
+            deadline: self.admission.rules.deadline,
+            fresh,
+        };
+        let result = send::send(shared, attempt).await;
+        self.waited += shared.clock.now() - start;
+        let ending = result.as_ref().err().copied().unwrap_or(Ending::Answered);
+        shared.metrics.count_attempt(self.service_name(), ending);
+        if ending == Ending::Foreign {
+            let fields = [("service", self.service_name()), ("id", &id)];
+            shared.recorder.record(Kind::ForeignAnswer, &slot.target.name, &fields);
+        }
+        result
+    }
+
+    fn refuse(&self, outcome: Outcome, cause: Cause) -> Refusal {
+        if outcome == Outcome::Unknown {
+            let fields = [("service", self.service_name()), ("cause", cause.into())];
+            self.shared.recorder.record(Kind::OutcomeUnknown, &self.intake.customer, &fields);
+        }
+        Refusal::ended(outcome, cause)
+    }
+
+    fn service_name(&self) -> &str {
+        let service: &Service = &self.admission.service;
+        &service.name
+    }
+}
--- /dev/null
+++ b/crates/citron-proxy/src/header.rs
@@ -0,0 +1,68 @@
+//! Which headers pass, in each direction.
+
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use smallvec::SmallVec;
+
+/// Headers that are meant for one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers of this system start with this.
+const OWN_PREFIX: &str = "citron-";
+
+/// The header that names an attempt; the target returns it.
+pub const REQUEST_ID: &str = "citron-request-id";
+/// The header that carries the time left, milliseconds.
+pub const DEADLINE: &str = "citron-deadline-ms";
+/// The header that names the customer.
+pub const CUSTOMER: &str = "citron-customer";
+/// The header that makes a resubmission safe.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The header by which a target says that it did not run a request.
+pub const TARGET_OUTCOME: &str = "citron-target-outcome";
+
+/// The header names that a `connection` header lists.
+pub type Listed = SmallVec<[String; 2]>;
+
+/// Returns the header names that `connection` values list.
+pub fn listed<'a>(values: impl Iterator<Item = &'a str>) -> Listed {
+    values
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .filter(|name| !name.is_empty())
+        .collect()
+}
+
+/// Returns true if a header in lower case passes from caller to target.
+pub fn passes_to_target(name: &str, listed: &Listed) -> bool {
+    passes(name, listed) && name != "expect" && !(name.starts_with(OWN_PREFIX) && name != CUSTOMER)
+}
+
+/// Returns true if a header in lower case passes from target to caller.
+pub fn passes_to_caller(name: &str, listed: &Listed) -> bool {
+    passes(name, listed) && !name.starts_with(OWN_PREFIX)
+}
+
+fn passes(name: &str, listed: &Listed) -> bool {
+    !HOP_BY_HOP.contains(&name) && !listed.iter().any(|entry| entry == name)
+}
+
+/// Adds a header unless its name or value is not valid; returns whether it was added.
+pub fn append(headers: &mut HeaderMap, name: &str, value: &str) -> bool {
+    let (Ok(name), Ok(value)) =
+        (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_bytes(value.as_bytes()))
+    else {
+        return false;
+    };
+    headers.append(name, value);
+    true
+}
--- /dev/null
+++ b/crates/citron-proxy/src/intake.rs
@@ -0,0 +1,171 @@
+//! Reads a request: method, path, headers, and what this system's own headers say.
+
+use std::time::Duration;
+
+use reqwest::{Method, header::HeaderMap};
+use rocket::{Request, http::Method as RocketMethod};
+
+use crate::{
+    header::{self, CUSTOMER, DEADLINE, IDEMPOTENCY_KEY},
+    refusal::Reason,
+};
+
+/// The longest idempotency key, bytes.
+const KEY_LIMIT_BYTES: usize = 256;
+/// The longest customer name that is looked up, bytes.
+const CUSTOMER_LIMIT_BYTES: usize = 64;
+/// Stands where the HTTP library could not decode a header's bytes.
+const NOT_DECODED: char = '\u{FFFD}';
+
+/// A request as it arrived.
+#[derive(Debug)]
+pub struct Intake {
+    /// The method as sent.
+    pub method: Method,
+    /// The path as sent, percent-encoding included.
+    pub path: String,
+    /// Path and query as sent.
+    pub path_and_query: String,
+    /// The headers that pass to the target.
+    pub headers: HeaderMap,
+    /// The customer.
+    pub customer: String,
+    /// The time that the caller leaves for the request.
+    pub time_left: Option<Duration>,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// What is known of the body before it is read.
+    pub length: Length,
+    /// Whether the body is a form, whose method the HTTP library may have replaced.
+    pub is_form: bool,
+}
+
+/// What is known of a body before it is read.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Length {
+    /// There is no body.
+    None,
+    /// It has this many bytes.
+    Known(u64),
+    /// It comes in chunks.
+    Chunked,
+}
+
+/// Reads the head of a request.
+///
+/// # Errors
+/// Gives the reason to refuse it.
+pub fn read(request: &Request<'_>, header_limit: usize) -> Result<Intake, Reason> {
+    let path = request.uri().path().raw().as_str().to_owned();
+    let path_and_query = match request.uri().query() {
+        Some(query) => format!("{path}?{}", query.raw()),
+        None => path.clone(),
+    };
+    let given = request.headers();
+    let size: usize =
+        given.iter().map(|header| header.name().as_str().len() + header.value().len() + 4).sum();
+    if size + path_and_query.len() > header_limit {
+        return Err(Reason::HeaderTooLarge);
+    }
+    let listed = header::listed(given.get("connection"));
+    let mut headers = HeaderMap::new();
+    for field in given.iter() {
+        let name = field.name().as_str().to_ascii_lowercase();
+        if !header::passes_to_target(&name, &listed) {
+            continue;
+        }
+        let carried = !field.value().contains(NOT_DECODED)
+            && header::append(&mut headers, &name, field.value());
+        if !carried {
+            return Err(Reason::HeaderNotCarried);
+        }
+    }
+    Ok(Intake {
+        method: method(request.method())?,
+        path,
+        path_and_query,
+        headers,
+        customer: customer(request)?,
+        time_left: time_left(request)?,
+        key: key(request)?,
+        length: length(request)?,
+        is_form: request.content_type().is_some_and(|kind| kind.is_form()),
+    })
+}
+
+impl Intake {
+    /// Returns true if `start`, the first bytes of the body, leaves open which method was sent.
+    ///
+    /// Rocket reads `_method=` at the start of a posted form as another method. A request whose
+    /// method is still POST was posted; any other may have been either.
+    pub fn hides_method(&self, start: &[u8]) -> bool {
+        const FIELD: &[u8] = b"_method=";
+        let Some(value) = self.is_form.then_some(start).and_then(|start| start.strip_prefix(FIELD))
+        else {
+            return false;
+        };
+        let value = value.split(|&byte| byte == b'&').next().unwrap_or_default();
+        self.method != Method::POST && value.eq_ignore_ascii_case(self.method.as_str().as_bytes())
+    }
+}
+
+fn method(method: RocketMethod) -> Result<Method, Reason> {
+    Ok(match method {
+        RocketMethod::Get => Method::GET,
+        RocketMethod::Put => Method::PUT,
+        RocketMethod::Post => Method::POST,
+        RocketMethod::Delete => Method::DELETE,
+        RocketMethod::Options => Method::OPTIONS,
+        RocketMethod::Head => Method::HEAD,
+        RocketMethod::Trace => Method::TRACE,
+        RocketMethod::Patch => Method::PATCH,
+        RocketMethod::Connect => return Err(Reason::MethodNotCarried),
+    })
+}
+
+fn customer(request: &Request<'_>) -> Result<String, Reason> {
+    match single(request, CUSTOMER) {
+        Ok(Some(name)) if !name.is_empty() && name.len() <= CUSTOMER_LIMIT_BYTES => {
+            Ok(name.to_owned())
+        }
+        _ => Err(Reason::CustomerMissing),
+    }
+}
+
+fn time_left(request: &Request<'_>) -> Result<Option<Duration>, Reason> {
+    let text = single(request, DEADLINE).map_err(|Repeated| Reason::DeadlineMalformed)?;
+    text.map(|text| text.parse().map(Duration::from_millis))
+        .transpose()
+        .map_err(|_| Reason::DeadlineMalformed)
+}
+
+fn key(request: &Request<'_>) -> Result<Option<String>, Reason> {
+    match single(request, IDEMPOTENCY_KEY) {
+        Ok(None) => Ok(None),
+        Ok(Some(key)) if !key.is_empty() && key.len() <= KEY_LIMIT_BYTES => {
+            Ok(Some(key.to_owned()))
+        }
+        _ => Err(Reason::IdempotencyKeyMalformed),
+    }
+}
+
+fn length(request: &Request<'_>) -> Result<Length, Reason> {
+    if request.headers().contains("transfer-encoding") {
+        return Ok(Length::Chunked);
+    }
+    match single(request, "content-length").map_err(|Repeated| Reason::MalformedRequest)? {
+        None => Ok(Length::None),
+        Some(text) => text.parse().map(Length::Known).map_err(|_| Reason::MalformedRequest),
+    }
+}
+
+/// A header that may be given once is given more often.
+struct Repeated;
+
+fn single<'a>(request: &'a Request<'_>, name: &str) -> Result<Option<&'a str>, Repeated> {
+    let mut values = request.headers().get(name);
+    match (values.next(), values.next()) {
+        (value, None) => Ok(value),
+        _ => Err(Repeated),
+    }
+}
--- a/crates/citron-proxy/src/lib.rs
+++ b/crates/citron-proxy/src/lib.rs
@@ -1,1 +1,32 @@
 //! The request path of the citronlanding proxy fleet.
+//!
+//! A request passes through these stages, one file each: `intake` reads it, `admit` holds it
+//! against the customer's plan, `pick` chooses a target, `send` makes one attempt, `carry`
+//! repeats attempts as `citron::attempt` decides, `answer` passes the answer on.
+
+mod admit;
+mod answer;
+mod body;
+mod carry;
+mod door;
+mod header;
+mod intake;
+mod leaving;
+mod link;
+mod metrics;
+mod pick;
+mod proxy;
+mod refusal;
+mod send;
+mod service;
+mod settings;
+mod shared;
+mod socket;
+mod view;
+
+pub use self::{
+    leaving::Leaver,
+    proxy::{Error, Proxy},
+    refusal::Reason,
+    settings::{Command, Settings},
+};
--- /dev/null
+++ b/crates/citron-proxy/src/link.rs
@@ -0,0 +1,178 @@
+//! The connection to the agent of this host.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use citron::{attempt::Claim, event::Kind, hlc};
+use citron_wire as wire;
+use tokio::{sync::mpsc, time};
+use tokio_stream::{StreamExt, wrappers::ReceiverStream};
+use tonic::transport::{Channel, Endpoint};
+use wire::agent_client::AgentClient;
+
+use crate::{
+    leaving,
+    shared::Shared,
+    view::{Assembly, View},
+};
+
+/// How long opening a connection to the agent may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often an open connection is checked, and how long its answer may take.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// How long one claim may take.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How often a claim is asked for again when it is not decided.
+const CLAIM_TRIES: u32 = 2;
+/// How often progress is reported.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The first wait after a lost connection.
+const BACKOFF_MIN: Duration = Duration::from_millis(50);
+/// The longest wait after a lost connection.
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Reports that may wait to be sent.
+const REPORT_QUEUE: usize = 64;
+/// The largest message from the agent, bytes.
+const MESSAGE_LIMIT_BYTES: usize = 256 << 20;
+
+/// A lazily connected channel to the agent.
+#[derive(Debug, Clone)]
+pub struct Link {
+    channel: Channel,
+}
+
+impl Link {
+    /// Prepares the channel; it connects when it is used and again after a loss.
+    pub fn open(agent: SocketAddr) -> Self {
+        let channel = Endpoint::from_shared(format!("http://{agent}"))
+            .expect("an address and port make a valid URI")
+            .connect_timeout(CONNECT_TIMEOUT)
+            .http2_keep_alive_interval(KEEP_ALIVE)
+            .keep_alive_timeout(KEEP_ALIVE)
+            .keep_alive_while_idle(true)
+            .connect_lazy();
+        Self { channel }
+    }
+
+    fn client(&self) -> AgentClient<Channel> {
+        AgentClient::new(self.channel.clone()).max_decoding_message_size(MESSAGE_LIMIT_BYTES)
+    }
+
+    /// Claims an idempotency key for `owner`, asking again with the same owner if undecided.
+    pub async fn claim(&self, stamp: hlc::Stamp, digest: &str, owner: &str) -> Claim {
+        for _ in 0..CLAIM_TRIES {
+            let claim = wire::Claim { digest: digest.to_owned(), owner: owner.to_owned() };
+            let request = wire::ClaimRequest { stamp: Some(to_wire(stamp)), claims: vec![claim] };
+            let mut client = self.client();
+            let reply = time::timeout(CLAIM_TIMEOUT, client.claim(request)).await;
+            let Ok(Ok(reply)) = reply else { continue };
+            match reply.into_inner().results.first() {
+                Some(&result) if result == wire::ClaimResult::Granted as i32 => {
+                    return Claim::Granted;
+                }
+                Some(&result) if result == wire::ClaimResult::Taken as i32 => return Claim::Taken,
+                _ => {}
+            }
+        }
+        Claim::Undecided
+    }
+}
+
+/// Keeps the stream to the agent open and applies what it sends, until the task is dropped.
+pub async fn run(shared: Arc<Shared>, listen: SocketAddr) {
+    let mut assembly = Assembly::default();
+    let mut backoff = BACKOFF_MIN;
+    loop {
+        match attach(&shared, listen, &mut assembly).await {
+            Ok(()) => backoff = BACKOFF_MIN,
+            Err(status) => log::debug!("the stream to the agent ended: {status}"),
+        }
+        if shared.metrics.attached.get() == 1 {
+            shared.metrics.attached.set(0);
+            backoff = BACKOFF_MIN;
+        }
+        time::sleep(backoff.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+}
+
+async fn attach(
+    shared: &Arc<Shared>,
+    listen: SocketAddr,
+    assembly: &mut Assembly,
+) -> Result<(), tonic::Status> {
+    let (sender, receiver) = mpsc::channel(REPORT_QUEUE);
+    let loans = shared.loans.local_addr().map(|addr| addr.to_string()).unwrap_or_default();
+    let hello = wire::Hello { listen: listen.to_string(), loans };
+    report(shared, &sender, wire::report::Body::Hello(hello));
+    report(shared, &sender, wire::report::Body::Progress(progress(shared)));
+    let mut client = shared.link.client();
+    let attaching = client.attach(ReceiverStream::new(receiver));
+    let mut updates = time::timeout(KEEP_ALIVE, attaching)
+        .await
+        .map_err(|_| tonic::Status::deadline_exceeded("the agent did not answer in time"))??
+        .into_inner();
+    shared.metrics.attached.set(1);
+    let mut leaving = shared.leaving.subscribe();
+    let mut ticks = time::interval(REPORT_INTERVAL);
+    loop {
+        tokio::select! {
+            update = updates.next() => match update {
+                Some(update) => apply(shared, assembly, update?),
+                None => return Ok(()),
+            },
+            _ = ticks.tick() => {}
+            Ok(()) = leaving.changed() => {}
+        }
+        report(shared, &sender, wire::report::Body::Progress(progress(shared)));
+        if sender.is_closed() {
+            return Ok(());
+        }
+    }
+}
+
+fn progress(shared: &Shared) -> wire::Progress {
+    wire::Progress {
+        revision: shared.view.load().revision,
+        leaving: shared.is_leaving(),
+        in_flight: shared.in_flight() as u64,
+    }
+}
+
+fn report(shared: &Shared, sender: &mpsc::Sender<wire::Report>, body: wire::report::Body) {
+    let stamp = Some(to_wire(shared.recorder.stamp()));
+    // A full queue means that the agent does not read; a later report replaces this one.
+    let _ = sender.try_send(wire::Report { stamp, body: Some(body) });
+}
+
+fn apply(shared: &Arc<Shared>, assembly: &mut Assembly, update: wire::Update) {
+    if let Some(stamp) = update.stamp {
+        shared.recorder.observe(hlc::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical });
+    }
+    use wire::update::Body;
+    match update.body {
+        Some(Body::Policy(message)) => apply_policy(shared, assembly, &message),
+        Some(Body::Members(table)) => change(shared, |view| view.with_members(&table)),
+        Some(Body::Targets(table)) => change(shared, |view| view.with_targets(&table)),
+        Some(Body::Leave(_)) => leaving::begin(shared),
+        Some(Body::Verdicts(_) | Body::Synced(_)) | None => {}
+    }
+}
+
+fn apply_policy(shared: &Shared, assembly: &mut Assembly, message: &wire::Policy) {
+    let Some((revision, policy)) = assembly.take(message, shared.view.load().revision) else {
+        return;
+    };
+    change(shared, |view| view.with_policy(revision, policy));
+    shared.metrics.revision.set(revision as i64);
+    shared.recorder.record(Kind::PolicyApplied, &revision.to_string(), &[]);
+}
+
+/// Replaces the view; only the link's task calls this, so no change is lost.
+fn change(shared: &Shared, next: impl FnOnce(&View) -> View) {
+    let view = next(&shared.view.load());
+    shared.view.store(Arc::new(view));
+}
+
+fn to_wire(stamp: hlc::Stamp) -> wire::Stamp {
+    wire::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical }
+}
--- /dev/null
+++ b/crates/citron-proxy/src/metrics.rs
@@ -0,0 +1,114 @@
+//! The metrics of the proxy.
+
+use citron::attempt::{Ending, Outcome};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Upper bounds of the added latency's histogram, seconds.
+const ADDED_BOUNDS_S: [f64; 12] =
+    [0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5, 1.0];
+
+/// The metrics of one proxy.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Holds all of them.
+    pub registry: Registry,
+    /// Requests by service, outcome and status.
+    pub requests: IntCounterVec,
+    /// Attempts by service and ending.
+    pub attempts: IntCounterVec,
+    /// Attempts after the first, by service.
+    pub retries: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Time of requests not spent on targets, seconds.
+    pub added: Histogram,
+    /// The policy revision in force.
+    pub revision: IntGauge,
+    /// 1 while the agent's stream is open.
+    pub attached: IntGauge,
+    /// Answers that were cut short because the target's was.
+    pub cut: IntCounter,
+}
+
+impl Metrics {
+    /// Creates the metrics in a new registry.
+    ///
+    /// # Errors
+    /// Fails if a name is not valid or taken.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let added = Histogram::with_opts(
+            HistogramOpts::new(
+                "citron_proxy_added_seconds",
+                "Time until the answer's head that was not spent on targets",
+            )
+            .buckets(ADDED_BOUNDS_S.to_vec()),
+        )?;
+        registry.register(Box::new(added.clone()))?;
+        let cut = IntCounter::new(
+            "citron_proxy_cut_answers_total",
+            "Answers ended early because the target's answer or the deadline did",
+        )?;
+        registry.register(Box::new(cut.clone()))?;
+        Ok(Self {
+            requests: counters(
+                "citron_proxy_requests_total",
+                "Requests by service, outcome and status",
+                &["service", "outcome", "status"],
+            )?,
+            attempts: counters(
+                "citron_proxy_attempts_total",
+                "Attempts by service and ending",
+                &["service", "ending"],
+            )?,
+            retries: counters(
+                "citron_proxy_retries_total",
+                "Attempts after the first, by service",
+                &["service"],
+            )?,
+            refusals: counters(
+                "citron_proxy_refusals_total",
+                "Requests without a target's answer, by reason",
+                &["reason"],
+            )?,
+            in_flight: gauge("citron_proxy_in_flight", "Requests in flight")?,
+            revision: gauge("citron_proxy_policy_revision", "Policy revision in force")?,
+            attached: gauge("citron_proxy_agent_attached", "1 while the agent's stream is open")?,
+            added,
+            cut,
+            registry,
+        })
+    }
+
+    /// Counts a request that has ended.
+    pub fn count_request(&self, service: &str, outcome: Outcome, status: u16) {
+        let mut digits = [0; 3];
+        let status = status_text(status, &mut digits);
+        self.requests.with_label_values(&[service, outcome.into(), status]).inc();
+    }
+
+    /// Counts an attempt that has ended.
+    pub fn count_attempt(&self, service: &str, ending: Ending) {
+        self.attempts.with_label_values(&[service, ending.into()]).inc();
+    }
+}
+
+fn status_text(status: u16, digits: &mut [u8; 3]) -> &str {
+    let status = status.min(999);
+    for (digit, unit) in digits.iter_mut().zip([100, 10, 1]) {
+        *digit = b'0' + (status / unit % 10) as u8;
+    }
+    std::str::from_utf8(digits).expect("decimal digits are UTF-8")
+}
--- /dev/null
+++ b/crates/citron-proxy/src/proxy.rs
@@ -0,0 +1,158 @@
+//! A running proxy.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use citron::event::Kind;
+use citron_daemon::{Admin, Recorder, Server};
+use serde_json::json;
+use tokio::{net::UdpSocket, task::JoinHandle};
+
+use crate::{
+    door,
+    leaving::{self, Leaver},
+    link::{self, Link},
+    metrics::Metrics,
+    send::Clients,
+    settings::Settings,
+    shared::{Parts, Shared},
+};
+
+/// A running proxy.
+pub struct Proxy {
+    shared: Arc<Shared>,
+    addr: SocketAddr,
+    admin: Admin,
+    link: JoinHandle<()>,
+    serving: JoinHandle<()>,
+}
+
+/// A fault while starting the proxy.
+#[derive(Debug)]
+pub struct Error {
+    message: String,
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for Error {}
+
+fn fault(error: impl Display) -> Error {
+    Error { message: error.to_string() }
+}
+
+impl Proxy {
+    /// Binds all addresses and starts serving.
+    ///
+    /// Requests are refused as not run until the agent has sent a policy.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound.
+    pub async fn spawn(settings: Settings, recorder: Recorder) -> Result<Self, Error> {
+        let loans = UdpSocket::bind(settings.loans).await.map_err(|error| {
+            fault(format!("cannot bind --loans {}: {error}; choose a free address", settings.loans))
+        })?;
+        let parts = Parts {
+            recorder: recorder.clone(),
+            metrics: Metrics::new().map_err(fault)?,
+            clients: Clients::new().map_err(fault)?,
+            link: Link::open(settings.agent),
+            loans,
+        };
+        let shared = Shared::new(settings, parts);
+        let server = door::bind(&shared).await.map_err(fault)?;
+        let admin = bind_admin(&shared, recorder).await?;
+        let addr = server.addr();
+        shared.recorder.record(Kind::Started, &shared.settings.host, &[]);
+        let link = tokio::spawn(link::run(Arc::clone(&shared), addr));
+        let serving = tokio::spawn(leaving::run(Arc::clone(&shared), addr, server));
+        Ok(Self { shared, addr, admin, link, serving })
+    }
+
+    /// Returns the address that callers connect to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the HTTP address of metrics, events and status.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.addr()
+    }
+
+    /// Returns the line of JSON that tells that everything is bound.
+    pub fn ready_line(&self) -> String {
+        let loans = self.shared.loans.local_addr().map(|addr| addr.to_string());
+        json!({
+            "ready": true,
+            "program": "citron-proxy",
+            "host": self.shared.settings.host,
+            "listen": self.addr.to_string(),
+            "loans": loans.unwrap_or_default(),
+            "admin": self.admin().to_string(),
+        })
+        .to_string()
+    }
+
+    /// Returns a handle that asks the proxy to leave.
+    pub fn leaver(&self) -> Leaver {
+        Leaver { shared: Arc::clone(&self.shared) }
+    }
+
+    /// Waits until the proxy has left.
+    pub async fn finished(self) {
+        if let Err(error) = self.serving.await {
+            log::error!("the server ended badly: {error}");
+        }
+        self.link.abort();
+        self.admin.stop().await;
+    }
+}
+
+async fn bind_admin(shared: &Arc<Shared>, recorder: Recorder) -> Result<Server, Error> {
+    let (addr, registry) = (shared.settings.admin, shared.metrics.registry.clone());
+    let state = Arc::downgrade(shared);
+    let status = move || match state.upgrade() {
+        Some(shared) => status(&shared),
+        None => serde_json::Value::Null,
+    };
+    citron_daemon::bind_admin(addr, registry, recorder, status, |rocket| rocket)
+        .await
+        .map_err(fault)
+}
+
+fn status(shared: &Shared) -> serde_json::Value {
+    let view = shared.view.load();
+    let services: serde_json::Map<_, _> = view
+        .services
+        .iter()
+        .map(|(name, service)| {
+            let usable = service.targets.iter().filter(|target| !target.leaving).count();
+            let busy: u32 = service.targets.iter().map(|target| target.busy()).sum();
+            let state = json!({
+                "listed": service.targets.len(),
+                "usable": usable,
+                "ejected": Vec::<String>::new(),
+                "busy": busy,
+            });
+            (name.clone(), state)
+        })
+        .collect();
+    json!({
+        "program": "citron-proxy",
+        "host": shared.settings.host,
+        "domain": shared.settings.domain,
+        "revision": view.revision,
+        "attached": shared.metrics.attached.get() == 1,
+        "leaving": shared.is_leaving(),
+        "in_flight": shared.in_flight(),
+        "members": view.members.len(),
+        "services": services,
+    })
+}
--- /dev/null
+++ b/crates/citron-proxy/src/send.rs
@@ -0,0 +1,129 @@
+//! Makes one attempt at one target.
+
+use std::time::Duration;
+
+use citron::attempt::Ending;
+use reqwest::{Client, Response, Url, header::HeaderValue};
+use tokio::time;
+
+use crate::{
+    body::{Body, Upload},
+    header::{DEADLINE, REQUEST_ID, TARGET_OUTCOME},
+    intake::Intake,
+    service::Target,
+    shared::Shared,
+};
+
+/// How long opening a connection to a target may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The most unused connections kept per target.
+const IDLE_LIMIT: usize = 8;
+
+/// The HTTP clients towards targets.
+#[derive(Debug, Clone)]
+pub struct Clients {
+    pooled: Client,
+    fresh: Client,
+}
+
+impl Clients {
+    /// Creates both clients.
+    ///
+    /// # Errors
+    /// Fails if the HTTP library cannot be set up.
+    pub fn new() -> Result<Self, reqwest::Error> {
+        let base = || {
+            Client::builder()
+                .no_proxy()
+                .referer(false)
+                .redirect(reqwest::redirect::Policy::none())
+                .retry(reqwest::retry::never())
+                .http1_only()
+                .tcp_nodelay(true)
+                .connect_timeout(CONNECT_TIMEOUT)
+        };
+        Ok(Self {
+            pooled: base()
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .pool_max_idle_per_host(IDLE_LIMIT)
+                .build()?,
+            fresh: base().pool_max_idle_per_host(0).build()?,
+        })
+    }
+}
+
+/// What one attempt sends, and until when it waits.
+pub struct Attempt<'a> {
+    /// The request.
+    pub intake: &'a Intake,
+    /// Its body.
+    pub body: &'a Body,
+    /// The target.
+    pub target: &'a Target,
+    /// The id that the target must return.
+    pub id: &'a str,
+    /// When the attempt is given up, since the process origin.
+    pub until: Duration,
+    /// When the request must have ended, since the process origin.
+    pub deadline: Duration,
+    /// Whether it must use a new connection.
+    pub fresh: bool,
+}
+
+/// Returns the URL of `path_and_query` at `authority` if the URL library leaves it as it is.
+pub fn url(authority: &str, path_and_query: &str) -> Option<Url> {
+    let url = Url::parse(&format!("http://{authority}{path_and_query}")).ok()?;
+    let kept = match path_and_query.split_once('?') {
+        Some((path, query)) => url.path() == path && url.query() == Some(query),
+        None => url.path() == path_and_query && url.query().is_none(),
+    };
+    (kept && url.fragment().is_none()).then_some(url)
+}
+
+/// Sends a request and waits for the head of its answer.
+pub async fn send(shared: &Shared, attempt: Attempt<'_>) -> Result<Response, Ending> {
+    let request = request(shared, &attempt).ok_or(Ending::NotConnected)?;
+    let client = if attempt.fresh { &shared.clients.fresh } else { &shared.clients.pooled };
+    let until = shared.clock.instant(attempt.until);
+    let response = match time::timeout_at(until, client.execute(request)).await {
+        Err(_) => return Err(Ending::TimedOut),
+        Ok(Err(error)) => return Err(ending_of(&error)),
+        Ok(Ok(response)) => response,
+    };
+    if response.headers().get(REQUEST_ID).map(HeaderValue::as_bytes) != Some(attempt.id.as_bytes())
+    {
+        return Err(Ending::Foreign);
+    }
+    let shed = response.status() == 503
+        && response.headers().get(TARGET_OUTCOME).is_some_and(|value| value == "not-run");
+    if shed { Err(Ending::Shed) } else { Ok(response) }
+}
+
+fn request(shared: &Shared, attempt: &Attempt<'_>) -> Option<reqwest::Request> {
+    let intake = attempt.intake;
+    let url = url(&attempt.target.address.to_string(), &intake.path_and_query)?;
+    let mut request = reqwest::Request::new(intake.method.clone(), url);
+    let headers = request.headers_mut();
+    *headers = intake.headers.clone();
+    let left = attempt.deadline.saturating_sub(shared.clock.now());
+    headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+    headers.insert(REQUEST_ID, HeaderValue::from_str(attempt.id).ok()?);
+    *request.body_mut() = match attempt.body {
+        Body::Empty => None,
+        Body::Held(bytes) => Some(bytes.clone().into()),
+        Body::Streamed(upload) => Some(Upload::body(upload)),
+    };
+    Some(request)
+}
+
+fn ending_of(error: &reqwest::Error) -> Ending {
+    if error.is_connect() {
+        Ending::NotConnected
+    } else if error.is_timeout() {
+        Ending::TimedOut
+    } else {
+        Ending::Broken
+    }
+}
--- /dev/null
+++ b/crates/citron-proxy/src/service.rs
@@ -0,0 +1,105 @@
+//! The state of a service and its targets that requests share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use citron::attempt::Budget;
+use citron_wire as wire;
+
+/// The most repetitions that a service can save up.
+const RETRY_LIMIT: u32 = 20;
+
+/// A service as the proxy sees it.
+#[derive(Debug)]
+pub struct Service {
+    /// The service's name.
+    pub name: String,
+    /// Its targets, ordered by name.
+    pub targets: Vec<Arc<Target>>,
+    /// The budget of repetitions.
+    pub budget: Arc<Budget>,
+}
+
+impl Service {
+    /// Creates the state of a service that was not known before.
+    pub fn new(name: &str, targets: Vec<Arc<Target>>) -> Self {
+        Self { name: name.to_owned(), targets, budget: Arc::new(Budget::new(RETRY_LIMIT)) }
+    }
+
+    /// Returns the same service with other targets.
+    pub fn with_targets(&self, targets: Vec<Arc<Target>>) -> Self {
+        Self { name: self.name.clone(), targets, budget: Arc::clone(&self.budget) }
+    }
+}
+
+/// A target as the proxy sees it.
+#[derive(Debug)]
+pub struct Target {
+    /// The target's name.
+    pub name: String,
+    /// The service it serves.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// True if it gets no new work.
+    pub leaving: bool,
+    /// Requests of this proxy that it has now.
+    busy: Arc<AtomicU32>,
+}
+
+impl Target {
+    /// Returns the target of a table entry; its count of requests stays that of `known`.
+    pub fn update(known: Option<&Arc<Self>>, entry: &wire::Target) -> Option<Arc<Self>> {
+        let address = entry.address.parse().ok()?;
+        let busy = known
+            .filter(|known| known.address == address)
+            .map_or_else(Arc::default, |known| Arc::clone(&known.busy));
+        Some(Arc::new(Self {
+            name: entry.name.clone(),
+            service: entry.service.clone(),
+            address,
+            domain: entry.domain.clone(),
+            slots: entry.slots.max(1),
+            leaving: entry.leaving,
+            busy,
+        }))
+    }
+
+    /// Returns the number of requests that this proxy has at the target.
+    pub fn busy(&self) -> u32 {
+        self.busy.load(Ordering::Relaxed)
+    }
+
+    /// Takes one slot, or returns `None` if this proxy already uses all.
+    pub fn take_slot(self: &Arc<Self>) -> Option<Slot> {
+        self.busy
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |busy| {
+                (busy < self.slots).then_some(busy + 1)
+            })
+            .ok()
+            .map(|_| Slot { target: Arc::clone(self) })
+    }
+}
+
+/// One request's place at a target, given back on drop.
+#[derive(Debug)]
+pub struct Slot {
+    /// The target that has it.
+    pub target: Arc<Target>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let before = self.target.busy.fetch_sub(1, Ordering::Relaxed);
+        assert!(before > 0, "a slot must be taken before it is given back");
+    }
+}
--- /dev/null
+++ b/crates/citron-proxy/src/settings.rs
@@ -0,0 +1,204 @@
+//! The settings of the proxy.
+
+use std::{ffi::OsString, net::SocketAddr, time::Duration};
+
+use citron_daemon::setting::{self, Error, Request, Spec, Values};
+use log::LevelFilter;
+
+const ABOUT: &str = "carries customers' requests to healthy targets";
+
+const SPECS: &[Spec] = &[
+    Spec {
+        flag: "host",
+        variable: "CITRON_HOST",
+        default: None,
+        help: "name of this host",
+        valid: "1 to 64 letters, digits, '-', '_' or '.'",
+    },
+    Spec {
+        flag: "domain",
+        variable: "CITRON_DOMAIN",
+        default: None,
+        help: "failure domain of this host",
+        valid: "1 to 64 letters, digits, '-', '_' or '.'",
+    },
+    Spec {
+        flag: "listen",
+        variable: "CITRON_LISTEN",
+        default: None,
+        help: "address that callers connect to",
+        valid: "an IP address and port, such as 10.0.0.1:8080; port 0 takes a free one",
+    },
+    Spec {
+        flag: "loans",
+        variable: "CITRON_LOANS",
+        default: None,
+        help: "UDP address for loans between proxies",
+        valid: "an IP address and port, such as 10.0.0.1:8081; port 0 takes a free one",
+    },
+    Spec {
+        flag: "admin",
+        variable: "CITRON_ADMIN",
+        default: None,
+        help: "HTTP address of metrics, events and status",
+        valid: "an IP address and port, such as 10.0.0.1:8082; port 0 takes a free one",
+    },
+    Spec {
+        flag: "agent",
+        variable: "CITRON_AGENT",
+        default: None,
+        help: "control address of the agent of this host",
+        valid: "an IP address and port, such as 127.0.0.1:9090",
+    },
+    Spec {
+        flag: "platform",
+        variable: "CITRON_PLATFORM",
+        default: Some(""),
+        help: "URL of the platform's object API",
+        valid: "an http:// URL, such as http://10.0.0.9:7000",
+    },
+    Spec {
+        flag: "leave-ms",
+        variable: "CITRON_LEAVE_MS",
+        default: Some("5000"),
+        help: "how long it goes on accepting after it began to leave, milliseconds",
+        valid: "a whole number from 0 to 600000",
+    },
+    Spec {
+        flag: "body-limit-bytes",
+        variable: "CITRON_BODY_LIMIT_BYTES",
+        default: Some("67108864"),
+        help: "longest request body, bytes",
+        valid: "a whole number from 0 to 1099511627776",
+    },
+    Spec {
+        flag: "header-limit-bytes",
+        variable: "CITRON_HEADER_LIMIT_BYTES",
+        default: Some("32768"),
+        help: "longest request headers and path together, bytes",
+        valid: "a whole number from 1024 to 262144",
+    },
+    Spec {
+        flag: "customer-limit",
+        variable: "CITRON_CUSTOMER_LIMIT",
+        default: Some("256"),
+        help: "most requests of one customer at a time",
+        valid: "a whole number from 1 to 1000000",
+    },
+    Spec {
+        flag: "log",
+        variable: "CITRON_LOG",
+        default: Some("info"),
+        help: "least level of log lines",
+        valid: "off, error, warn, info, debug or trace",
+    },
+];
+
+/// The longest name of a host or failure domain, in bytes.
+const NAME_LIMIT_BYTES: usize = 64;
+
+/// The checked settings of a proxy.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The name of this host.
+    pub host: String,
+    /// The failure domain of this host.
+    pub domain: String,
+    /// The address that callers connect to.
+    pub listen: SocketAddr,
+    /// The UDP address for loans between proxies.
+    pub loans: SocketAddr,
+    /// The HTTP address of metrics, events and status.
+    pub admin: SocketAddr,
+    /// The control address of the agent of this host.
+    pub agent: SocketAddr,
+    /// The URL of the platform's object API; the proxy itself makes no calls to it.
+    pub platform: Option<String>,
+    /// How long it goes on accepting after it began to leave.
+    pub leave: Duration,
+    /// The longest request body, bytes.
+    pub body_limit: u64,
+    /// The longest request headers and path together, bytes.
+    pub header_limit: usize,
+    /// The most requests of one customer at a time.
+    pub customer_limit: u32,
+    /// The least level of log lines.
+    pub log: LevelFilter,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Command {
+    /// Print this text and exit with code 0.
+    Print(String),
+    /// Run the proxy.
+    Run(Box<Settings>),
+}
+
+impl Settings {
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    /// Names the flag, the variable, the value and what would be valid.
+    pub fn read(
+        args: impl IntoIterator<Item = OsString>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Command, Error> {
+        match setting::read("citron-proxy", ABOUT, SPECS, args, variable)? {
+            Request::Print(text) => Ok(Command::Print(text)),
+            Request::Run(values) => Self::check(&values).map(Box::new).map(Command::Run),
+        }
+    }
+
+    fn check(values: &Values) -> Result<Self, Error> {
+        if let Some(word) = values.words.first() {
+            return Err(Error::Usage(format!("unexpected word {word:?}")));
+        }
+        Ok(Self {
+            host: values.get_with("host", name)?,
+            domain: values.get_with("domain", name)?,
+            listen: values.get("listen")?,
+            loans: values.get("loans")?,
+            admin: values.get("admin")?,
+            agent: values.get("agent")?,
+            platform: values.get_with("platform", url)?,
+            leave: Duration::from_millis(
+                values.get_with("leave-ms", |text| number(text, 0, 600_000))?,
+            ),
+            body_limit: values.get_with("body-limit-bytes", |text| number(text, 0, 1 << 40))?,
+            header_limit: values
+                .get_with("header-limit-bytes", |text| number(text, 1024, 262_144))?
+                as usize,
+            customer_limit: values.get_with("customer-limit", |text| number(text, 1, 1_000_000))?
+                as u32,
+            log: values.get("log")?,
+        })
+    }
+}
+
+fn name(text: &str) -> Result<String, String> {
+    let allowed = |c: char| c.is_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if text.is_empty() || text.len() > NAME_LIMIT_BYTES || !text.chars().all(allowed) {
+        return Err("it is not a name".to_owned());
+    }
+    Ok(text.to_owned())
+}
+
+fn url(text: &str) -> Result<Option<String>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    match reqwest::Url::parse(text) {
+        Ok(url) if url.scheme() == "http" => Ok(Some(text.to_owned())),
+        Ok(url) => Err(format!("the scheme is {:?}", url.scheme())),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+fn number(text: &str, min: u64, max: u64) -> Result<u64, String> {
+    match text.parse::<u64>() {
+        Ok(value) if (min..=max).contains(&value) => Ok(value),
+        Ok(_) => Err("it is out of range".to_owned()),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/citron-proxy/tests/support/caller.rs
@@ -0,0 +1,137 @@
+//! A caller that writes raw bytes and reads the answer to its end.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time,
+};
+
+use super::PATIENCE;
+
+pub struct Caller {
+    addr: SocketAddr,
+}
+
+/// An answer as it arrived.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether the body ended as its head announced.
+    pub whole: bool,
+}
+
+impl Caller {
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr }
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.addr).await.expect("the proxy must accept")
+    }
+
+    /// Sends `request`, whose connection is to close after the answer, and reads the answer.
+    pub async fn call(&self, request: &[u8]) -> Reply {
+        let mut stream = self.connect().await;
+        stream.write_all(request).await.expect("the proxy must read");
+        let is_head = request.starts_with(b"HEAD ");
+        read_reply(&mut stream, is_head).await
+    }
+}
+
+/// Reads to the end of the answer or of the connection.
+pub async fn read_reply(stream: &mut TcpStream, is_head: bool) -> Reply {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(reply) = Reply::parse(&bytes, is_head, false) {
+            return reply;
+        }
+        let mut chunk = [0; 65536];
+        let read = time::timeout(PATIENCE + Duration::from_secs(10), stream.read(&mut chunk)).await;
+        match read.expect("an answer must arrive or the connection end") {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
+            _ => {
+                return Reply::parse(&bytes, is_head, true).unwrap_or(Reply {
+                    status: 0,
+                    headers: vec![],
+                    body: bytes,
+                    whole: false,
+                });
+            }
+        }
+    }
+}
+
+impl Reply {
+    fn parse(bytes: &[u8], is_head: bool, at_end: bool) -> Option<Self> {
+        let split = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+        let head = std::str::from_utf8(&bytes[..split]).expect("the head must be UTF-8");
+        let rest = &bytes[split + 4..];
+        let mut lines = head.split("\r\n");
+        let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+        if status == 100 {
+            return Self::parse(rest, is_head, at_end);
+        }
+        let headers: Vec<(String, String)> = lines
+            .filter_map(|line| line.split_once(": "))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
+        let mut reply = Self { status, headers, body: Vec::new(), whole: true };
+        if is_head || matches!(status, 204 | 304) {
+            return Some(reply);
+        }
+        if reply.header("transfer-encoding") == Some("chunked") {
+            (reply.body, reply.whole) = dechunk(rest);
+        } else {
+            let length: usize = reply.header("content-length")?.parse().ok()?;
+            reply.body = rest[..rest.len().min(length)].to_vec();
+            reply.whole = rest.len() >= length;
+        }
+        (reply.whole || at_end).then_some(reply)
+    }
+
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.all(name).first().copied()
+    }
+
+    /// Returns all values of a header.
+    pub fn all(&self, name: &str) -> Vec<&str> {
+        let matches = self.headers.iter().filter(|(given, _)| given == name);
+        matches.map(|(_, value)| value.as_str()).collect()
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.header("citron-outcome").unwrap_or("none")
+    }
+
+    pub fn reason(&self) -> &str {
+        self.header("citron-reason").unwrap_or("none")
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Decodes chunks; returns whether the last one has come.
+pub fn dechunk(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    while let Some(end) = bytes.windows(2).position(|window| window == b"\r\n") {
+        let size = std::str::from_utf8(&bytes[..end]).expect("a chunk size must be text");
+        let size = usize::from_str_radix(size, 16).expect("a chunk size must be hexadecimal");
+        bytes = &bytes[end + 2..];
+        if size == 0 {
+            return (body, bytes.starts_with(b"\r\n"));
+        }
+        body.extend_from_slice(&bytes[..bytes.len().min(size)]);
+        if bytes.len() < size + 2 {
+            return (body, false);
+        }
+        bytes = &bytes[size + 2..];
+    }
+    (body, false)
+}
--- /dev/null
+++ b/crates/citron-proxy/tests/support/target.rs
@@ -0,0 +1,180 @@
+//! A target on raw TCP that does what a test scripts.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use parking_lot::Mutex;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    task::JoinHandle,
+};
+
+use super::caller::dechunk;
+
+/// A request as a target saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Counts the target's connections from 0.
+    pub connection: usize,
+    /// Counts the target's requests from 0.
+    pub index: usize,
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether the body ended as announced.
+    pub whole: bool,
+}
+
+/// What a target does next with a request; `{id}` stands for the id of the request.
+#[derive(Clone)]
+pub enum Act {
+    Write(String),
+    Bytes(Vec<u8>),
+    Wait(Arc<Notify>),
+    /// Ends the connection.
+    Close,
+    /// Neither answers nor ends the connection; notifies when the proxy ends it.
+    Hang(Arc<Notify>),
+}
+
+pub type Script = Arc<dyn Fn(&Seen) -> Vec<Act> + Send + Sync>;
+
+/// Returns an answer with the id of the request.
+pub fn answer(status: &str, headers: &str, body: &str) -> Act {
+    Act::Write(format!(
+        "HTTP/1.1 {status}\r\ncitron-request-id: {{id}}\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+pub struct Target {
+    pub addr: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    connections: Arc<Mutex<usize>>,
+    task: JoinHandle<()>,
+}
+
+impl Target {
+    pub async fn spawn(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let connections: Arc<Mutex<usize>> = Arc::default();
+        let (log, count) = (Arc::clone(&seen), Arc::clone(&connections));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let connection = *count.lock();
+                *count.lock() += 1;
+                tokio::spawn(serve(stream, connection, Arc::clone(&log), Arc::clone(&script)));
+            }
+        });
+        Self { addr, seen, connections, task }
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().clone()
+    }
+
+    pub fn connections(&self) -> usize {
+        *self.connections.lock()
+    }
+
+    /// Stops accepting; the address refuses connections from then on.
+    pub async fn stop(&mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.all(name).first().copied()
+    }
+
+    pub fn all(&self, name: &str) -> Vec<&str> {
+        let matches = self.headers.iter().filter(|(given, _)| given == name);
+        matches.map(|(_, value)| value.as_str()).collect()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    log: Arc<Mutex<Vec<Seen>>>,
+    script: Script,
+) {
+    let mut buffer = Vec::new();
+    while let Some(mut seen) = read(&mut stream, &mut buffer, connection).await {
+        seen.index = log.lock().len();
+        log.lock().push(seen.clone());
+        let id = seen.header("citron-request-id").unwrap_or("none").to_owned();
+        for act in script(&seen) {
+            match act {
+                Act::Write(text) => {
+                    let text = text.replace("{id}", &id);
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Act::Bytes(bytes) => {
+                    if stream.write_all(&bytes).await.is_err() {
+                        return;
+                    }
+                }
+                Act::Wait(notify) => notify.notified().await,
+                Act::Close => return,
+                Act::Hang(ended) => {
+                    while matches!(stream.read(&mut [0; 1024]).await, Ok(1..)) {}
+                    ended.notify_one();
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Reads one request, or returns `None` when the connection has ended.
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>, connection: usize) -> Option<Seen> {
+    let split = loop {
+        if let Some(split) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            break split;
+        }
+        more(stream, buffer).await.then_some(())?;
+    };
+    let head = String::from_utf8_lossy(&buffer[..split]).into_owned();
+    buffer.drain(..split + 4);
+    let mut lines = head.split("\r\n");
+    let line = lines.next()?.to_owned();
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_owned(), value.trim().to_owned()))
+        .collect();
+    let mut seen = Seen { connection, index: 0, line, headers, body: vec![], whole: true };
+    if seen.header("transfer-encoding") == Some("chunked") {
+        loop {
+            (seen.body, seen.whole) = dechunk(buffer);
+            if seen.whole || !more(stream, buffer).await {
+                break;
+            }
+        }
+        buffer.clear();
+    } else if let Some(length) = seen.header("content-length") {
+        let length = length.parse().expect("a length is a number");
+        while buffer.len() < length && more(stream, buffer).await {}
+        seen.whole = buffer.len() >= length;
+        seen.body = buffer.drain(..buffer.len().min(length)).collect();
+    }
+    Some(seen)
+}
+
+async fn more(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let mut chunk = [0; 65536];
+    match stream.read(&mut chunk).await {
+        Ok(count) if count > 0 => {
+            buffer.extend_from_slice(&chunk[..count]);
+            true
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/citron/src/attempt/budget.rs
@@ -0,0 +1,42 @@
+//! The budget of repetitions, shared by the requests of one service.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// What one request adds to the budget, in thousandths of a repetition.
+const DEPOSIT_MILLI: u32 = 200;
+/// What one repetition costs, in thousandths of a repetition.
+const COST_MILLI: u32 = 1000;
+
+/// Bounds repetitions to a share of the requests, so that they cannot multiply an overload.
+#[derive(Debug)]
+pub struct Budget {
+    limit_milli: u32,
+    milli: AtomicU32,
+}
+
+impl Budget {
+    /// Creates a full budget that holds at most `limit` repetitions.
+    pub fn new(limit: u32) -> Self {
+        let limit_milli = limit.saturating_mul(COST_MILLI);
+        Self { limit_milli, milli: AtomicU32::new(limit_milli) }
+    }
+
+    /// Adds the deposit of one request.
+    pub fn deposit(&self) {
+        self.change(|milli| Some((milli + DEPOSIT_MILLI).min(self.limit_milli)));
+    }
+
+    /// Takes the cost of one repetition, or returns false if the budget is spent.
+    pub fn withdraw(&self) -> bool {
+        self.change(|milli| milli.checked_sub(COST_MILLI))
+    }
+
+    fn change(&self, next: impl Fn(u32) -> Option<u32>) -> bool {
+        let changed = self.milli.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+        assert!(
+            self.milli.load(Ordering::Relaxed) <= self.limit_milli,
+            "a retry budget must not exceed its limit"
+        );
+        changed.is_ok()
+    }
+}
