Add membership, placement, watchers and the host list as pure modules

Membership probes one peer at a time and relays probes, so that a path cut in one direction is told from a dead member. Placement uses rendezvous hashing spread over failure domains. The host list spreads by changes from versions that a copy held.

--- a/crates/citron-wire/src/generated.rs
+++ b/crates/citron-wire/src/generated.rs
@@ -271,7 +271,14 @@
     pub results: ::prost::alloc::vec::Vec<i32>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct TablesRequest {}
+pub struct TablesRequest {
+    /// Version of the host list that the caller has; 0 asks for all of it.
+    #[prost(uint64, tag = "1")]
+    pub hosts_version: u64,
+    /// True to get the members as well.
+    #[prost(bool, tag = "2")]
+    pub members: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Tables {
     #[prost(message, optional, tag = "1")]
@@ -280,6 +287,12 @@
     pub targets: ::core::option::Option<TargetTable>,
     #[prost(message, optional, tag = "3")]
     pub verdicts: ::core::option::Option<VerdictTable>,
+    /// Version of the host list that the targets and entries below bring the caller to.
+    #[prost(uint64, tag = "4")]
+    pub hosts_version: u64,
+    /// Changes of the platform's entry host list; only name, domain, state and addresses are set.
+    #[prost(message, optional, tag = "5")]
+    pub entries: ::core::option::Option<MemberTable>,
 }
 /// A loan message between two proxies, one per UDP datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -355,6 +368,9 @@
     pub evidence: ::prost::alloc::vec::Vec<EvidenceBatch>,
     #[prost(message, repeated, tag = "11")]
     pub targets: ::prost::alloc::vec::Vec<Target>,
+    /// Newest version of the platform's host list known to the sender.
+    #[prost(uint64, tag = "12")]
+    pub hosts_version: u64,
     #[prost(oneof = "gossip::Body", tags = "4, 5, 6")]
     pub body: ::core::option::Option<gossip::Body>,
 }
@@ -370,10 +386,17 @@
         PingRequest(super::PingRequest),
     }
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ping {
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
+    /// The member on whose behalf the sender probes, with the number of its own ping.
+    #[prost(string, tag = "2")]
+    pub origin: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub origin_gossip: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub origin_sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ack {
@@ -382,6 +405,9 @@
     /// The member whose answer this acknowledges.
     #[prost(string, tag = "2")]
     pub subject: ::prost::alloc::string::String,
+    /// True when the subject heard the prober's own ping.
+    #[prost(bool, tag = "3")]
+    pub heard: bool,
 }
 /// Asks the receiver to probe a third member.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/crates/citron/src/hosts.rs
@@ -0,0 +1,145 @@
+//! A versioned copy of the platform's host list that spreads by changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Removed names that are remembered for members that ask for changes.
+const REMOVED_CAPACITY: usize = 4096;
+/// Earlier versions from which changes can be given.
+const HELD_CAPACITY: usize = 256;
+
+/// Named entries, each with the list version that last changed it.
+#[derive(Debug, Clone)]
+pub struct Table<V> {
+    version: u64,
+    /// Earlier versions that this copy went through; from others the changes are not known.
+    held: BTreeSet<u64>,
+    entries: BTreeMap<String, (u64, V)>,
+    removed: BTreeMap<String, u64>,
+}
+
+/// What changed between two versions of a table.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct Changes<V> {
+    /// The version after the changes.
+    pub version: u64,
+    /// The changes replace the whole table.
+    pub full: bool,
+    /// Entries that are new or differ.
+    pub entries: Vec<(String, V)>,
+    /// Names that are gone.
+    pub removed: Vec<String>,
+}
+
+impl<V: Clone + PartialEq> Default for Table<V> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<V: Clone + PartialEq> Table<V> {
+    /// Creates an empty table at version 0.
+    pub fn new() -> Self {
+        Self {
+            version: 0,
+            held: BTreeSet::new(),
+            entries: BTreeMap::new(),
+            removed: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the list version of this copy.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the entries by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &V)> {
+        self.entries.iter().map(|(name, (_, value))| (name.as_str(), value))
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true if there are no entries.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes the whole list at `version` and returns what changed; an older list changes nothing.
+    pub fn install(&mut self, version: u64, list: &BTreeMap<String, V>) -> Changes<V> {
+        let mut changes =
+            Changes { version, full: false, entries: Vec::new(), removed: Vec::new() };
+        if version <= self.version {
+            changes.version = self.version;
+            return changes;
+        }
+        for (name, value) in list {
+            if self.entries.get(name).is_none_or(|(_, known)| known != value) {
+                changes.entries.push((name.clone(), value.clone()));
+            }
+        }
+        let gone = self.entries.keys().filter(|name| !list.contains_key(*name));
+        changes.removed = gone.cloned().collect();
+        self.advance(&changes);
+        changes
+    }
+
+    /// Takes changes that a peer gave for this table's version; returns what changed here.
+    pub fn apply(&mut self, changes: &Changes<V>) -> Changes<V> {
+        if changes.full {
+            let list = changes.entries.iter().cloned().collect();
+            return self.install(changes.version, &list);
+        }
+        if changes.version <= self.version {
+            return Changes {
+                version: self.version,
+                entries: vec![],
+                removed: vec![],
+                full: false,
+            };
+        }
+        self.advance(changes);
+        changes.clone()
+    }
+
+    /// Returns the changes after `version`, the whole table if those are not known any more.
+    pub fn since(&self, version: u64) -> Changes<V> {
+        let full = version != self.version && !self.held.contains(&version);
+        let after = if full { 0 } else { version };
+        let newer = self.entries.iter().filter(|(_, (changed, _))| full || *changed > after);
+        let removed = self.removed.iter().filter(|(_, at)| !full && **at > after);
+        Changes {
+            version: self.version,
+            full,
+            entries: newer.map(|(name, (_, value))| (name.clone(), value.clone())).collect(),
+            removed: removed.map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
+    fn advance(&mut self, changes: &Changes<V>) {
+        assert!(changes.version > self.version, "the version of a host list must not go back");
+        if self.version > 0 {
+            self.held.insert(self.version);
+        }
+        while self.held.len() > HELD_CAPACITY {
+            self.held.pop_first();
+        }
+        self.version = changes.version;
+        for (name, value) in &changes.entries {
+            self.removed.remove(name);
+            self.entries.insert(name.clone(), (changes.version, value.clone()));
+        }
+        for name in &changes.removed {
+            self.entries.remove(name);
+            self.removed.insert(name.clone(), changes.version);
+        }
+        while self.removed.len() > REMOVED_CAPACITY {
+            let oldest = self.removed.iter().min_by_key(|(_, at)| **at);
+            let Some((name, at)) = oldest.map(|(name, at)| (name.clone(), *at)) else { break };
+            self.removed.remove(&name);
+            self.held.retain(|version| *version >= at);
+        }
+    }
+}
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -6,4 +6,9 @@
 
 pub mod event;
 pub mod hlc;
+pub mod home;
+pub mod hosts;
+pub mod member;
 pub mod policy;
+pub mod rumor;
+pub mod watcher;
--- /dev/null
+++ b/crates/citron/src/member/probe.rs
@@ -0,0 +1,314 @@
+//! Probes, direct and relayed, and what their answers say about a path.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use rand::{Rng, seq::SliceRandom};
+
+use super::{Action, Body, Membership, Message, Origin, Path, State};
+
+/// Relayed probes that one member carries at a time.
+const RELAY_CAPACITY: usize = 256;
+/// Probe intervals after which a relayed probe is dropped.
+const RELAY_INTERVALS: u32 = 4;
+/// Equal observations in a row after which a path is believed to have changed.
+const PATH_OBSERVATIONS: u32 = 3;
+
+/// The probes under way.
+#[derive(Debug, Clone)]
+pub(super) struct Probes {
+    sequence: u64,
+    next: Duration,
+    round: Vec<String>,
+    /// Members whose path is in doubt; they take every second probe.
+    recheck: VecDeque<String>,
+    rechecked: bool,
+    current: Option<Probe>,
+    relays: BTreeMap<u64, Relay>,
+}
+
+#[derive(Debug, Clone)]
+struct Probe {
+    sequence: u64,
+    subject: String,
+    ask_at: Duration,
+    end_at: Duration,
+    asked: bool,
+    /// An answer arrived directly, or over another member.
+    direct: bool,
+    relayed: bool,
+    /// The subject heard this member's own ping.
+    heard: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Relay {
+    origin: String,
+    sequence: u64,
+    until: Duration,
+}
+
+impl Probes {
+    pub(super) fn open(first_sequence: u64, now: Duration) -> Self {
+        Self {
+            sequence: first_sequence,
+            next: now,
+            round: Vec::new(),
+            recheck: VecDeque::new(),
+            rechecked: false,
+            current: None,
+            relays: BTreeMap::new(),
+        }
+    }
+
+    /// Moves all deadlines by `gap`.
+    pub(super) fn shift(&mut self, gap: Duration) {
+        self.next += gap;
+        if let Some(probe) = &mut self.current {
+            probe.ask_at += gap;
+            probe.end_at += gap;
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
+
+impl Membership {
+    /// Starts the next probe when it is due.
+    pub(super) fn start_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.probes.next || self.probes.current.is_some() {
+            return;
+        }
+        self.probes.next = self.after(now, self.config.probe_interval);
+        let Some(subject) = self.next_subject() else { return };
+        let sequence = self.probes.number();
+        let ask_at = now + self.config.ack_timeout * (1 + self.health);
+        let end_at = ask_at.max(now + self.config.probe_interval * (1 + self.health))
+            + self.config.ack_timeout;
+        self.probes.current = Some(Probe {
+            sequence,
+            subject: subject.clone(),
+            ask_at,
+            end_at,
+            asked: false,
+            direct: false,
+            relayed: false,
+            heard: false,
+        });
+        let body = Body::Ping { sequence, origin: None };
+        actions.extend(self.message_to(&subject, Some(body)));
+    }
+
+    /// Asks others when the direct answer is late, and ends the probe when its time is up.
+    pub(super) fn advance_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.probes.relays.retain(|_, relay| relay.until > now);
+        let Some(probe) = &mut self.probes.current else { return };
+        if !probe.asked && now >= probe.ask_at {
+            probe.asked = true;
+            let (sequence, subject) = (probe.sequence, probe.subject.clone());
+            for relay in self.pick(self.config.relays, Some(&subject)) {
+                let body = Body::PingRequest { sequence, subject: subject.clone() };
+                actions.extend(self.message_to(&relay, Some(body)));
+            }
+        } else if now >= probe.end_at {
+            self.end_probe(now, actions);
+        }
+    }
+
+    fn end_probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(probe) = self.probes.current.take() else { return };
+        if probe.direct || probe.relayed {
+            self.improve();
+            let path = Path { hears: probe.direct, heard: probe.heard };
+            self.observe_path(&probe.subject, path, actions);
+            return;
+        }
+        let isolated = self.is_isolated(now);
+        self.worsen();
+        if !isolated {
+            self.suspect(&probe.subject, now, actions);
+        }
+    }
+
+    /// Pings a host that is dead or was never heard of.
+    pub(super) fn contact(&mut self, host: &str, _now: Duration, actions: &mut Vec<Action>) {
+        let sequence = self.probes.number();
+        actions.extend(self.message_to(host, Some(Body::Ping { sequence, origin: None })));
+    }
+
+    /// Now and then pings one dead or unheard host, or a seed, so that separated parts merge again.
+    pub(super) fn reconcile(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.next_reconcile {
+            return;
+        }
+        self.next_reconcile = self.after(now, self.config.reconcile_interval);
+        let known: Vec<&str> =
+            self.others().map(|member| member.record.addresses.gossip.as_str()).collect();
+        let seeds: Vec<String> =
+            self.seeds.iter().filter(|seed| !known.contains(&seed.as_str())).cloned().collect();
+        for to in seeds {
+            let body = Body::Ping { sequence: self.probes.number(), origin: None };
+            let action = self.message(to, None, Some(body));
+            actions.push(action);
+        }
+        let silent: Vec<String> = self
+            .others()
+            .filter(|member| member.record.state == State::Dead)
+            .map(|member| member.record.host.clone())
+            .collect();
+        if !silent.is_empty() {
+            let index = self.rng.random_range(0..silent.len());
+            self.contact(&silent[index], now, actions);
+        }
+    }
+
+    /// Handles a probe or its answer.
+    pub(super) fn answer(
+        &mut self,
+        message: &Message,
+        body: &Body,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        match body {
+            Body::Ping { sequence, origin } => {
+                self.take_ping(&message.from, *sequence, origin.as_ref(), actions);
+            }
+            Body::Ack { sequence, subject, heard } => {
+                self.take_ack(&message.from, *sequence, subject, *heard, actions);
+            }
+            Body::PingRequest { sequence, subject } => {
+                self.relay_ping(&message.from, *sequence, subject, now, actions);
+            }
+        }
+    }
+
+    fn take_ping(
+        &mut self,
+        from: &str,
+        sequence: u64,
+        origin: Option<&Origin>,
+        actions: &mut Vec<Action>,
+    ) {
+        let subject = self.me.host.clone();
+        let Some(origin) = origin else {
+            if let Some(peer) = self.peers.get_mut(from) {
+                peer.pinged = peer.pinged.max(sequence);
+            }
+            let body = Body::Ack { sequence, subject, heard: true };
+            actions.extend(self.message_to(from, Some(body)));
+            return;
+        };
+        let heard = self.peers.get(&origin.host).is_some_and(|peer| peer.pinged >= origin.sequence);
+        let body = Body::Ack { sequence, subject: subject.clone(), heard };
+        actions.extend(self.message_to(from, Some(body)));
+        // Straight to the origin as well, which shows whether it hears this member.
+        let body = Body::Ack { sequence: origin.sequence, subject, heard };
+        let action = self.message(origin.gossip.clone(), None, Some(body));
+        actions.push(action);
+    }
+
+    fn take_ack(
+        &mut self,
+        from: &str,
+        sequence: u64,
+        subject: &str,
+        heard: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(relay) = self.probes.relays.remove(&sequence) {
+            let body = Body::Ack { sequence: relay.sequence, subject: subject.to_owned(), heard };
+            actions.extend(self.message_to(&relay.origin, Some(body)));
+            return;
+        }
+        let Some(probe) = &mut self.probes.current else { return };
+        if probe.sequence != sequence || probe.subject != subject {
+            return;
+        }
+        if from == subject {
+            probe.direct = true;
+        } else {
+            probe.relayed = true;
+        }
+        probe.heard |= heard;
+        if probe.direct && probe.heard {
+            self.probes.current = None;
+            self.improve();
+            self.observe_path(subject, Path::OPEN, actions);
+        }
+    }
+
+    fn relay_ping(
+        &mut self,
+        from: &str,
+        sequence: u64,
+        subject: &str,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(origin) = self.peers.get(from) else { return };
+        if self.probes.relays.len() >= RELAY_CAPACITY || !self.peers.contains_key(subject) {
+            return;
+        }
+        let gossip = origin.member.record.addresses.gossip.clone();
+        let number = self.probes.number();
+        let until = now + self.config.probe_interval * RELAY_INTERVALS;
+        self.probes.relays.insert(number, Relay { origin: from.to_owned(), sequence, until });
+        let origin = Origin { host: from.to_owned(), gossip, sequence };
+        let body = Body::Ping { sequence: number, origin: Some(origin) };
+        actions.extend(self.message_to(subject, Some(body)));
+    }
+
+    /// Believes a change of a path once it was seen several times in a row.
+    fn observe_path(&mut self, host: &str, path: Path, actions: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(host) else { return };
+        if peer.member.path == path {
+            peer.path_seen = (path, 0);
+            return;
+        }
+        let (seen, count) = peer.path_seen;
+        let count = if seen == path { count + 1 } else { 1 };
+        peer.path_seen = (path, count);
+        if count < PATH_OBSERVATIONS {
+            if !self.probes.recheck.iter().any(|known| known == host) {
+                self.probes.recheck.push_back(host.to_owned());
+            }
+            return;
+        }
+        peer.member.path = path;
+        peer.path_seen = (path, 0);
+        actions.push(Action::Path { host: host.to_owned(), path });
+    }
+
+    /// Returns whom to probe next: in random order, each live member once a round.
+    fn next_subject(&mut self) -> Option<String> {
+        self.probes.rechecked = !self.probes.rechecked;
+        if self.probes.rechecked
+            && let Some(host) = self.probes.recheck.pop_front()
+            && self.is_probed(&host)
+        {
+            return Some(host);
+        }
+        for _ in 0..2 {
+            while let Some(host) = self.probes.round.pop() {
+                if self.is_probed(&host) {
+                    return Some(host);
+                }
+            }
+            let mut round: Vec<String> =
+                self.peers.keys().filter(|host| self.is_probed(host)).cloned().collect();
+            round.shuffle(&mut self.rng);
+            self.probes.round = round;
+        }
+        None
+    }
+
+    fn is_probed(&self, host: &str) -> bool {
+        self.peers.get(host).is_some_and(|peer| peer.member.record.state != State::Dead)
+    }
+}
