Add stand-in targets and a load that audits every order

Targets have slots, a short queue, cold start, drain, deadlines, a ledger of runs and faults that switch while running. Answers can be recomputed by the caller byte by byte, so a wrong, foreign or short answer shows. The load asks agents where to connect, resubmits orders with their idempotency key, and compares what it was told with the targets' ledger.

--- /dev/null
+++ b/crates/citron-stand/src/command/mod.rs
@@ -0,0 +1,35 @@
+//! The subcommands of `citron-stand`.
+
+mod load;
+mod target;
+
+pub use self::{load::run as run_load, target::run as run_target};
+
+use std::{env, ffi::OsString, future::Future};
+
+use citron_daemon::setting::{self, Request, Spec, Values};
+
+/// Reads the settings of a subcommand, or prints its help.
+///
+/// # Errors
+/// Fails on a setting that does not exist.
+fn read(
+    name: &str,
+    about: &str,
+    specs: &'static [Spec],
+    words: &[String],
+) -> eyre::Result<Option<Values>> {
+    let args = std::iter::once(OsString::from(name)).chain(words.iter().map(OsString::from));
+    match setting::read(name, about, specs, args, |variable| env::var(variable).ok())? {
+        Request::Print(text) => {
+            print!("{text}");
+            Ok(None)
+        }
+        Request::Run(values) => Ok(Some(values)),
+    }
+}
+
+/// Runs a future on a runtime with several threads.
+fn block_on<T>(future: impl Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(future)
+}
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -1,3 +1,6 @@
 //! Stand-ins for the platform, targets and callers, and the benches.
 
 pub mod bench;
+pub mod command;
+pub mod load;
+pub mod target;
--- a/crates/citron-stand/src/main.rs
+++ b/crates/citron-stand/src/main.rs
@@ -2,15 +2,44 @@
 
 use std::{env, process::ExitCode};
 
-use citron_stand::bench::BENCHES;
+use citron_stand::{bench::BENCHES, command};
 
-fn main() -> eyre::Result<ExitCode> {
+/// Runs a subcommand with the words after its name.
+type Command = fn(&[String]) -> eyre::Result<ExitCode>;
+
+const COMMANDS: &[(&str, Command)] =
+    &[("target", command::run_target), ("load", command::run_load), ("bench", bench)];
+
+fn main() -> ExitCode {
     let words: Vec<String> = env::args().skip(1).collect();
-    match words.first().map(String::as_str) {
-        Some("bench") => bench(&words[1..]),
+    let name = words.first().map_or("--help", String::as_str);
+    let Some((_, run)) = COMMANDS.iter().find(|(known, _)| *known == name) else {
+        return usage(name);
+    };
+    match run(&words[1..]) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("citron-stand {name}: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn usage(name: &str) -> ExitCode {
+    let names: Vec<&str> = COMMANDS.iter().map(|(known, _)| *known).collect();
+    let text = format!("usage: citron-stand {} [--help]", names.join("|"));
+    match name {
+        "--help" | "-h" => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        "--version" | "-V" => {
+            println!("citron-stand {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
         _ => {
-            eprintln!("usage: citron-stand bench NAME");
-            Ok(ExitCode::from(2))
+            eprintln!("citron-stand: there is no subcommand {name:?}; {text}");
+            ExitCode::from(2)
         }
     }
 }
