--- /dev/null
+++ b/crates/citron-platform/src/host.rs
@@ -0,0 +1,94 @@
+//! The platform's list of hosts, which lags behind what is true.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+/// The list of live and leaving hosts.
+#[derive(Debug, Default, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Hosts {
+    /// Counts the changes of the list.
+    #[serde(default)]
+    pub version: u64,
+    /// The hosts in no particular order.
+    pub hosts: Vec<Host>,
+}
+
+/// One host of the list.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// The host's name; a target's name for targets.
+    pub name: String,
+    /// What the host is for.
+    pub role: Role,
+    /// The failure domain.
+    pub domain: String,
+    /// Whether the host is about to leave.
+    pub state: State,
+    /// Address of a target, `ip:port`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<String>,
+    /// Service of a target.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// Requests that a target serves at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// Connections that a target accepts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<u32>,
+    /// UDP address of an entry host's gossip, `ip:port`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gossip: Option<String>,
+    /// TCP address of an entry host's control service, `ip:port`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<String>,
+}
+
+/// What a host is for.
+#[derive(
+    Debug,
+    Copy,
+    Clone,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Runs a proxy and an agent.
+    Entry,
+    /// Serves requests of a service.
+    Target,
+}
+
+/// Whether a host stays.
+#[derive(
+    Debug,
+    Copy,
+    Clone,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum State {
+    /// The host is in use.
+    Live,
+    /// The host is about to leave.
+    Leaving,
+}
