--- a/crates/citron-wire/src/generated.rs
+++ b/crates/citron-wire/src/generated.rs
@@ -211,6 +211,9 @@
     /// Order among the ejected targets of a service: the proxy keeps the lowest ranks ejected when its floor binds.
     #[prost(uint32, tag = "7")]
     pub rank: u32,
+    /// True while the target gets a trickle of idempotent requests before it returns.
+    #[prost(bool, tag = "8")]
+    pub trial: bool,
 }
 /// What one proxy saw of the targets of a service since its last report.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -219,6 +222,12 @@
     pub host: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// Failure domain of the host.
+    #[prost(string, tag = "3")]
+    pub domain: ::prost::alloc::string::String,
+    /// Counts the batches of this host; a batch that arrives twice is dropped.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Evidence {
@@ -247,6 +256,22 @@
     /// The reporting proxy's suspicion of its own network, 0 to 1000.
     #[prost(uint32, tag = "11")]
     pub self_milli: u32,
+    /// Answers and requests in flight by their time, against the service's own quantiles at this proxy:
+    /// up to the median, up to the 90th percentile, up to the 99th, and beyond.
+    #[prost(uint32, tag = "12")]
+    pub brisk: u32,
+    #[prost(uint32, tag = "13")]
+    pub usual: u32,
+    #[prost(uint32, tag = "14")]
+    pub slow: u32,
+    #[prost(uint32, tag = "15")]
+    pub late: u32,
+    /// Connections that could not be made.
+    #[prost(uint32, tag = "16")]
+    pub refused: u32,
+    /// Probes that failed.
+    #[prost(uint32, tag = "17")]
+    pub probes: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ClaimRequest {
--- a/crates/citron-wire/src/lib.rs
+++ b/crates/citron-wire/src/lib.rs
@@ -3,5 +3,6 @@
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 mod generated;
+mod health;
 
 pub use generated::*;
--- /dev/null
+++ b/crates/citron/src/health/tuning.rs
@@ -0,0 +1,58 @@
+//! How a service's profile trades detection time against false ejections.
+
+use std::time::Duration;
+
+use crate::policy::Profile;
+
+/// The thresholds of one profile; scores are natural logarithms of likelihood ratios.
+#[derive(Debug, Copy, Clone, PartialEq)]
+pub struct Tuning {
+    /// The joint score at which a steward ejects a target.
+    pub eject: f64,
+    /// The score that must remain without the strongest single observer.
+    pub alone: f64,
+    /// The score that must remain without the strongest failure domain of observers.
+    pub abroad: f64,
+    /// The most that one observer contributes to a joint score.
+    pub observer_cap: f64,
+    /// The score at which a proxy by itself leaves a target only a trickle.
+    pub local: f64,
+    /// The share of targets that look sick at which a steward stops ejecting.
+    pub doubt_share: f64,
+    /// How long a target stays ejected before its first trial.
+    pub hold_off: Duration,
+    /// The longest time a flapping target stays ejected before a trial.
+    pub hold_off_limit: Duration,
+    /// The score in a trial's favour at which a target returns.
+    pub trial_proof: f64,
+}
+
+impl Tuning {
+    /// Returns the thresholds of a profile.
+    pub fn of(profile: Profile) -> Self {
+        match profile {
+            Profile::Fast => Self {
+                eject: 14.0,
+                alone: 5.0,
+                abroad: 3.0,
+                observer_cap: 8.0,
+                local: 11.0,
+                doubt_share: 0.4,
+                hold_off: Duration::from_secs(10),
+                hold_off_limit: Duration::from_secs(300),
+                trial_proof: 4.0,
+            },
+            Profile::Careful => Self {
+                eject: 20.0,
+                alone: 8.0,
+                abroad: 6.0,
+                observer_cap: 9.0,
+                local: 15.0,
+                doubt_share: 0.3,
+                hold_off: Duration::from_secs(10),
+                hold_off_limit: Duration::from_secs(600),
+                trial_proof: 6.0,
+            },
+        }
+    }
+}
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -5,5 +5,6 @@
 //! comes from a generator that the caller seeds. Equal inputs give equal outputs.
 
 pub mod event;
+pub mod health;
 pub mod hlc;
 pub mod policy;
