--- a/crates/citron-stand/src/target/serve.rs
+++ b/crates/citron-stand/src/target/serve.rs
@@ -282,7 +282,11 @@
     let body = match data.open(BODY_LIMIT_MIB.mebibytes()).into_bytes().await {
         Ok(body) if body.is_complete() => body.into_inner(),
         Ok(_) | Err(_) => {
-            return tag(shared, plain(Status::BadRequest, "the body is too long or cut short"), &id);
+            return tag(
+                shared,
+                plain(Status::BadRequest, "the body is too long or cut short"),
+                &id,
+            );
         }
     };
     if let Some(order) = request.headers().get_one("x-order") {
