Add the agent: membership, policy spread, locate and the proxy's feed

Thin but whole: settings, HTTP, the tonic service, gossip over UDP, the platform's readers and pulls from peers.

--- /dev/null
+++ b/crates/citron-agent/src/control.rs
@@ -0,0 +1,238 @@
+//! The calls of this host's proxy and of other agents.
+
+use std::{collections::BTreeSet, pin::Pin, sync::Arc};
+
+use citron_wire::{
+    self as wire, ClaimReply, ClaimRequest, HeadRequest, Report, ShardRequest, TablesRequest,
+    Update, agent_server::Agent, report, update,
+};
+use futures::Stream;
+use tokio::sync::{broadcast::error::RecvError, mpsc};
+use tokio_stream::{StreamExt, wrappers::ReceiverStream};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::{
+    claims::Claims,
+    core::{Core, Notice},
+    spread::is_synced,
+};
+
+/// Updates that wait for a slow proxy.
+const UPDATE_CAPACITY: usize = 16;
+
+/// Serves the calls.
+#[derive(Debug, Clone)]
+pub struct Control {
+    core: Arc<Core>,
+    claims: Arc<Claims>,
+}
+
+impl Control {
+    /// Creates the service.
+    pub fn new(core: Arc<Core>, claims: Arc<Claims>) -> Self {
+        Self { core, claims }
+    }
+}
+
+type Updates = Pin<Box<dyn Stream<Item = Result<Update, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl Agent for Control {
+    type AttachStream = Updates;
+
+    async fn attach(
+        &self,
+        request: Request<Streaming<Report>>,
+    ) -> Result<Response<Updates>, Status> {
+        let reports = request.into_inner();
+        let (sender, receiver) = mpsc::channel(UPDATE_CAPACITY);
+        let feed = Feed { core: self.core.clone(), sender, sent: BTreeSet::new(), revision: 0 };
+        tokio::spawn(feed.run());
+        tokio::spawn(take_reports(self.core.clone(), reports));
+        Ok(Response::new(Box::pin(ReceiverStream::new(receiver).map(Ok))))
+    }
+
+    async fn fetch_head(&self, _: Request<HeadRequest>) -> Result<Response<wire::Head>, Status> {
+        Ok(Response::new(head(&self.core)))
+    }
+
+    async fn fetch_shard(
+        &self,
+        request: Request<ShardRequest>,
+    ) -> Result<Response<wire::Shard>, Status> {
+        let digest = request.into_inner().digest;
+        let json = self.core.with_policy(|copy| copy.shards.get(&digest).cloned());
+        match json {
+            Some(json) => Ok(Response::new(wire::Shard { digest, json: json.to_vec() })),
+            None => Err(Status::not_found("the policy in force here has no such shard")),
+        }
+    }
+
+    async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        let results = self.claims.decide(request.into_inner().claims).await;
+        Ok(Response::new(ClaimReply { results: results.into_iter().map(i32::from).collect() }))
+    }
+
+    async fn fetch_tables(
+        &self,
+        request: Request<TablesRequest>,
+    ) -> Result<Response<wire::Tables>, Status> {
+        let request = request.into_inner();
+        let mut tables = self.core.with_lists(|lists| {
+            let entries = lists.entries.since(request.hosts_version);
+            let targets = lists.targets.since(request.hosts_version);
+            wire::Tables {
+                hosts_version: targets.version,
+                entries: Some(wire::MemberTable {
+                    full: entries.full,
+                    members: entries.entries.into_iter().map(|(_, entry)| entry).collect(),
+                    removed: entries.removed,
+                }),
+                targets: Some(wire::TargetTable {
+                    full: targets.full,
+                    targets: targets.entries.into_iter().map(|(_, target)| target).collect(),
+                    removed: targets.removed,
+                }),
+                ..wire::Tables::default()
+            }
+        });
+        tables.verdicts = Some(self.core.verdict_table());
+        tables.members = request.members.then(|| self.core.member_table());
+        Ok(Response::new(tables))
+    }
+}
+
+fn head(core: &Core) -> wire::Head {
+    core.with_policy(|copy| wire::Head {
+        revision: copy.head.revision,
+        json: copy.head_json.to_vec(),
+    })
+}
+
+/// Takes what the attached proxy reports until it goes away.
+async fn take_reports(core: Arc<Core>, mut reports: Streaming<Report>) {
+    core.metrics.attached.inc();
+    let mut address = String::new();
+    while let Ok(Some(report)) = reports.message().await {
+        if let Some(stamp) = report.stamp {
+            let stamp = citron::hlc::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical };
+            core.recorder.observe(stamp);
+        }
+        match report.body {
+            Some(report::Body::Hello(hello)) => {
+                core.set_proxy(&hello.listen, &hello.loans);
+                address = hello.listen;
+            }
+            Some(report::Body::Evidence(batch)) => core.take_evidence(batch),
+            Some(report::Body::Progress(progress)) => {
+                core.set_progress(progress.revision);
+                if progress.leaving {
+                    core.leave();
+                }
+            }
+            None => {}
+        }
+    }
+    core.metrics.attached.dec();
+    let current = core.with_members(|members| members.me().addresses.proxy.clone());
+    // A restarted proxy may have attached already.
+    if current == address {
+        core.set_proxy("", "");
+    }
+}
+
+/// Sends the state and its changes to one attached proxy.
+struct Feed {
+    core: Arc<Core>,
+    sender: mpsc::Sender<Update>,
+    /// Digests of the shards that were sent with the last policy.
+    sent: BTreeSet<String>,
+    /// The revision that was sent last.
+    revision: u64,
+}
+
+impl Feed {
+    async fn run(mut self) {
+        let mut notices = self.core.notices();
+        let mut synced = self.core.synced();
+        let mut told = false;
+        if self.send_all().await.is_none() {
+            return;
+        }
+        loop {
+            let done = tokio::select! {
+                () = self.sender.closed() => return,
+                open = is_synced(&mut synced), if !told => {
+                    told = true;
+                    if !open { return }
+                    self.send_synced().await
+                }
+                notice = notices.recv() => match notice {
+                    Ok(notice) => self.send_notice(notice).await,
+                    Err(RecvError::Lagged(_)) => self.send_all().await,
+                    Err(RecvError::Closed) => return,
+                }
+            };
+            if done.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn send_all(&mut self) -> Option<()> {
+        self.send_policy().await?;
+        self.send(update::Body::Members(self.core.member_table())).await?;
+        self.send(update::Body::Targets(self.core.target_table())).await?;
+        self.send(update::Body::Verdicts(self.core.verdict_table())).await
+    }
+
+    async fn send_synced(&mut self) -> Option<()> {
+        self.send_policy().await?;
+        self.send(update::Body::Synced(wire::Synced {})).await
+    }
+
+    async fn send_notice(&mut self, notice: Notice) -> Option<()> {
+        match notice {
+            Notice::Policy => self.send_policy().await,
+            Notice::Members(hosts) => {
+                let table = self.core.member_changes(&hosts);
+                self.send(update::Body::Members(table)).await
+            }
+            Notice::Targets(changes) => {
+                let targets = changes.entries.iter().map(|(_, target)| target.clone()).collect();
+                let removed = changes.removed.clone();
+                let table = wire::TargetTable { full: changes.full, targets, removed };
+                self.send(update::Body::Targets(table)).await
+            }
+            Notice::Verdicts(verdicts) => {
+                let table = wire::VerdictTable { verdicts: verdicts.to_vec() };
+                self.send(update::Body::Verdicts(table)).await
+            }
+            Notice::Leave => self.send(update::Body::Leave(wire::Leave {})).await,
+        }
+    }
+
+    async fn send_policy(&mut self) -> Option<()> {
+        let (policy, digests) = self.core.with_policy(|copy| {
+            let fresh = copy.shards.iter().filter(|(digest, _)| !self.sent.contains(*digest));
+            let shards = fresh
+                .map(|(digest, json)| wire::Shard { digest: digest.clone(), json: json.to_vec() });
+            let head = wire::Head { revision: copy.head.revision, json: copy.head_json.to_vec() };
+            let policy = wire::Policy { head: Some(head), shards: shards.collect() };
+            (policy, copy.shards.keys().cloned().collect())
+        });
+        let revision = policy.head.as_ref().map_or(0, |head| head.revision);
+        if revision <= self.revision {
+            return Some(());
+        }
+        self.revision = revision;
+        self.sent = digests;
+        self.send(update::Body::Policy(policy)).await
+    }
+
+    async fn send(&mut self, body: update::Body) -> Option<()> {
+        let stamp = self.core.recorder.stamp();
+        let stamp = wire::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical };
+        self.sender.send(Update { stamp: Some(stamp), body: Some(body) }).await.ok()
+    }
+}
--- /dev/null
+++ b/crates/citron-agent/src/http.rs
@@ -0,0 +1,150 @@
+//! Locate answers for callers, and the drain command of operators.
+
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, OnceLock},
+};
+
+use citron::{home, member::State};
+use rocket::{Build, Rocket, get, http::Status, post, routes, serde::json::Json};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::core::Core;
+
+/// The most addresses in a locate answer.
+const ADDRESSES: usize = 6;
+
+/// Where a service is reached.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize)]
+pub struct Answer {
+    /// The service.
+    pub service: String,
+    /// How long the answer may be kept, milliseconds.
+    pub ttl_ms: u64,
+    /// Addresses `ip:port` in the order in which to try them.
+    pub addresses: Vec<String>,
+}
+
+/// The state, once the agent is open.
+pub type Slot = Arc<OnceLock<Arc<Core>>>;
+
+/// An answer without addresses.
+type Refusal = (Status, Json<Value>);
+
+/// Mounts the routes.
+pub fn mount(rocket: Rocket<Build>, slot: Slot) -> Rocket<Build> {
+    rocket.manage(slot).mount("/", routes![show_locate, drain])
+}
+
+#[get("/locate/<service>?<customer>")]
+fn show_locate(
+    slot: &rocket::State<Slot>,
+    service: &str,
+    customer: Option<&str>,
+) -> Result<Json<Answer>, Refusal> {
+    let core = opened(slot)?;
+    let Some(customer) = customer.filter(|customer| !customer.is_empty()) else {
+        let hint = "name the customer, as in /locate/SERVICE?customer=NAME";
+        return Err(refuse(Status::BadRequest, hint));
+    };
+    if core.with_policy(|copy| copy.head.revision) == 0 {
+        return Err(refuse(Status::ServiceUnavailable, "no policy is known here yet; ask again"));
+    }
+    if !core.grants().services.contains_key(service) {
+        return Err(refuse(Status::NotFound, "the policy names no such service"));
+    }
+    let addresses = locate(core, customer, service);
+    if addresses.is_empty() {
+        return Err(refuse(Status::ServiceUnavailable, "no proxy can be named now; ask again"));
+    }
+    core.metrics.locates.inc();
+    let ttl_ms = core.settings.ttl.as_millis() as u64;
+    Ok(Json(Answer { service: service.to_owned(), ttl_ms, addresses }))
+}
+
+#[post("/drain")]
+fn drain(slot: &rocket::State<Slot>) -> Result<Refusal, Refusal> {
+    let core = opened(slot)?;
+    core.drain();
+    Ok((Status::Accepted, Json(json!({ "host": core.settings.host, "state": "leaving" }))))
+}
+
+fn opened(slot: &Slot) -> Result<&Arc<Core>, Refusal> {
+    slot.get().ok_or_else(|| refuse(Status::ServiceUnavailable, "the agent starts; ask again"))
+}
+
+fn refuse(status: Status, hint: &str) -> Refusal {
+    (status, Json(json!({ "error": hint })))
+}
+
+/// Returns the addresses of proxies for a customer and service, in order.
+pub fn locate(core: &Core, customer: &str, service: &str) -> Vec<String> {
+    let (entries, leaving): (Vec<(String, String)>, BTreeSet<String>) = core.with_lists(|lists| {
+        let entries = lists.entries.iter().map(|(name, e)| (name.to_owned(), e.domain.clone()));
+        let leaving = lists
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.state() == citron_wire::MemberState::Leaving);
+        (entries.collect(), leaving.map(|(name, _)| name.to_owned()).collect())
+    });
+    core.with_members(|members| {
+        let listed: Vec<home::Host<'_>> =
+            entries.iter().map(|(name, domain)| home::Host { name, domain }).collect();
+        let records: Vec<_> = std::iter::once(members.me())
+            .chain(members.others().map(|member| &member.record))
+            .collect();
+        let known: Vec<home::Host<'_>> = records
+            .iter()
+            .map(|record| home::Host { name: &record.host, domain: &record.domain })
+            .collect();
+        let record = |host: &str| records.iter().find(|record| record.host == host);
+        let usable = |host: &str| {
+            !leaving.contains(host)
+                && record(host).is_some_and(|record| {
+                    record.state == State::Alive && !record.addresses.proxy.is_empty()
+                })
+        };
+        home::locate(customer, service, &listed, &known, usable, ADDRESSES)
+            .into_iter()
+            .filter_map(record)
+            .map(|record| record.addresses.proxy.clone())
+            .collect()
+    })
+}
+
+/// Returns the body of `/status`.
+pub fn status(core: &Core) -> Value {
+    let (revision, term, holder) =
+        core.with_policy(|copy| (copy.head.revision, copy.head.term, copy.head.holder.clone()));
+    let (hosts_version, targets) =
+        core.with_lists(|lists| (lists.targets.version(), lists.targets.len()));
+    let listed = core.listed();
+    let synced = *core.synced().borrow();
+    core.with_members(|members| {
+        let me = members.me();
+        let others: Vec<Value> = members
+            .others()
+            .map(|member| {
+                let record = &member.record;
+                json!({
+                    "host": record.host, "domain": record.domain, "state": record.state.to_string(),
+                    "incarnation": record.incarnation, "listed": member.listed,
+                    "proxy": record.addresses.proxy, "admin": record.addresses.admin,
+                    "revision": record.revision,
+                    "hears": member.path.hears, "heard": member.path.heard,
+                })
+            })
+            .collect();
+        json!({
+            "program": "citron-agent", "host": me.host, "domain": me.domain,
+            "state": me.state.to_string(), "incarnation": me.incarnation,
+            "listed": listed.contains(&me.host), "synced": synced,
+            "revision": revision, "term": term, "holder": holder,
+            "proxy": me.addresses.proxy, "proxy_revision": me.revision,
+            "hosts_version": hosts_version, "targets": targets,
+            "watcher": core.metrics.watcher.get() == 1,
+            "members": others,
+        })
+    })
+}
--- a/crates/citron-agent/src/lib.rs
+++ b/crates/citron-agent/src/lib.rs
@@ -1,1 +1,185 @@
-//! The control path of the citronlanding proxy fleet.
+//! The control path of one entry host: membership, policy, the platform's lists, locate answers.
+
+mod claims;
+mod control;
+mod convert;
+mod core;
+mod gossip;
+mod http;
+mod metrics;
+mod peer;
+mod reader;
+mod settings;
+mod shelf;
+mod spread;
+
+pub use self::{
+    core::{Core, Hint, Lists, Notice},
+    http::locate,
+    metrics::Metrics,
+    settings::{SPECS, Settings},
+    shelf::{Copy, Refusal},
+};
+
+use std::{sync::Arc, time::Duration};
+
+use citron::{
+    event::Kind,
+    member::{self, Addresses, Membership, Record, State},
+};
+use citron_daemon::{Admin, Clock, Recorder};
+use citron_platform::Client;
+use citron_wire::agent_server::AgentServer;
+use eyre::WrapErr;
+use rand::{SeedableRng, rngs::OsRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinSet,
+    time,
+};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::{claims::Claims, control::Control, peer::Peers, reader::Reader};
+
+/// How long a call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time between two looks at whether the proxy has gone.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+/// How long a leaving agent goes on telling others after its proxy has gone.
+const LEAVE_LINGER: Duration = Duration::from_millis(300);
+/// The largest call.
+const CALL_LIMIT_BYTES: usize = 64 << 20;
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    core: Arc<Core>,
+    admin: Admin,
+    tasks: JoinSet<()>,
+}
+
+impl Agent {
+    /// Binds all addresses and starts; the policy is read in the background.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound.
+    pub async fn bind(mut settings: Settings, clock: Clock) -> eyre::Result<Self> {
+        let socket = UdpSocket::bind(settings.gossip)
+            .await
+            .wrap_err_with(|| format!("cannot bind --gossip {}", settings.gossip))?;
+        let listener = TcpListener::bind(settings.control)
+            .await
+            .wrap_err_with(|| format!("cannot bind --control {}", settings.control))?;
+        settings.gossip = socket.local_addr()?;
+        settings.control = listener.local_addr()?;
+        let recorder = Recorder::open(&settings.host, "citron-agent", clock);
+        let (slot, metrics) = (http::Slot::default(), Metrics::open());
+        let admin = bind_admin(&settings, &metrics, &recorder, &slot).await?;
+        settings.listen = admin.addr();
+        let mut rng = ChaCha8Rng::try_from_rng(&mut OsRng)?;
+        let members = open_members(&settings, &mut rng, clock);
+        let (core, queues) = Core::open(settings, recorder, metrics, members, rng);
+        slot.get_or_init(|| core.clone());
+        let client = Client::open(&core.settings.platform, PLATFORM_TIMEOUT)
+            .map_err(|error| eyre::eyre!("--platform cannot be used: {error}"))?;
+
+        let (peers, socket) = (Arc::new(Peers::default()), Arc::new(socket));
+        let claims = Arc::new(Claims);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(gossip::tick(core.clone()));
+        tasks.spawn(gossip::send(core.clone(), socket.clone(), queues.datagrams));
+        tasks.spawn(gossip::receive(core.clone(), socket));
+        tasks.spawn(spread::follow(core.clone(), peers.clone(), queues.hints));
+        tasks.spawn(spread::start(core.clone(), peers.clone()));
+        tasks.spawn(spread::compare(core.clone(), peers));
+        let reader = Reader::open(core.clone(), client);
+        tasks.spawn(reader.clone().follow_policy());
+        tasks.spawn(reader.follow_hosts());
+        tasks.spawn(serve(Control::new(core.clone(), claims), listener));
+        core.recorder.record(Kind::Started, &core.settings.host, &[]);
+        Ok(Self { core, admin, tasks })
+    }
+
+    /// Returns the shared state.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Returns the line that says where the agent is reached.
+    pub fn ready(&self) -> Value {
+        let settings = &self.core.settings;
+        json!({
+            "ready": true, "program": "citron-agent", "host": settings.host,
+            "domain": settings.domain, "listen": settings.listen, "control": settings.control,
+            "gossip": settings.gossip,
+        })
+    }
+
+    /// Leaves: tells the others, waits until this host's proxy has gone, and stops.
+    pub async fn leave(self) {
+        self.core.drain();
+        let gone = async {
+            while self.core.metrics.attached.get() > 0 {
+                time::sleep(LEAVE_POLL).await;
+            }
+        };
+        if time::timeout(self.core.settings.grace, gone).await.is_err() {
+            log::warn!("the proxy of this host is still attached; the agent stops without it");
+        }
+        time::sleep(LEAVE_LINGER).await;
+        self.core.recorder.record(Kind::Stopped, &self.core.settings.host, &[]);
+        self.stop().await;
+    }
+
+    /// Stops at once, as if the host had failed.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+        self.admin.stop().await;
+    }
+}
+
+fn open_members(settings: &Settings, rng: &mut ChaCha8Rng, clock: Clock) -> Membership {
+    let me = Record {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        incarnation: clock.wall_ms(),
+        state: State::Alive,
+        addresses: Addresses {
+            gossip: settings.gossip.to_string(),
+            control: settings.control.to_string(),
+            admin: settings.listen.to_string(),
+            ..Addresses::default()
+        },
+        revision: 0,
+    };
+    let own = ChaCha8Rng::from_rng(rng);
+    Membership::open(me, &settings.seeds, member::Config::default(), own, clock.now())
+}
+
+async fn bind_admin(
+    settings: &Settings,
+    metrics: &Metrics,
+    recorder: &Recorder,
+    slot: &http::Slot,
+) -> eyre::Result<Admin> {
+    let (shown, served) = (slot.clone(), slot.clone());
+    let admin = citron_daemon::bind_admin(
+        settings.listen,
+        metrics.registry.clone(),
+        recorder.clone(),
+        move || shown.get().map_or(Value::Null, |core| http::status(core)),
+        move |rocket| http::mount(rocket, served),
+    );
+    admin.await.wrap_err("cannot serve --listen")
+}
+
+async fn serve(control: Control, listener: TcpListener) {
+    let service = AgentServer::new(control).max_decoding_message_size(CALL_LIMIT_BYTES);
+    let incoming = TcpListenerStream::new(listener);
+    if let Err(error) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
+        log::error!("the control service ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/citron-agent/src/peer.rs
@@ -0,0 +1,55 @@
+//! Calls to other agents.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use citron_wire::agent_client::AgentClient;
+use parking_lot::Mutex;
+use tonic::transport::{Channel, Endpoint};
+
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time between two keep-alives of a connection in use.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// The largest answer.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// Connections that are kept.
+const CONNECTIONS: usize = 16;
+
+/// Connections to other agents by control address.
+#[derive(Debug, Default)]
+pub struct Peers {
+    channels: Mutex<BTreeMap<String, Channel>>,
+}
+
+impl Peers {
+    /// Returns a client of the agent at `control`, or `None` if that is no address.
+    pub fn client(&self, control: &str) -> Option<AgentClient<Channel>> {
+        let mut channels = self.channels.lock();
+        if let Some(channel) = channels.get(control) {
+            return Some(Self::wrap(channel.clone()));
+        }
+        let channel = Endpoint::from_shared(format!("http://{control}"))
+            .ok()?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(CALL_TIMEOUT)
+            .http2_keep_alive_interval(KEEP_ALIVE)
+            .keep_alive_timeout(CALL_TIMEOUT)
+            .connect_lazy();
+        if channels.len() >= CONNECTIONS {
+            channels.pop_first();
+        }
+        channels.insert(control.to_owned(), channel.clone());
+        Some(Self::wrap(channel))
+    }
+
+    /// Drops the connection to an agent that did not answer.
+    pub fn forget(&self, control: &str) {
+        self.channels.lock().remove(control);
+    }
+
+    fn wrap(channel: Channel) -> AgentClient<Channel> {
+        AgentClient::new(channel).max_decoding_message_size(ANSWER_LIMIT_BYTES)
+    }
+}
--- /dev/null
+++ b/crates/citron-agent/src/reader.rs
@@ -0,0 +1,192 @@
+//! Reads policy and host list from the platform.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use citron::{event::Kind, watcher::Fallback};
+use citron_platform::{Client, Error, Version};
+use tokio::time;
+
+use crate::{core::Core, shelf::Copy};
+
+/// How long a watch waits at the platform.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// The time between two reads of the host list by a watcher.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two looks at whether this agent is a watcher.
+const ROLE_INTERVAL: Duration = Duration::from_millis(500);
+/// The first and the longest pause after a failed call.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(3));
+/// The shortest time between two reads of an agent that is not a watcher.
+const FALLBACK_MIN: Duration = Duration::from_secs(5);
+/// The part of that time that each member adds, which bounds the calls of the whole fleet.
+const FALLBACK_PER_MEMBER: Duration = Duration::from_millis(10);
+
+/// The object that names the policy in force.
+const HEAD: (&str, &str) = ("policy", "head");
+/// The kind of the policy's shards.
+const SHARDS: &str = "policy-shards";
+
+/// Reads the platform; each task holds one.
+#[derive(Debug, Clone)]
+pub struct Reader {
+    core: Arc<Core>,
+    client: Client,
+}
+
+impl Reader {
+    /// Opens a reader.
+    pub fn open(core: Arc<Core>, client: Client) -> Self {
+        Self { core, client }
+    }
+
+    /// Follows the policy for good: by a watch as a watcher, else by rare reads.
+    pub async fn follow_policy(self) {
+        let mut reached = Reached::open(&self.core);
+        // Everything is read once at the start, whoever watches.
+        let mut after = loop {
+            match self.read_policy().await {
+                Ok(version) => {
+                    reached.set(true, "");
+                    self.core.set_synced();
+                    break version;
+                }
+                Err(error) => reached.failed(&error).await,
+            }
+        };
+        let mut fallback = self.fallback();
+        loop {
+            let watcher = self.core.is_watcher();
+            self.core.metrics.watcher.set(watcher.into());
+            if watcher {
+                after = self.watch(after, &mut reached).await;
+                continue;
+            }
+            time::sleep(ROLE_INTERVAL).await;
+            let now = self.core.now();
+            if self.core.draw(|rng| fallback.take(rng, now)) {
+                match self.read_policy().await {
+                    Ok(version) => {
+                        after = version;
+                        reached.set(true, "");
+                    }
+                    Err(error) => reached.set(false, &error.to_string()),
+                }
+                fallback = self.fallback();
+            }
+        }
+    }
+
+    async fn watch(&self, after: Version, reached: &mut Reached) -> Version {
+        self.count("watch");
+        match self.client.watch(HEAD.0, after, WATCH_WAIT).await {
+            Ok(changes) => {
+                reached.set(true, "");
+                if changes.changes.iter().all(|change| change.name != HEAD.1) {
+                    return changes.version.max(after);
+                }
+                match self.read_policy().await {
+                    Ok(_) => changes.version.max(after),
+                    Err(error) => {
+                        reached.failed(&error).await;
+                        after
+                    }
+                }
+            }
+            Err(error) => {
+                reached.failed(&error).await;
+                after
+            }
+        }
+    }
+
+    /// Follows the host list for good.
+    pub async fn follow_hosts(self) {
+        let mut fallback = self.fallback();
+        let mut first = true;
+        loop {
+            let now = self.core.now();
+            let due = first || self.core.is_watcher();
+            if due || self.core.draw(|rng| fallback.take(rng, now)) {
+                self.count("hosts");
+                match self.client.hosts().await {
+                    Ok(hosts) => {
+                        self.core.install_hosts(&hosts);
+                        first = false;
+                    }
+                    Err(error) => log::debug!("the host list was not read: {error}"),
+                }
+                fallback = self.fallback();
+            }
+            let jitter = self.core.draw(|rng| rand::Rng::random_range(rng, 0.9..1.1));
+            time::sleep(HOSTS_INTERVAL.mul_f64(jitter)).await;
+        }
+    }
+
+    fn fallback(&self) -> Fallback {
+        let members = self.core.with_members(|members| members.live_count()) as u32;
+        let interval = FALLBACK_MIN.max(FALLBACK_PER_MEMBER * members);
+        let now = self.core.now();
+        self.core.draw(|rng| Fallback::open(interval, rng, now))
+    }
+
+    /// Reads the policy and takes it if it is newer; returns the version of the head.
+    async fn read_policy(&self) -> Result<Version, Error> {
+        self.count("head");
+        let Some(head) = self.client.get(HEAD.0, HEAD.1).await? else {
+            return Ok(Version::default());
+        };
+        let Some(read) = Copy::read_head(&head.value) else {
+            log::error!("the platform's policy head cannot be read; it is left as it is");
+            return Ok(head.version);
+        };
+        if read.revision <= self.core.with_policy(|copy| copy.head.revision) {
+            return Ok(head.version);
+        }
+        let mut fresh = BTreeMap::new();
+        for digest in self.core.with_policy(|copy| copy.missing(&read)) {
+            self.count("shard");
+            if let Some(shard) = self.client.get(SHARDS, &digest).await? {
+                fresh.insert(digest, shard.value);
+            }
+        }
+        // A policy that is not newer any more, or not valid, is left.
+        let _ = self.core.install(&head.value, &fresh, "platform");
+        Ok(head.version)
+    }
+
+    fn count(&self, call: &str) {
+        self.core.metrics.platform_calls.with_label_values(&[call]).inc();
+    }
+}
+
+/// Whether the platform answered last, with a pause that grows while it does not.
+#[derive(Debug)]
+struct Reached {
+    core: Arc<Core>,
+    up: Option<bool>,
+    pause: Duration,
+}
+
+impl Reached {
+    fn open(core: &Arc<Core>) -> Self {
+        Self { core: core.clone(), up: None, pause: BACKOFF.0 }
+    }
+
+    fn set(&mut self, up: bool, reason: &str) {
+        if up {
+            self.pause = BACKOFF.0;
+        }
+        if self.up.replace(up) == Some(up) {
+            return;
+        }
+        let kind = if up { Kind::PlatformFound } else { Kind::PlatformLost };
+        self.core.recorder.record(kind, &self.core.settings.platform, &[("reason", reason)]);
+    }
+
+    async fn failed(&mut self, error: &Error) {
+        self.set(false, &error.to_string());
+        let jitter = self.core.draw(|rng| rand::Rng::random_range(rng, 0.5..1.5));
+        time::sleep(self.pause.mul_f64(jitter)).await;
+        self.pause = (self.pause * 2).min(BACKOFF.1);
+    }
+}
--- /dev/null
+++ b/crates/citron-agent/src/spread.rs
@@ -0,0 +1,173 @@
+//! Pulls policy and host lists from other agents.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use citron::hosts::Changes;
+use citron_wire::{self as wire, HeadRequest, ShardRequest, TablesRequest};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+
+use crate::{
+    core::{Core, Hint},
+    peer::Peers,
+    shelf::Copy,
+};
+
+/// Peers that are asked for one newer policy or list before the next hint is waited for.
+const ATTEMPTS: usize = 4;
+/// Peers that a starting agent asks.
+const START_PEERS: usize = 3;
+/// How long a starting agent waits before it looks for peers again.
+const START_PAUSE: Duration = Duration::from_millis(200);
+/// The shortest time between two comparisons of the member table with a peer's.
+const COMPARE_MIN: Duration = Duration::from_secs(10);
+/// The part of that time that each member adds, which keeps bytes per second constant.
+const COMPARE_PER_MEMBER: Duration = Duration::from_millis(60);
+
+/// Pulls whenever another member is known to have something newer, for good.
+pub async fn follow(core: Arc<Core>, peers: Arc<Peers>, mut hints: mpsc::Receiver<Hint>) {
+    while let Some(hint) = hints.recv().await {
+        if hint.revision > core.with_policy(|copy| copy.head.revision) {
+            pull_policy(&core, &peers, hint.revision).await;
+        }
+        if hint.hosts_version > core.hosts_version() {
+            pull_hosts(&core, &peers, hint.hosts_version).await;
+        }
+    }
+}
+
+/// Asks several peers, one of another failure domain, until policy and tables are known from one.
+pub async fn start(core: Arc<Core>, peers: Arc<Peers>) {
+    let mut synced = core.synced();
+    loop {
+        let mut answered = false;
+        for control in core.pick_controls(START_PEERS) {
+            answered |= take_tables(&core, &peers, &control, true).await;
+            take_policy(&core, &peers, &control).await;
+        }
+        if answered && core.with_policy(|copy| copy.head.revision) > 0 {
+            core.set_synced();
+            return;
+        }
+        tokio::select! {
+            () = time::sleep(START_PAUSE) => {}
+            open = is_synced(&mut synced) => {
+                // Known from the platform; members are learnt from one peer still.
+                if !open || answered || core.with_members(|m| m.live_count()) == 1 {
+                    return;
+                }
+                time::sleep(START_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits until the policy is known; returns false if that will not be.
+pub async fn is_synced(synced: &mut watch::Receiver<bool>) -> bool {
+    synced.wait_for(|synced| *synced).await.is_ok()
+}
+
+/// Compares the member table with that of a random peer now and then, for good.
+pub async fn compare(core: Arc<Core>, peers: Arc<Peers>) {
+    loop {
+        let members = core.with_members(|members| members.live_count()) as u32;
+        let interval = COMPARE_MIN.max(COMPARE_PER_MEMBER * members);
+        let jitter = core.draw(|rng| rand::Rng::random_range(rng, 0.8..1.2));
+        time::sleep(interval.mul_f64(jitter)).await;
+        for control in core.pick_controls(1) {
+            take_tables(&core, &peers, &control, true).await;
+        }
+    }
+}
+
+async fn pull_policy(core: &Core, peers: &Peers, revision: u64) {
+    for control in core.holders(|hint| hint.revision >= revision).iter().take(ATTEMPTS) {
+        take_policy(core, peers, control).await;
+        if core.with_policy(|copy| copy.head.revision) >= revision {
+            return;
+        }
+    }
+}
+
+async fn pull_hosts(core: &Core, peers: &Peers, version: u64) {
+    for control in core.holders(|hint| hint.hosts_version >= version).iter().take(ATTEMPTS) {
+        take_tables(core, peers, control, false).await;
+        if core.hosts_version() >= version {
+            return;
+        }
+    }
+}
+
+/// Takes a peer's policy if it is newer; returns false if the peer did not answer.
+async fn take_policy(core: &Core, peers: &Peers, control: &str) -> bool {
+    match fetch_policy(core, peers, control).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::debug!("the agent at {control} gave no policy: {error}");
+            peers.forget(control);
+            false
+        }
+    }
+}
+
+async fn fetch_policy(core: &Core, peers: &Peers, control: &str) -> Result<(), tonic::Status> {
+    let Some(mut client) = peers.client(control) else {
+        return Err(tonic::Status::invalid_argument("not an address"));
+    };
+    core.metrics.peer_calls.with_label_values(&["head"]).inc();
+    let head = client.fetch_head(HeadRequest {}).await?.into_inner();
+    if head.revision <= core.with_policy(|copy| copy.head.revision) {
+        return Ok(());
+    }
+    core.metrics.peer_bytes.inc_by(head.json.len() as u64);
+    let Some(read) = Copy::read_head(&head.json) else {
+        return Err(tonic::Status::data_loss("the head cannot be read"));
+    };
+    let mut fresh = BTreeMap::new();
+    for digest in core.with_policy(|copy| copy.missing(&read)) {
+        core.metrics.peer_calls.with_label_values(&["shard"]).inc();
+        let shard = client.fetch_shard(ShardRequest { digest }).await?.into_inner();
+        core.metrics.peer_bytes.inc_by(shard.json.len() as u64);
+        fresh.insert(shard.digest, shard.json);
+    }
+    // A policy that is not newer any more, or not valid, is left.
+    let _ = core.install(&head.json, &fresh, control);
+    Ok(())
+}
+
+/// Takes a peer's host list, and its members if asked; returns false if the peer did not answer.
+async fn take_tables(core: &Core, peers: &Peers, control: &str, members: bool) -> bool {
+    let Some(mut client) = peers.client(control) else { return false };
+    let hosts_version = core.hosts_version();
+    core.metrics.peer_calls.with_label_values(&["tables"]).inc();
+    let tables = match client.fetch_tables(TablesRequest { hosts_version, members }).await {
+        Ok(tables) => tables.into_inner(),
+        Err(error) => {
+            log::debug!("the agent at {control} gave no tables: {error}");
+            peers.forget(control);
+            return false;
+        }
+    };
+    core.metrics.peer_bytes.inc_by(prost::Message::encoded_len(&tables) as u64);
+    if let (Some(entries), Some(targets)) = (tables.entries, tables.targets) {
+        let version = tables.hosts_version;
+        core.apply_hosts(&entry_changes(entries, version), &target_changes(targets, version));
+    }
+    if let Some(members) = tables.members {
+        core.absorb(members);
+    }
+    core.take_verdicts(tables.verdicts.unwrap_or_default().verdicts);
+    true
+}
+
+fn entry_changes(table: wire::MemberTable, version: u64) -> Changes<wire::Member> {
+    let entries = table.members.into_iter().map(|entry| (entry.host.clone(), entry)).collect();
+    Changes { version, full: table.full, entries, removed: table.removed }
+}
+
+fn target_changes(table: wire::TargetTable, version: u64) -> Changes<wire::Target> {
+    let entries = table.targets.into_iter().map(|target| (target.name.clone(), target)).collect();
+    Changes { version, full: table.full, entries, removed: table.removed }
+}
--- a/crates/citron/src/home.rs
+++ b/crates/citron/src/home.rs
@@ -82,25 +82,26 @@
 
 /// Returns the hosts of a locate answer in the order in which to try them.
 ///
-/// `listed` are the hosts that could serve, `usable` tells which of them may be named now. The
-/// customer's homes come first, then the rest of the service's pool, then, if none of the pool is
-/// usable, any other host.
+/// `listed` are the hosts of the platform's list, `known` all that could serve, and `usable` tells
+/// which of them may be named now. The customer's homes come first, then the rest of the service's
+/// pool, then, if none of these is usable, any other host.
 pub fn locate<'a>(
     customer: &str,
     service: &str,
     listed: &[Host<'a>],
+    known: &[Host<'a>],
     usable: impl Fn(&str) -> bool,
     limit: usize,
 ) -> Vec<&'a str> {
     let homes = homes(customer, service, listed);
-    let pool = pool(service, listed, POOL_MIN_HOSTS);
-    let inside: Vec<Host<'a>> =
-        listed.iter().filter(|host| pool.contains(&host.name)).copied().collect();
-    let rest = rank(&["home", customer, service], &inside);
+    let pool = pool(service, known, POOL_MIN_HOSTS);
+    let ranked = rank(&["home", customer, service], known);
+    let (inside, outside): (Vec<&str>, Vec<&str>) =
+        ranked.into_iter().partition(|host| pool.contains(host));
     let mut answer: Vec<&'a str> = homes.iter().copied().filter(|host| usable(host)).collect();
-    answer.extend(rest.into_iter().filter(|host| !homes.contains(host) && usable(host)));
+    answer.extend(inside.into_iter().filter(|host| !homes.contains(host) && usable(host)));
     if answer.is_empty() {
-        answer.extend(rank(&["home", customer, service], listed).into_iter().filter(|h| usable(h)));
+        answer.extend(outside.into_iter().filter(|host| usable(host)));
     }
     answer.truncate(limit);
     assert!(
