Add stand-ins for the platform and a relay with separate cuts

The platform's connections pass through a front that can close one before an answer passes, so that an outage and a lost answer look as they do on a network: the client sees the connection end. A write is thus told apart as not sent, refused or unknown, and a hidden repeat would show as a conflict.

--- /dev/null
+++ b/crates/citron-stand/src/platform/command.rs
@@ -0,0 +1,70 @@
+//! Runs the stand-in as a process.
+
+use std::{fs, net::SocketAddr, process::ExitCode};
+
+use citron_daemon::setting::{self, Spec, Values};
+use citron_platform::Hosts;
+use eyre::WrapErr;
+use serde_json::json;
+
+use crate::process;
+
+const PROGRAM: &str = "citron-stand platform";
+
+const SPECS: &[Spec] = &[
+    Spec {
+        flag: "listen",
+        variable: "CITRON_LISTEN",
+        default: None,
+        help: "address of the object API and of its switches",
+        valid: "an IP address and port; port 0 picks a free one",
+    },
+    Spec {
+        flag: "hosts",
+        variable: "CITRON_HOSTS",
+        default: Some(""),
+        help: "file with the first list of hosts",
+        valid: "a JSON file as returned by GET /v1/hosts",
+    },
+];
+
+struct Settings {
+    listen: SocketAddr,
+    hosts: Hosts,
+}
+
+/// Runs the platform until the process is asked to stop; the words are the arguments after
+/// `platform`.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn run(words: &[String]) -> eyre::Result<ExitCode> {
+    let about = "a stand-in for the platform, for tests and the demo";
+    let values = match process::read(PROGRAM, about, SPECS, words) {
+        Ok(values) => values,
+        Err(code) => return Ok(code),
+    };
+    let settings = match parse(&values) {
+        Ok(settings) => settings,
+        Err(error) => return Ok(process::refuse(PROGRAM, &error)),
+    };
+    let platform = super::bind(settings.listen, settings.hosts)
+        .await
+        .wrap_err("the platform stand-in cannot start")?;
+    println!("{}", json!({"ready": true, "program": PROGRAM, "listen": platform.addr()}));
+    process::stopped().await?;
+    platform.stop().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn parse(values: &Values) -> Result<Settings, setting::Error> {
+    let hosts = if values.is_given("hosts") {
+        values.get_with("hosts", |path| {
+            let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
+            serde_json::from_str(&text).map_err(|error| error.to_string())
+        })?
+    } else {
+        Hosts::default()
+    };
+    Ok(Settings { listen: values.get("listen")?, hosts })
+}
--- /dev/null
+++ b/crates/citron-stand/src/platform/serve.rs
@@ -0,0 +1,263 @@
+//! The running stand-in and its switches.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt::{self, Display, Formatter},
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use citron_daemon::{Clock, Server};
+use citron_platform::{Hosts, Version};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use strum::{Display as StrumDisplay, EnumIter, IntoEnumIterator};
+use tokio::{sync::watch, time};
+
+use super::{
+    HostList, Store, admin, api,
+    front::{Conn, Conns, Front},
+};
+
+/// How the object API behaves.
+#[derive(Debug, Default, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "mode", rename_all = "kebab-case")]
+pub enum Mode {
+    /// Answers at once.
+    #[default]
+    Up,
+    /// Closes the connection of each call without effect or answer.
+    Down,
+    /// Handles each call after a delay.
+    Slow {
+        /// The delay, milliseconds.
+        delay_ms: u64,
+    },
+}
+
+/// The kinds of calls.
+#[derive(
+    Debug,
+    Copy,
+    Clone,
+    Eq,
+    PartialEq,
+    Ord,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+    StrumDisplay,
+    EnumIter,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Call {
+    /// Reads an object.
+    Get,
+    /// Writes an object.
+    Put,
+    /// Deletes an object.
+    Delete,
+    /// Lists a kind.
+    List,
+    /// Waits for changes.
+    Watch,
+    /// Reads the host list.
+    Hosts,
+}
+
+/// How often the platform was called.
+#[derive(Debug, Default, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Calls {
+    /// Calls by kind, those during an outage too.
+    pub calls: BTreeMap<Call, u64>,
+    /// Watches that wait now.
+    pub waiting_watches: u64,
+    /// Calls that an outage ended.
+    pub cut: u64,
+    /// Writes that took effect and whose answer was lost.
+    pub lost_answers: u64,
+}
+
+/// A running stand-in of the platform; dropping it closes all connections.
+#[derive(Debug)]
+pub struct Platform {
+    front: Front,
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+/// A fault while starting.
+#[derive(Debug)]
+pub struct Error(String);
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Starts a platform on `addr`, whose port may be 0, with a first list of hosts.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn bind(addr: SocketAddr, hosts: Hosts) -> Result<Platform, Error> {
+    let conns = Conns::default();
+    let shared = Arc::new(Shared {
+        clock: Clock::start(),
+        store: Mutex::default(),
+        hosts: Mutex::new(HostList::new(hosts)),
+        mode: watch::Sender::new(Mode::Up),
+        lose_answers: Mutex::new(0),
+        calls: Mutex::default(),
+        changed: Mutex::default(),
+        conns: conns.clone(),
+    });
+    let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let rocket = rocket::custom(citron_daemon::config(inner))
+        .manage(shared.clone())
+        .mount("/v1", api::routes())
+        .mount("/admin", admin::routes());
+    let server =
+        citron_daemon::bind(rocket, inner).await.map_err(|error| Error(error.to_string()))?;
+    let front = Front::bind(addr, server.addr(), conns).await.map_err(|error| {
+        Error(format!("cannot listen on {addr}: {error}; choose a free address of this host"))
+    })?;
+    Ok(Platform { front, server, shared })
+}
+
+impl Platform {
+    /// Returns the address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.front.addr()
+    }
+
+    /// Returns the URL for clients.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr())
+    }
+
+    /// Switches how the object API behaves; calls that wait are ended by an outage too.
+    pub fn set_mode(&self, mode: Mode) {
+        self.shared.mode.send_replace(mode);
+    }
+
+    /// Loses the answers to the next `count` writes, which take effect.
+    pub fn lose_answers(&self, count: u64) {
+        *self.shared.lose_answers.lock() = count;
+    }
+
+    /// Replaces the host list, in force after the lag.
+    pub fn set_hosts(&self, hosts: Hosts) {
+        self.shared.hosts.lock().set(self.shared.clock.now(), hosts);
+    }
+
+    /// Sets how long later changes of the host list stay hidden.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.hosts.lock().set_lag(lag);
+    }
+
+    /// Returns how often it was called.
+    pub fn calls(&self) -> Calls {
+        self.shared.calls.lock().clone()
+    }
+
+    /// Runs `query` on the stored objects.
+    pub fn inspect<T>(&self, query: impl FnOnce(&Store) -> T) -> T {
+        query(&self.shared.store.lock())
+    }
+
+    /// Closes all connections and stops.
+    pub async fn stop(self) {
+        drop(self.front);
+        self.server.stop().await;
+    }
+}
+
+/// What the handlers of the API and of the admin service share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) clock: Clock,
+    pub(super) store: Mutex<Store>,
+    pub(super) hosts: Mutex<HostList>,
+    pub(super) mode: watch::Sender<Mode>,
+    pub(super) lose_answers: Mutex<u64>,
+    pub(super) calls: Mutex<Calls>,
+    /// The version of the latest change, by kind.
+    changed: Mutex<HashMap<String, watch::Sender<Version>>>,
+    conns: Conns,
+}
+
+impl Shared {
+    /// Returns the connection that the HTTP server sees from `peer`.
+    pub(super) fn conn(&self, peer: SocketAddr) -> Option<Conn> {
+        self.conns.lock().get(&peer).cloned()
+    }
+
+    /// Counts a call and applies the mode to it; returns false if it is to end without effect, its
+    /// connection being closed already.
+    pub(super) async fn enter(&self, call: Call, conn: &Conn) -> bool {
+        *self.calls.lock().calls.entry(call).or_default() += 1;
+        let mode = *self.mode.borrow();
+        if let Mode::Slow { delay_ms } = mode {
+            tokio::select! {
+                () = time::sleep(Duration::from_millis(delay_ms)) => {}
+                () = self.outage() => {}
+            }
+        }
+        if *self.mode.borrow() == Mode::Down {
+            self.cut(conn).await;
+            return false;
+        }
+        true
+    }
+
+    /// Ends a call by closing its connection.
+    pub(super) async fn cut(&self, conn: &Conn) {
+        self.calls.lock().cut += 1;
+        conn.cut().await;
+    }
+
+    /// Waits until the platform is down.
+    pub(super) async fn outage(&self) {
+        let mut mode = self.mode.subscribe();
+        // The sender lives as long as `self`.
+        let _ = mode.wait_for(|mode| *mode == Mode::Down).await;
+    }
+
+    /// Loses the answer to a write that took effect if one is to be lost.
+    pub(super) async fn may_lose_answer(&self, conn: &Conn) {
+        {
+            let mut left = self.lose_answers.lock();
+            if *left == 0 {
+                return;
+            }
+            *left -= 1;
+        }
+        self.calls.lock().lost_answers += 1;
+        conn.cut().await;
+    }
+
+    /// Wakes the watches of a kind.
+    pub(super) fn notify(&self, kind: &str, version: Version) {
+        if let Some(sender) = self.changed.lock().get(kind) {
+            sender.send_replace(version);
+        }
+    }
+
+    /// Returns a receiver that sees each later change of a kind.
+    pub(super) fn subscribe(&self, kind: &str) -> watch::Receiver<Version> {
+        let mut changed = self.changed.lock();
+        changed.entry(kind.to_owned()).or_insert_with(|| watch::Sender::new(Version(0))).subscribe()
+    }
+}
+
+impl Calls {
+    /// Returns the number of calls of all kinds.
+    pub fn total(&self) -> u64 {
+        Call::iter().filter_map(|call| self.calls.get(&call)).sum()
+    }
+}
--- /dev/null
+++ b/crates/citron-stand/src/relay/cut.rs
@@ -0,0 +1,115 @@
+//! Which directions are cut, for the relay and for each of its connections.
+
+use std::sync::{
+    Arc, Weak,
+    atomic::{AtomicBool, Ordering},
+};
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+/// Which directions are cut.
+#[derive(Debug, Default, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Cut {
+    /// Drops what clients send.
+    pub to_server: bool,
+    /// Drops what the server sends.
+    pub to_client: bool,
+    /// Cuts only the connections open now, for good; new ones work.
+    pub existing_only: bool,
+}
+
+/// A direction of a connection.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub(super) enum Direction {
+    ToServer,
+    ToClient,
+}
+
+/// Cuts in force.
+#[derive(Debug, Default)]
+pub(super) struct Switch {
+    all: Flags,
+    flows: Mutex<Vec<Weak<Flow>>>,
+}
+
+/// A TCP connection, or the datagrams of one UDP client.
+#[derive(Debug)]
+pub(super) struct Flow {
+    switch: Arc<Switch>,
+    silent: Flags,
+}
+
+#[derive(Debug, Default)]
+struct Flags {
+    to_server: AtomicBool,
+    to_client: AtomicBool,
+}
+
+impl Flags {
+    fn of(&self, direction: Direction) -> &AtomicBool {
+        match direction {
+            Direction::ToServer => &self.to_server,
+            Direction::ToClient => &self.to_client,
+        }
+    }
+
+    fn get(&self, direction: Direction) -> bool {
+        self.of(direction).load(Ordering::SeqCst)
+    }
+
+    fn raise(&self, direction: Direction) {
+        self.of(direction).store(true, Ordering::SeqCst);
+    }
+}
+
+impl Switch {
+    /// Puts a cut in force.
+    pub(super) fn set(&self, cut: Cut) {
+        if !cut.existing_only {
+            self.all.to_server.store(cut.to_server, Ordering::SeqCst);
+            self.all.to_client.store(cut.to_client, Ordering::SeqCst);
+            return;
+        }
+        for flow in self.flows.lock().iter().filter_map(Weak::upgrade) {
+            if cut.to_server {
+                flow.silent.raise(Direction::ToServer);
+            }
+            if cut.to_client {
+                flow.silent.raise(Direction::ToClient);
+            }
+        }
+    }
+
+    /// Adds a connection.
+    pub(super) fn open(self: &Arc<Self>) -> Arc<Flow> {
+        let flow = Arc::new(Flow { switch: self.clone(), silent: Flags::default() });
+        let mut flows = self.flows.lock();
+        flows.retain(|flow| flow.strong_count() > 0);
+        flows.push(Arc::downgrade(&flow));
+        flow
+    }
+}
+
+impl Flow {
+    /// Returns true if a datagram in this direction is dropped.
+    pub(super) fn is_cut(&self, direction: Direction) -> bool {
+        self.switch.all.get(direction) || self.silent.get(direction)
+    }
+
+    /// Returns true if bytes of a stream in this direction are dropped. Once bytes are dropped the
+    /// direction stays silent for good: a stream never passes with a hole in it.
+    pub(super) fn drops_stream(&self, direction: Direction) -> bool {
+        let cut = self.is_cut(direction);
+        if cut {
+            self.silent.raise(direction);
+        }
+        cut
+    }
+
+    /// Returns true if either direction is cut.
+    pub(super) fn is_silent(&self) -> bool {
+        self.is_cut(Direction::ToServer) || self.is_cut(Direction::ToClient)
+    }
+}
