Add the process harness and the demo

One harness starts platform, targets and hosts as separate processes, waits for their ready lines and stops them by pid; the whole-system tests and the demo share it.

--- /dev/null
+++ b/tests/src/fleet.rs
@@ -0,0 +1,362 @@
+//! A platform, targets and hosts as separate processes on loopback.
+
+use std::{path::Path, time::Duration};
+
+use eyre::{bail, eyre};
+use serde_json::{Value, json};
+
+use crate::process::{Process, run, wait_until};
+
+/// How long a new fleet may take until every proxy serves.
+const START_LIMIT: Duration = Duration::from_secs(30);
+/// The operator who holds the final say in a new fleet.
+const HOLDER: &str = "first-owner";
+
+/// How a fleet is set up.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The services and their targets.
+    pub services: Vec<Service>,
+    /// The number of entry hosts.
+    pub hosts: usize,
+    /// The number of failure domains.
+    pub domains: usize,
+    /// The folder of `customers.toml` and `grants.toml`.
+    pub policy: std::path::PathBuf,
+    /// The level of the daemons' logs.
+    pub log: String,
+    /// Further flags of every proxy.
+    pub proxy_flags: Vec<String>,
+    /// Further flags of every agent.
+    pub agent_flags: Vec<String>,
+}
+
+/// A service and its targets.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// The number of its targets.
+    pub targets: usize,
+    /// The usual service time, milliseconds.
+    pub service_ms: f64,
+}
+
+/// One entry host: an agent and a proxy.
+#[derive(Debug)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// The agent.
+    pub agent: Process,
+    /// The proxy.
+    pub proxy: Process,
+}
+
+/// A target inside a process of targets.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct Target {
+    /// Its name in the host list.
+    pub name: String,
+    /// The service that it serves.
+    pub service: String,
+    /// Its address.
+    pub address: String,
+    /// The address of its switches.
+    pub admin: String,
+}
+
+/// A running fleet; every process is stopped when it goes out of use.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Process,
+    /// The entry hosts.
+    pub hosts: Vec<Host>,
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// A client for the harness's own requests.
+    pub client: reqwest::Client,
+    settings: Settings,
+    stands: Vec<Process>,
+}
+
+impl Settings {
+    /// Returns three hosts in three failure domains before five targets of each of both users' services.
+    pub fn demo() -> Self {
+        let service =
+            |name: &str, service_ms| Service { name: name.to_owned(), targets: 5, service_ms };
+        Self {
+            services: vec![
+                service("lot-desk", 8.0),
+                service("quality-desk", 8.0),
+                service("tec-live", 5.0),
+                service("tec-archive", 20.0),
+            ],
+            hosts: 3,
+            domains: 3,
+            policy: Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/demo"),
+            log: "error".to_owned(),
+            proxy_flags: Vec::new(),
+            agent_flags: Vec::new(),
+        }
+    }
+
+    /// Keeps just one service, with this many targets.
+    pub fn only(mut self, name: &str, targets: usize) -> Self {
+        self.services.retain(|service| service.name == name);
+        for service in &mut self.services {
+            service.targets = targets;
+        }
+        self
+    }
+}
+
+impl Fleet {
+    /// Starts all processes, applies the policy and waits until every proxy serves.
+    ///
+    /// # Errors
+    /// Fails if a process cannot be started or a proxy does not become ready.
+    pub async fn spawn(settings: Settings) -> eyre::Result<Self> {
+        let client =
+            reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(10)).build()?;
+        let platform =
+            Process::spawn("citron-stand", &["platform", "--listen", "127.0.0.1:0"]).await?;
+        let mut fleet = Self {
+            platform,
+            hosts: Vec::new(),
+            targets: Vec::new(),
+            client,
+            stands: Vec::new(),
+            settings,
+        };
+        for service in fleet.settings.services.clone() {
+            fleet.spawn_targets(&service).await?;
+        }
+        for index in 0..fleet.settings.hosts {
+            let host = fleet.spawn_host(index).await?;
+            fleet.hosts.push(host);
+        }
+        fleet.publish(&[]).await?;
+        fleet.apply().await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Returns the platform's address.
+    ///
+    /// # Errors
+    /// Fails if the platform's ready line lacks it.
+    pub fn platform_url(&self) -> eyre::Result<String> {
+        Ok(format!("http://{}", self.platform.text("listen")?))
+    }
+
+    /// Starts the agent and the proxy of one host.
+    ///
+    /// # Errors
+    /// Fails if a process cannot be started.
+    pub async fn spawn_host(&self, index: usize) -> eyre::Result<Host> {
+        let name = format!("entry-{}", index + 1);
+        let domain = self.domain(index);
+        let platform = self.platform_url()?;
+        let agent = self.spawn_agent(&name, &domain, &platform).await?;
+        let proxy = self.spawn_proxy(&name, &domain, &platform, &agent.text("control")?).await?;
+        Ok(Host { name, domain, agent, proxy })
+    }
+
+    /// Starts an agent that uses the platform at `platform`.
+    ///
+    /// # Errors
+    /// Fails if the process cannot be started.
+    pub async fn spawn_agent(
+        &self,
+        name: &str,
+        domain: &str,
+        platform: &str,
+    ) -> eyre::Result<Process> {
+        let mut args = vec!["--host", name, "--domain", domain, "--platform", platform];
+        args.extend([
+            "--listen",
+            "127.0.0.1:0",
+            "--control",
+            "127.0.0.1:0",
+            "--gossip",
+            "127.0.0.1:0",
+        ]);
+        args.extend(["--log", &self.settings.log]);
+        args.extend(self.settings.agent_flags.iter().map(String::as_str));
+        Process::spawn("citron-agent", &args).await
+    }
+
+    /// Starts a proxy beside the agent whose control address is `agent`.
+    ///
+    /// # Errors
+    /// Fails if the process cannot be started.
+    pub async fn spawn_proxy(
+        &self,
+        name: &str,
+        domain: &str,
+        platform: &str,
+        agent: &str,
+    ) -> eyre::Result<Process> {
+        let mut args =
+            vec!["--host", name, "--domain", domain, "--platform", platform, "--agent", agent];
+        args.extend([
+            "--listen",
+            "127.0.0.1:0",
+            "--loans",
+            "127.0.0.1:0",
+            "--admin",
+            "127.0.0.1:0",
+        ]);
+        args.extend(["--log", &self.settings.log]);
+        args.extend(self.settings.proxy_flags.iter().map(String::as_str));
+        Process::spawn("citron-proxy", &args).await
+    }
+
+    /// Publishes the host list; targets named in `leaving` are marked so.
+    ///
+    /// # Errors
+    /// Fails if the platform refuses the list.
+    pub async fn publish(&self, leaving: &[&str]) -> eyre::Result<()> {
+        let mut hosts = Vec::new();
+        for host in &self.hosts {
+            hosts.push(json!({
+                "name": host.name, "role": "entry", "domain": host.domain, "state": "live",
+                "gossip": host.agent.text("gossip")?, "control": host.agent.text("control")?,
+            }));
+        }
+        for (index, target) in self.targets.iter().enumerate() {
+            let state = if leaving.contains(&target.name.as_str()) { "leaving" } else { "live" };
+            hosts.push(json!({
+                "name": target.name, "role": "target", "domain": self.domain(index), "state": state,
+                "address": target.address, "service": target.service, "slots": 3, "connections": 400,
+            }));
+        }
+        let url = format!("{}/admin/hosts", self.platform_url()?);
+        let body = json!({"version": 0, "hosts": hosts});
+        self.client.put(url).json(&body).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Posts JSON to a switch of a stand-in.
+    ///
+    /// # Errors
+    /// Fails if the stand-in refuses it.
+    pub async fn switch(&self, address: &str, path: &str, body: &Value) -> eyre::Result<()> {
+        self.client
+            .post(format!("http://{address}{path}"))
+            .json(body)
+            .send()
+            .await?
+            .error_for_status()?;
+        Ok(())
+    }
+
+    /// Returns the status of a program by the address of its HTTP service.
+    ///
+    /// # Errors
+    /// Fails if the program does not answer.
+    pub async fn status(&self, address: &str) -> eyre::Result<Value> {
+        Ok(self.client.get(format!("http://{address}/status")).send().await?.json().await?)
+    }
+
+    /// Returns the HTTP addresses of all agents, comma separated.
+    ///
+    /// # Errors
+    /// Fails if a ready line lacks it.
+    pub fn agents(&self) -> eyre::Result<String> {
+        let agents: eyre::Result<Vec<String>> =
+            self.hosts.iter().map(|host| host.agent.text("listen")).collect();
+        Ok(agents?.join(","))
+    }
+
+    /// Returns the addresses of all targets' switches, comma separated.
+    pub fn ledgers(&self) -> String {
+        self.targets.iter().map(|target| target.admin.as_str()).collect::<Vec<_>>().join(",")
+    }
+
+    /// Returns the addresses at which programs serve their events, comma separated.
+    ///
+    /// # Errors
+    /// Fails if a ready line lacks it.
+    pub fn admins(&self) -> eyre::Result<String> {
+        let mut admins = Vec::new();
+        for host in &self.hosts {
+            admins.push(host.agent.text("listen")?);
+            admins.push(host.proxy.text("admin")?);
+        }
+        admins.extend(self.targets.iter().map(|target| target.admin.clone()));
+        Ok(admins.join(","))
+    }
+
+    /// Runs `citronctl` with the platform's address and returns its output.
+    ///
+    /// # Errors
+    /// Fails if it cannot be run or exits with a code other than 0.
+    pub async fn control(&self, args: &[&str]) -> eyre::Result<String> {
+        let platform = self.platform_url()?;
+        let mut all = args.to_vec();
+        all.extend(["--platform", &platform]);
+        let output = run("citronctl", &all).await?;
+        if !output.status.success() {
+            bail!("citronctl {}: {}", args.join(" "), String::from_utf8_lossy(&output.stderr));
+        }
+        Ok(String::from_utf8(output.stdout)?)
+    }
+
+    async fn spawn_targets(&mut self, service: &Service) -> eyre::Result<()> {
+        let count = service.targets.to_string();
+        let service_ms = service.service_ms.to_string();
+        let args =
+            ["target", "--service", &service.name, "--count", &count, "--service-ms", &service_ms];
+        let stand = Process::spawn("citron-stand", &args).await?;
+        let lines = stand.ready()["targets"]
+            .as_array()
+            .ok_or_else(|| eyre!("no targets in the ready line"))?;
+        for line in lines {
+            let text = |key: &str| line[key].as_str().unwrap_or_default().to_owned();
+            self.targets.push(Target {
+                name: text("name"),
+                service: service.name.clone(),
+                address: text("address"),
+                admin: text("admin"),
+            });
+        }
+        self.stands.push(stand);
+        Ok(())
+    }
+
+    async fn apply(&self) -> eyre::Result<()> {
+        let file = |name: &str| self.settings.policy.join(name).display().to_string();
+        self.control(&["apply", &file("customers.toml"), &file("grants.toml"), "--as", HOLDER])
+            .await?;
+        Ok(())
+    }
+
+    async fn wait_ready(&self) -> eyre::Result<()> {
+        for host in &self.hosts {
+            let proxy = host.proxy.text("admin")?;
+            let agent = host.agent.text("listen")?;
+            wait_until(&format!("{} serving", host.name), START_LIMIT, || async {
+                let ready = self.status(&proxy).await.ok()?["revision"].as_u64()? > 0;
+                let located = self.locate(&agent, &self.settings.services[0].name).await.ok()?;
+                (ready && located == self.hosts.len()).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    async fn locate(&self, agent: &str, service: &str) -> eyre::Result<usize> {
+        let url = format!("http://{agent}/locate/{service}?customer=izmir-roasters");
+        let answer: Value = self.client.get(url).send().await?.error_for_status()?.json().await?;
+        Ok(answer["addresses"].as_array().map_or(0, Vec::len))
+    }
+
+    fn domain(&self, index: usize) -> String {
+        format!("domain-{}", index % self.settings.domains + 1)
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,9 @@
-//! Harness of the whole-system tests.
+//! Harness of the whole-system tests and the demo: a fleet of separate processes on loopback.
+
+mod fleet;
+mod process;
+
+pub use self::{
+    fleet::{Fleet, Host, Service, Settings, Target},
+    process::{Process, run, wait_until},
+};
--- /dev/null
+++ b/tests/src/main.rs
@@ -0,0 +1,138 @@
+//! Shows the whole system at work on loopback, with a gray target and a killed proxy on the way.
+
+use std::{process::ExitCode, time::Duration};
+
+use citron_tests::{Fleet, Process, Settings, run};
+use eyre::eyre;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// The target that turns gray.
+const GRAY_TARGET: &str = "tec-live-2";
+/// How long the load runs, seconds.
+const LOAD_SECONDS: &str = "20";
+/// When the target turns gray, after the load's start.
+const GRAY_AFTER: Duration = Duration::from_secs(5);
+/// When the proxy is killed, after the target turned gray.
+const KILL_AFTER: Duration = Duration::from_secs(7);
+/// What the callers request.
+const WORKLOADS: &[&str] = &[
+    "lookup:izmir-roasters:lot-desk:/lots/:30:400",
+    "order:izmir-roasters:lot-desk:/lots/:8:100",
+    "lookup:customs-broker:lot-desk:/lots/:10:400",
+    "lookup:bosphorus-blends:quality-desk:/quality/:10:2000",
+    "lookup:casablanca-survey:tec-live:/tec/live/:40:800",
+    "order:casablanca-survey:tec-live:/tec/live/:5:100",
+    "pull:casablanca-survey:tec-archive:/tec/archive/:4:500000",
+];
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    // Dropping the fleet on an interrupt stops its processes by pid.
+    let shown = tokio::select! {
+        shown = show() => shown,
+        _ = tokio::signal::ctrl_c() => Err(eyre!("interrupted")),
+    };
+    match shown {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("demo: {error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn show() -> eyre::Result<bool> {
+    println!("starting a platform, 20 targets of four services and three hosts");
+    let mut fleet = Fleet::spawn(Settings::demo()).await?;
+    println!("sending lookups, orders and archive pulls for {LOAD_SECONDS} s");
+    let (agents, ledgers, workloads) = (fleet.agents()?, fleet.ledgers(), WORKLOADS.join(","));
+    let load = tokio::spawn(async move {
+        let args = ["load", "--agents", &agents, "--workloads", &workloads];
+        let rest = ["--ledgers", &ledgers, "--seconds", LOAD_SECONDS, "--name", "demo"];
+        run("citron-stand", &[&args[..], &rest[..]].concat()).await
+    });
+    sleep(GRAY_AFTER).await;
+    turn_gray(&fleet).await?;
+    sleep(KILL_AFTER).await;
+    kill_proxy(&mut fleet)?;
+    let output = load.await??;
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let last = text.lines().last().unwrap_or_default();
+    let summary: Value = serde_json::from_str(last).map_err(|error| {
+        eyre!("the load failed: {error}; {}", String::from_utf8_lossy(&output.stderr))
+    })?;
+    let timeline = timeline(&fleet).await?;
+    print_timeline(&timeline);
+    println!("\nby workload:");
+    text.lines().filter(|line| *line != last).for_each(|line| println!("  {line}"));
+    Ok(print_summary(&summary, detection_ms(&timeline)) && output.status.success())
+}
+
+async fn turn_gray(fleet: &Fleet) -> eyre::Result<()> {
+    let target = fleet.targets.iter().find(|target| target.name == GRAY_TARGET);
+    let target = target.ok_or_else(|| eyre!("there is no target {GRAY_TARGET}"))?;
+    println!("turning {GRAY_TARGET} gray: 30 times as slow, its health endpoint still answers");
+    fleet.switch(&target.admin, "/fault", &json!({"kind": "slow", "factor": 30.0})).await
+}
+
+fn kill_proxy(fleet: &mut Fleet) -> eyre::Result<()> {
+    let proxy: &mut Process = &mut fleet.hosts[1].proxy;
+    println!("killing the proxy of entry-2, pid {}", proxy.pid());
+    proxy.kill()
+}
+
+async fn timeline(fleet: &Fleet) -> eyre::Result<Vec<Value>> {
+    let text =
+        fleet.control(&["timeline", "--output", "json", "--admin", &fleet.admins()?]).await?;
+    Ok(serde_json::from_str(&text)?)
+}
+
+fn print_timeline(events: &[Value]) {
+    println!("\ntime line:");
+    let start = events.first().and_then(|event| event["stamp"]["wall_ms"].as_u64()).unwrap_or(0);
+    for event in events {
+        let text = |key: &str| event[key].as_str().unwrap_or_default();
+        let at = event["stamp"]["wall_ms"].as_u64().unwrap_or(start).saturating_sub(start);
+        let fields = event.get("fields").map(Value::to_string).unwrap_or_default();
+        println!(
+            "  {:>8.3} s  {:<14} {:<13} {:<17} {} {fields}",
+            at as f64 / 1e3,
+            text("host"),
+            text("program"),
+            text("kind"),
+            text("subject"),
+        );
+    }
+}
+
+/// Returns the time from the fault until the last proxy had ejected the target, or `None` if none did.
+fn detection_ms(events: &[Value]) -> Option<u64> {
+    let at = |event: &Value| event["stamp"]["wall_ms"].as_u64();
+    let is = |event: &Value, kind: &str| event["kind"] == kind && event["subject"] == GRAY_TARGET;
+    let fault = events.iter().find(|event| is(event, "fault-set")).and_then(at)?;
+    let proxies =
+        |event: &&Value| event["program"] == "citron-proxy" && is(event, "target-ejected");
+    let ejected = events.iter().filter(proxies).filter_map(at).max()?;
+    Some(ejected.saturating_sub(fault))
+}
+
+/// Prints the summary and returns whether every request ended as it should.
+fn print_summary(summary: &Value, detection_ms: Option<u64>) -> bool {
+    let count = |key: &str| summary[key].as_u64().unwrap_or(u64::MAX);
+    println!("\nsummary:");
+    for key in ["answered", "refused", "unknown", "unreached", "target_errors"] {
+        println!("  {key:<16} {}", count(key));
+    }
+    println!("  {:<16} {}", "refused because", summary["refused_by_reason"]);
+    println!("  {:<16} {}", "run twice", count("run_twice"));
+    println!("  {:<16} {}", "wrong answers", count("wrong"));
+    println!("  {:<16} {}", "lost", count("lost"));
+    println!("  {:<16} {}", "denied", count("denied"));
+    match detection_ms {
+        Some(ms) => println!("  {:<16} {ms} ms", "detection time"),
+        None => println!("  {:<16} {GRAY_TARGET} was not ejected", "detection time"),
+    }
+    ["run_twice", "wrong", "lost", "denied", "unreached"].iter().all(|key| count(key) == 0)
+}
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,176 @@
+//! Child processes of the harness, stopped by pid when they go out of use.
+
+use std::{
+    future::Future,
+    io::{BufRead, BufReader},
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    thread,
+    time::Duration,
+};
+
+use eyre::{WrapErr, bail, eyre};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, timeout},
+};
+
+/// How long a process may take until it has bound its addresses.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a process may take to end after SIGTERM.
+const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+/// The pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(50);
+
+/// A running program that has bound its addresses.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    ready: Value,
+}
+
+impl Process {
+    /// Starts a program of this workspace and waits for its ready line.
+    ///
+    /// # Errors
+    /// Fails if the program is not built, ends early or does not become ready.
+    pub async fn spawn(program: &str, args: &[&str]) -> eyre::Result<Self> {
+        let mut child = command(program, args)?
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .wrap_err_with(|| format!("{program} cannot be started"))?;
+        let stdout = child.stdout.take().ok_or_else(|| eyre!("{program} has no output"))?;
+        let (sender, receiver) = oneshot::channel();
+        thread::spawn(move || {
+            let mut lines = BufReader::new(stdout).lines();
+            // The receiver is gone only if the start timed out.
+            let _ = sender.send(lines.next());
+            // Later output is read so that the process never blocks on it.
+            lines.for_each(drop);
+        });
+        let mut process = Self { child, ready: Value::Null };
+        let line = timeout(READY_TIMEOUT, receiver)
+            .await
+            .map_err(|_| eyre!("{program} was not ready in time"))??
+            .ok_or_else(|| eyre!("{program} ended before it was ready"))??;
+        process.ready =
+            serde_json::from_str(&line).wrap_err_with(|| format!("{program} said {line:?}"))?;
+        Ok(process)
+    }
+
+    /// Returns the ready line.
+    pub fn ready(&self) -> &Value {
+        &self.ready
+    }
+
+    /// Returns a text of the ready line, such as an address.
+    ///
+    /// # Errors
+    /// Fails if the line has no such text.
+    pub fn text(&self, key: &str) -> eyre::Result<String> {
+        let value = self.ready[key].as_str();
+        Ok(value.ok_or_else(|| eyre!("the ready line {} has no {key}", self.ready))?.to_owned())
+    }
+
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// Fails if the process has ended and was waited for.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let pid =
+            Pid::from_raw(self.child.id() as i32).ok_or_else(|| eyre!("the process has no id"))?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Ends the process at once.
+    ///
+    /// # Errors
+    /// Fails if the process cannot be waited for.
+    pub fn kill(&mut self) -> eyre::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Asks the process to end and returns its exit code.
+    ///
+    /// # Errors
+    /// Fails if it does not end in time or is ended by a signal.
+    pub async fn terminate(&mut self) -> eyre::Result<i32> {
+        self.signal(Signal::TERM)?;
+        let end = Instant::now() + STOP_TIMEOUT;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait()? {
+                return status.code().ok_or_else(|| eyre!("the process was ended by a signal"));
+            }
+            sleep(POLL).await;
+        }
+        bail!("the process did not end within {STOP_TIMEOUT:?} after SIGTERM")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A stopped process must be continued before it can end.
+        let _ = self.signal(Signal::CONT);
+        let _ = self.kill();
+    }
+}
+
+/// Runs a program of this workspace to its end.
+///
+/// # Errors
+/// Fails if the program is not built.
+pub async fn run(program: &str, args: &[&str]) -> eyre::Result<Output> {
+    let mut command = command(program, args)?;
+    Ok(tokio::task::spawn_blocking(move || command.stdin(Stdio::null()).output()).await??)
+}
+
+/// Waits until `check` returns a value.
+///
+/// # Errors
+/// Fails after `limit` with `what` was waited for.
+pub async fn wait_until<T, F>(
+    what: &str,
+    limit: Duration,
+    mut check: impl FnMut() -> F,
+) -> eyre::Result<T>
+where
+    F: Future<Output = Option<T>>,
+{
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if let Some(value) = check().await {
+            return Ok(value);
+        }
+        sleep(POLL).await;
+    }
+    bail!("{what} did not happen within {limit:?}")
+}
+
+fn command(program: &str, args: &[&str]) -> eyre::Result<Command> {
+    let path = locate(program)?;
+    let mut command = Command::new(path);
+    command.args(args);
+    Ok(command)
+}
+
+/// Finds a program beside the running one.
+fn locate(program: &str) -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    own.ancestors()
+        .skip(1)
+        .take(2)
+        .map(|folder| folder.join(program))
+        .find(|path| path.is_file())
+        .ok_or_else(|| eyre!("{program} is not built; run cargo build --workspace --bins"))
+}
