--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -7,4 +7,9 @@
 pub mod event;
 pub mod health;
 pub mod hlc;
+pub mod home;
+pub mod hosts;
+pub mod member;
 pub mod policy;
+pub mod rumor;
+pub mod watcher;
