Choose targets by share of slots and reported load

Cause: targets have 3 slots and are shared by 18 proxies that see only their own requests and the load in answers, so counting own requests says little. Each proxy prefers an equal share of the slots, and otherwise takes the least loaded of a few sampled targets by a report that ages.

--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,5 +1,7 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod choice;
+
 use std::fmt::{self, Display, Formatter};
 
 /// What a bench measured, in the order in which it is printed.
@@ -34,4 +36,11 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[];
+pub const BENCHES: &[(&str, Bench)] = &[("choice", choice::run)];
+
+/// Returns the whole number that follows a flag, or `default` if the flag is not given.
+fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
+    let Some(place) = words.iter().position(|word| word == flag) else { return Ok(default) };
+    let text = words.get(place + 1).map_or("", String::as_str);
+    text.parse().map_err(|_| eyre::eyre!("{flag} {text:?} is not valid; use a whole number"))
+}
--- /dev/null
+++ b/crates/citron/src/choice/estimate.rs
@@ -0,0 +1,37 @@
+//! Estimates how many slots of a target other proxies use.
+
+use std::time::Duration;
+
+use super::Load;
+
+/// The last report of a target, forgotten as it ages.
+#[derive(Debug, Copy, Clone)]
+pub(super) struct Estimate {
+    others: f64,
+    at: Duration,
+}
+
+impl Estimate {
+    /// Starts without a report.
+    pub fn unknown(now: Duration) -> Self {
+        Self { others: 0.0, at: now }
+    }
+
+    /// Takes in a report; `own` counts the requests of this proxy that the target still has.
+    pub fn report(&mut self, load: Load, own: u32, now: Duration) {
+        self.others = f64::from(load.busy.min(load.slots).saturating_sub(own));
+        self.at = now;
+    }
+
+    /// Takes in that the target shed a request since all `slots` were in use.
+    pub fn full(&mut self, slots: u32, own: u32, now: Duration) {
+        self.others = f64::from(slots.saturating_sub(own));
+        self.at = now;
+    }
+
+    /// Returns the slots other proxies use, which tends to `mean` with time constant `tau`.
+    pub fn others(&self, mean: f64, tau: Duration, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64() / tau.as_secs_f64().max(1e-6);
+        mean + (self.others - mean) * (-age).exp()
+    }
+}
--- /dev/null
+++ b/crates/citron/src/choice/pool.rs
@@ -0,0 +1,375 @@
+//! The targets of one service.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use super::{Answer, Proxy, State, Target, estimate::Estimate, share};
+
+/// How long a new or cold target takes to reach its full weight.
+const RAMP: Duration = Duration::from_secs(10);
+/// The weight at which a cold target starts.
+const RAMP_FLOOR: f64 = 0.1;
+/// The least time for which a target that shed is passed over.
+const SHED_HOLD_MIN: Duration = Duration::from_millis(1);
+/// The longest time for which a target that shed is passed over.
+const SHED_HOLD_MAX: Duration = Duration::from_secs(1);
+/// The answer time assumed before the first answer.
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(50);
+/// The share of a new answer time in the moving average.
+const AVERAGE_GAIN: f64 = 0.05;
+/// The part of a target's slots that a longer way counts as, from 0 to 1.
+const FAR_PENALTY: f64 = 0.1;
+/// The part of a target's slots that a free slot of the own share counts as, from 0 to 1.
+const SHARE_BONUS: f64 = 0.3;
+/// The number of targets remembered as recently answered.
+const RECENT: usize = 3;
+/// The number of targets sampled in the own domain, and again among all.
+const SAMPLES: usize = 2;
+/// The number of draws made for one sample before giving up.
+const DRAWS: usize = 3;
+
+/// What an attempt asks for.
+#[derive(Debug, Copy, Clone)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Targets already tried.
+    pub exclude: &'a [&'a str],
+    /// Whether the request may run twice; only such requests go to targets on trial.
+    pub idempotent: bool,
+}
+
+/// A chosen target.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct Pick {
+    /// The target's name.
+    pub target: Arc<str>,
+    /// Where to connect, `ip:port`.
+    pub address: Arc<str>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    target: Target,
+    weight: f64,
+    trial: bool,
+    draining: bool,
+    ramp_from: Option<Duration>,
+    in_flight: u32,
+    share: u32,
+    estimate: Estimate,
+    hold_until: Duration,
+}
+
+#[derive(Debug)]
+pub(super) struct Pool {
+    domain: Arc<str>,
+    entries: Vec<Entry>,
+    by_name: HashMap<Arc<str>, usize>,
+    /// Targets that may be chosen.
+    open: Vec<usize>,
+    /// Those of `open` in the own domain.
+    near: Vec<usize>,
+    /// Those of `open` with slots in the own share.
+    owned: Vec<usize>,
+    recent: SmallVec<[usize; RECENT]>,
+    proxies: u32,
+    mean_others: f64,
+    answer_time: Duration,
+}
+
+impl Pool {
+    pub fn new(domain: Arc<str>) -> Self {
+        Self {
+            domain,
+            entries: Vec::new(),
+            by_name: HashMap::new(),
+            open: Vec::new(),
+            near: Vec::new(),
+            owned: Vec::new(),
+            recent: SmallVec::new(),
+            proxies: 1,
+            mean_others: 0.0,
+            answer_time: FIRST_ANSWER_TIME,
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Adds or updates a target; a new one starts at a low weight if `cold`.
+    pub fn upsert(&mut self, target: Target, cold: bool, now: Duration) {
+        match self.by_name.get(&target.name) {
+            Some(&index) => {
+                let entry = &mut self.entries[index];
+                if entry.target.address != target.address {
+                    entry.ramp_from = Some(now);
+                    entry.draining = false;
+                }
+                entry.target = target;
+            }
+            None => {
+                self.by_name.insert(Arc::clone(&target.name), self.entries.len());
+                self.entries.push(Entry {
+                    target,
+                    weight: 1.0,
+                    trial: false,
+                    draining: false,
+                    ramp_from: cold.then_some(now),
+                    in_flight: 0,
+                    share: 0,
+                    estimate: Estimate::unknown(now),
+                    hold_until: Duration::ZERO,
+                });
+            }
+        }
+    }
+
+    pub fn remove(&mut self, name: &str) {
+        let Some(index) = self.by_name.remove(name) else { return };
+        self.entries.swap_remove(index);
+        if let Some(moved) = self.entries.get(index) {
+            self.by_name.insert(Arc::clone(&moved.target.name), index);
+        }
+        self.recent.clear();
+    }
+
+    /// Recomputes shares and lists after a change of targets, weights or proxies.
+    pub fn rebuild(&mut self, me: &str, proxies: &[Proxy]) {
+        self.open =
+            (0..self.entries.len()).filter(|&index| self.entries[index].is_open()).collect();
+        let cut: Vec<(&str, &str, u32)> = self
+            .open
+            .iter()
+            .map(|&index| &self.entries[index].target)
+            .map(|target| (&*target.domain, &*target.name, target.slots.max(1)))
+            .collect();
+        let shares = share::cut(me, proxies, &cut);
+        for (&index, share) in self.open.iter().zip(shares) {
+            self.entries[index].share = share;
+        }
+        let (entries, domain) = (&self.entries, &self.domain);
+        let chosen = |keep: &dyn Fn(&Entry) -> bool| {
+            self.open.iter().copied().filter(|&index| keep(&entries[index])).collect()
+        };
+        self.near = chosen(&|entry| entry.target.domain == *domain);
+        self.owned = chosen(&|entry| entry.share > 0);
+        self.proxies = proxies.len().max(1) as u32;
+    }
+
+    pub fn set_weight(&mut self, name: &str, weight: f64, trial: bool) -> bool {
+        assert!((0.0..=1.0).contains(&weight), "a weight must be from 0 to 1");
+        let Some(entry) = self.entry(name) else { return false };
+        let was_open = entry.is_open();
+        (entry.weight, entry.trial) = (weight, trial);
+        was_open != entry.is_open()
+    }
+
+    pub fn pick(&mut self, ask: &Ask<'_>, now: Duration, rng: &mut ChaCha8Rng) -> Option<Pick> {
+        let mut best: Option<(f64, usize)> = None;
+        for index in self.candidates(ask, now, rng) {
+            let score = self.score(index, now) + rng.random::<f64>() * 1e-3;
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, index));
+            }
+        }
+        let (_, index) = best?;
+        let entry = &self.entries[index];
+        assert!(entry.is_open(), "a target that leaves or is ejected must not be chosen");
+        assert!(
+            entry.in_flight < entry.bound(self.proxies),
+            "a choice must keep the bound of requests in flight"
+        );
+        Some(Pick {
+            target: Arc::clone(&entry.target.name),
+            address: Arc::clone(&entry.target.address),
+        })
+    }
+
+    /// Returns targets of the own share, recently answered ones and random ones.
+    fn candidates(
+        &self,
+        ask: &Ask<'_>,
+        now: Duration,
+        rng: &mut ChaCha8Rng,
+    ) -> SmallVec<[usize; 16]> {
+        let mut found = SmallVec::new();
+        let usable = |index: usize| {
+            let entry = &self.entries[index];
+            entry.is_usable(ask, self.proxies, now)
+        };
+        let first = if self.owned.is_empty() { 0 } else { rng.random_range(0..self.owned.len()) };
+        let owned = (0..self.owned.len().min(RECENT + 1))
+            .map(|step| self.owned[(first + step) % self.owned.len()]);
+        for index in owned.chain(self.recent.iter().copied()) {
+            if usable(index) && self.passes(index, now, rng) {
+                found.push(index);
+            }
+        }
+        for list in [&self.near, &self.open] {
+            for _ in 0..SAMPLES {
+                found.extend(self.sample(list, &usable, now, rng));
+            }
+        }
+        if found.is_empty() {
+            // Low weights must not refuse what nobody else can take.
+            found.extend(self.any(&usable, rng));
+        }
+        found
+    }
+
+    /// Draws a usable target, each with a probability proportional to its weight.
+    fn sample(
+        &self,
+        list: &[usize],
+        usable: &impl Fn(usize) -> bool,
+        now: Duration,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<usize> {
+        if list.is_empty() {
+            return None;
+        }
+        for _ in 0..DRAWS {
+            let index = list[rng.random_range(0..list.len())];
+            if usable(index) && self.passes(index, now, rng) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
+    /// Returns a usable target near a random place in the list, if there is one.
+    fn any(&self, usable: &impl Fn(usize) -> bool, rng: &mut ChaCha8Rng) -> Option<usize> {
+        if self.open.is_empty() {
+            return None;
+        }
+        let first = rng.random_range(0..self.open.len());
+        (0..self.open.len().min(64))
+            .map(|step| self.open[(first + step) % self.open.len()])
+            .find(|&index| usable(index))
+    }
+
+    fn passes(&self, index: usize, now: Duration, rng: &mut ChaCha8Rng) -> bool {
+        let weight = self.entries[index].weight_at(now);
+        weight >= 1.0 || rng.random::<f64>() < weight
+    }
+
+    /// Estimates the busy part of a target's slots, with preferences added.
+    fn score(&self, index: usize, now: Duration) -> f64 {
+        let entry = &self.entries[index];
+        let others = entry.estimate.others(self.mean_others, self.answer_time, now);
+        let slots = f64::from(entry.target.slots.max(1));
+        let busy = (f64::from(entry.in_flight) + others) / slots;
+        let far = if entry.target.domain == self.domain { 0.0 } else { FAR_PENALTY };
+        let owned = if entry.in_flight < entry.share { SHARE_BONUS } else { 0.0 };
+        busy + far - owned
+    }
+
+    pub fn start(&mut self, name: &str) {
+        if let Some(entry) = self.entry(name) {
+            entry.in_flight += 1;
+        }
+    }
+
+    pub fn end(&mut self, name: &str) {
+        if let Some(entry) = self.entry(name) {
+            // A target that was removed and listed again has forgotten older requests.
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in an answer; `own` requests in flight no longer include the answered one.
+    pub fn answer(&mut self, name: &str, answer: Answer, took: Duration, now: Duration) -> bool {
+        let Some(&index) = self.by_name.get(name) else { return false };
+        self.answer_time = average(self.answer_time, took);
+        let entry = &mut self.entries[index];
+        if let Some(load) = answer.load {
+            entry.estimate.report(load, entry.in_flight, now);
+            let others = f64::from(load.busy.saturating_sub(entry.in_flight));
+            self.mean_others += AVERAGE_GAIN * (others - self.mean_others);
+        }
+        let free = answer.load.is_none_or(|load| load.busy < load.slots);
+        if free {
+            entry.hold_until = Duration::ZERO;
+        }
+        let changed = self.entries[index].set_state(answer.state, now);
+        if free {
+            self.remember(index);
+        }
+        changed
+    }
+
+    /// Takes in that a target refused a request because its slots were in use.
+    pub fn shed(&mut self, name: &str, answer: Answer, now: Duration) -> bool {
+        let answer_time = self.answer_time;
+        let Some(&index) = self.by_name.get(name) else { return false };
+        self.recent.retain(|&mut recent| recent != index);
+        let entry = &mut self.entries[index];
+        let slots = entry.target.slots.max(1);
+        entry.estimate.full(slots, entry.in_flight, now);
+        // One of the slots is free again after this time on average.
+        let hold = (answer_time / (2 * slots)).clamp(SHED_HOLD_MIN, SHED_HOLD_MAX);
+        entry.hold_until = now + hold;
+        entry.set_state(answer.state, now)
+    }
+
+    /// Returns the earliest time at which a target that shed is tried again.
+    pub fn next_ready(&self, now: Duration) -> Duration {
+        now + (self.answer_time / 12).clamp(SHED_HOLD_MIN, SHED_HOLD_MAX)
+    }
+
+    fn remember(&mut self, index: usize) {
+        self.recent.retain(|&mut recent| recent != index);
+        self.recent.truncate(RECENT - 1);
+        self.recent.insert(0, index);
+    }
+
+    fn entry(&mut self, name: &str) -> Option<&mut Entry> {
+        self.by_name.get(name).map(|&index| &mut self.entries[index])
+    }
+}
+
+impl Entry {
+    fn is_open(&self) -> bool {
+        !self.target.leaving && !self.draining && self.weight > 0.0
+    }
+
+    fn is_usable(&self, ask: &Ask<'_>, proxies: u32, now: Duration) -> bool {
+        self.is_open()
+            && now >= self.hold_until
+            && self.in_flight < self.bound(proxies)
+            && (ask.idempotent || !self.trial)
+            && !ask.exclude.contains(&&*self.target.name)
+    }
+
+    /// Returns the number of own requests the target may have at once.
+    fn bound(&self, proxies: u32) -> u32 {
+        let connections = self.target.connections.max(1) / proxies.max(1);
+        self.target.slots.max(1).min(connections.max(1))
+    }
+
+    fn weight_at(&self, now: Duration) -> f64 {
+        let Some(from) = self.ramp_from else { return self.weight };
+        let part = now.saturating_sub(from).as_secs_f64() / RAMP.as_secs_f64();
+        self.weight * part.clamp(RAMP_FLOOR, 1.0)
+    }
+
+    /// Returns whether the target opened or closed.
+    fn set_state(&mut self, state: State, now: Duration) -> bool {
+        let was_open = self.is_open();
+        self.draining = state == State::Draining;
+        match state {
+            State::Cold => self.ramp_from = Some(now),
+            State::Ready | State::Draining => {}
+        }
+        was_open != self.is_open()
+    }
+}
+
+fn average(mean: Duration, sample: Duration) -> Duration {
+    mean.mul_f64(1.0 - AVERAGE_GAIN) + sample.mul_f64(AVERAGE_GAIN)
+}
--- /dev/null
+++ b/crates/citron/src/choice/table.rs
@@ -0,0 +1,141 @@
+//! The targets that a proxy knows, by service.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use rand_chacha::ChaCha8Rng;
+
+use super::{Answer, Ask, Pick, Proxy, Target, pool::Pool};
+
+/// Chooses targets for one proxy.
+#[derive(Debug)]
+pub struct Table {
+    host: Arc<str>,
+    domain: Arc<str>,
+    proxies: Vec<Proxy>,
+    pools: HashMap<Arc<str>, Pool>,
+    services: HashMap<Arc<str>, Arc<str>>,
+}
+
+impl Table {
+    /// Creates a table for the proxy of a host in a failure domain.
+    pub fn new(host: &str, domain: &str) -> Self {
+        Self {
+            host: host.into(),
+            domain: domain.into(),
+            proxies: vec![Proxy { domain: domain.into(), host: host.into() }],
+            pools: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Replaces the proxies among which slots are shared; they should include this one.
+    pub fn set_proxies(&mut self, proxies: Vec<Proxy>) {
+        if self.proxies == proxies {
+            return;
+        }
+        self.proxies = proxies;
+        for pool in self.pools.values_mut() {
+            pool.rebuild(&self.host, &self.proxies);
+        }
+    }
+
+    /// Adds or updates targets; those new to a service that had some before start at a low weight.
+    pub fn upsert(&mut self, targets: impl IntoIterator<Item = Target>, now: Duration) {
+        let mut changed: Vec<Arc<str>> = Vec::new();
+        let mut fresh: Vec<Arc<str>> = Vec::new();
+        for target in targets {
+            let service = Arc::clone(&target.service);
+            let before = self.services.insert(Arc::clone(&target.name), Arc::clone(&service));
+            if let Some(before) = before.filter(|before| *before != service) {
+                self.drop_target(&before, &target.name);
+            }
+            if !self.pools.contains_key(&service) {
+                fresh.push(Arc::clone(&service));
+                self.pools.insert(Arc::clone(&service), Pool::new(Arc::clone(&self.domain)));
+            }
+            let cold = !fresh.contains(&service);
+            if let Some(pool) = self.pools.get_mut(&service) {
+                pool.upsert(target, cold, now);
+            }
+            if !changed.contains(&service) {
+                changed.push(service);
+            }
+        }
+        for service in changed {
+            self.rebuild(&service);
+        }
+    }
+
+    /// Forgets a target.
+    pub fn remove(&mut self, target: &str) {
+        if let Some(service) = self.services.remove(target) {
+            self.drop_target(&service, target);
+        }
+    }
+
+    /// Sets how much of its fair part a target gets, from 0 (ejected) to 1; a target on trial gets
+    /// idempotent requests only.
+    pub fn set_weight(&mut self, target: &str, weight: f64, trial: bool) {
+        self.change(target, |pool| pool.set_weight(target, weight, trial));
+    }
+
+    /// Chooses a target, or returns `None` if no target is believed to have a free slot.
+    pub fn pick(&mut self, ask: &Ask<'_>, now: Duration, rng: &mut ChaCha8Rng) -> Option<Pick> {
+        self.pools.get_mut(ask.service)?.pick(ask, now, rng)
+    }
+
+    /// Returns when to choose again after a choice that found no target and no answer since.
+    pub fn next_ready(&self, service: &str, now: Duration) -> Option<Duration> {
+        self.pools.get(service).map(|pool| pool.next_ready(now))
+    }
+
+    /// Takes in that a request was sent to a target; [`Table::on_end`] follows exactly once.
+    pub fn on_start(&mut self, target: &str) {
+        self.change(target, |pool| {
+            pool.start(target);
+            false
+        });
+    }
+
+    /// Takes in that a request ended, in whatever way.
+    pub fn on_end(&mut self, target: &str) {
+        self.change(target, |pool| {
+            pool.end(target);
+            false
+        });
+    }
+
+    /// Takes in an answer, after [`Table::on_end`] of its request.
+    pub fn on_answer(&mut self, target: &str, answer: Answer, took: Duration, now: Duration) {
+        self.change(target, |pool| pool.answer(target, answer, took, now));
+    }
+
+    /// Takes in that a target refused a request without running it, after [`Table::on_end`].
+    pub fn on_shed(&mut self, target: &str, answer: Answer, now: Duration) {
+        self.change(target, |pool| pool.shed(target, answer, now));
+    }
+
+    fn change(&mut self, target: &str, change: impl FnOnce(&mut Pool) -> bool) {
+        let Some(service) = self.services.get(target) else { return };
+        let Some(pool) = self.pools.get_mut(service) else { return };
+        if change(pool) {
+            pool.rebuild(&self.host, &self.proxies);
+        }
+    }
+
+    fn drop_target(&mut self, service: &str, target: &str) {
+        let Some(pool) = self.pools.get_mut(service) else { return };
+        pool.remove(target);
+        if pool.is_empty() {
+            self.pools.remove(service);
+        } else {
+            self.rebuild(service);
+        }
+    }
+
+    fn rebuild(&mut self, service: &str) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.rebuild(&self.host, &self.proxies);
+        }
+    }
+}
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`std::time::Duration`] since an origin that the caller chooses once per process; randomness
 //! comes from a generator that the caller seeds. Equal inputs give equal outputs.
 
+pub mod choice;
 pub mod event;
 pub mod hlc;
 pub mod policy;
