--- a/crates/citron-stand/src/bench/choice/simulation.rs
+++ b/crates/citron-stand/src/bench/choice/simulation.rs
@@ -46,7 +46,7 @@
     pub spread: f64,
 }
 
-#[derive(Debug, Clone, Eq, PartialEq, Ord, PartialOrd)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd)]
 enum Event {
     Arrive { proxy: usize },
     Reach { target: usize, request: usize },
