--- a/crates/citron-stand/src/platform/command.rs
+++ b/crates/citron-stand/src/command/platform.rs
@@ -1,4 +1,4 @@
-//! Runs the stand-in as a process.
+//! `citron-stand platform`: a platform in one process.
 
 use std::{fs, net::SocketAddr, process::ExitCode};
 
@@ -7,21 +7,22 @@
 use eyre::WrapErr;
 use serde_json::json;
 
-use crate::process;
+use super::{block_on, read, stopped};
+use crate::platform;
 
 const PROGRAM: &str = "citron-stand platform";
 
 const SPECS: &[Spec] = &[
     Spec {
         flag: "listen",
-        variable: "CITRON_LISTEN",
+        variable: "CITRON_STAND_LISTEN",
         default: None,
         help: "address of the object API and of its switches",
         valid: "an IP address and port; port 0 picks a free one",
     },
     Spec {
         flag: "hosts",
-        variable: "CITRON_HOSTS",
+        variable: "CITRON_STAND_HOSTS",
         default: Some(""),
         help: "file with the first list of hosts",
         valid: "a JSON file as returned by GET /v1/hosts",
@@ -37,24 +38,26 @@
 /// `platform`.
 ///
 /// # Errors
-/// Fails if the address cannot be bound.
-pub async fn run(words: &[String]) -> eyre::Result<ExitCode> {
-    let about = "a stand-in for the platform, for tests and the demo";
-    let values = match process::read(PROGRAM, about, SPECS, words) {
-        Ok(values) => values,
-        Err(code) => return Ok(code),
+/// Fails on a bad setting or if the address cannot be bound.
+pub fn run(words: &[String]) -> eyre::Result<ExitCode> {
+    let Some(values) =
+        read(PROGRAM, "a stand-in for the platform, for tests and the demo", SPECS, words)?
+    else {
+        return Ok(ExitCode::SUCCESS);
     };
-    let settings = match parse(&values) {
-        Ok(settings) => settings,
-        Err(error) => return Ok(process::refuse(PROGRAM, &error)),
-    };
-    let platform = super::bind(settings.listen, settings.hosts)
+    let settings = parse(&values)?;
+    block_on(serve(settings))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let platform = platform::bind(settings.listen, settings.hosts)
         .await
         .wrap_err("the platform stand-in cannot start")?;
     println!("{}", json!({"ready": true, "program": PROGRAM, "listen": platform.addr()}));
-    process::stopped().await?;
+    stopped().await?;
     platform.stop().await;
-    Ok(ExitCode::SUCCESS)
+    Ok(())
 }
 
 fn parse(values: &Values) -> Result<Settings, setting::Error> {
--- a/crates/citron-stand/src/relay/command.rs
+++ b/crates/citron-stand/src/command/relay.rs
@@ -1,4 +1,4 @@
-//! Runs the relay as a process.
+//! `citron-stand relay`: a relay in one process.
 
 use std::{net::SocketAddr, process::ExitCode, sync::Arc};
 
@@ -12,29 +12,29 @@
 use rocket::{State, http::Status, post, routes, serde::json::Json};
 use serde_json::json;
 
-use super::{Cut, Relay};
-use crate::process;
+use super::{block_on, read, stopped};
+use crate::relay::{self, Cut, Relay};
 
 const PROGRAM: &str = "citron-stand relay";
 
 const SPECS: &[Spec] = &[
     Spec {
         flag: "listen",
-        variable: "CITRON_LISTEN",
+        variable: "CITRON_STAND_LISTEN",
         default: None,
         help: "address to relay from, TCP and UDP",
         valid: "an IP address and port; port 0 picks a free one",
     },
     Spec {
         flag: "to",
-        variable: "CITRON_TO",
+        variable: "CITRON_STAND_TO",
         default: None,
         help: "address to relay to",
         valid: "an IP address and port",
     },
     Spec {
         flag: "admin",
-        variable: "CITRON_ADMIN",
+        variable: "CITRON_STAND_ADMIN",
         default: Some("127.0.0.1:0"),
         help: "address of the switch, metrics and events",
         valid: "an IP address and port; port 0 picks a free one",
@@ -50,18 +50,20 @@
 /// Runs a relay until the process is asked to stop; the words are the arguments after `relay`.
 ///
 /// # Errors
-/// Fails if an address cannot be bound.
-pub async fn run(words: &[String]) -> eyre::Result<ExitCode> {
-    let about = "a relay whose directions can be cut, for tests";
-    let values = match process::read(PROGRAM, about, SPECS, words) {
-        Ok(values) => values,
-        Err(code) => return Ok(code),
+/// Fails on a bad setting or if an address cannot be bound.
+pub fn run(words: &[String]) -> eyre::Result<ExitCode> {
+    let Some(values) =
+        read(PROGRAM, "a relay whose directions can be cut, for tests", SPECS, words)?
+    else {
+        return Ok(ExitCode::SUCCESS);
     };
-    let settings = match parse(&values) {
-        Ok(settings) => settings,
-        Err(error) => return Ok(process::refuse(PROGRAM, &error)),
-    };
-    let relay = super::bind(settings.listen, settings.to).await.wrap_err_with(|| {
+    let settings = parse(&values)?;
+    block_on(serve(settings))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let relay = relay::bind(settings.listen, settings.to).await.wrap_err_with(|| {
         format!("cannot listen on {}; choose a free address of this host", settings.listen)
     })?;
     let relay = Arc::new(relay);
@@ -77,9 +79,9 @@
         "{}",
         json!({"ready": true, "program": PROGRAM, "listen": listen, "admin": admin.addr()})
     );
-    process::stopped().await?;
+    stopped().await?;
     admin.stop().await;
-    Ok(ExitCode::SUCCESS)
+    Ok(())
 }
 
 fn parse(values: &Values) -> Result<Settings, setting::Error> {
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -1,7 +1,8 @@
 //! Stand-ins for the platform, targets and callers, and the benches.
 
 pub mod bench;
+pub mod command;
+pub mod load;
 pub mod platform;
 pub mod relay;
-
-mod process;
+pub mod target;
--- a/crates/citron-stand/src/relay/mod.rs
+++ b/crates/citron-stand/src/relay/mod.rs
@@ -1,11 +1,10 @@
 //! A relay of TCP connections and UDP datagrams whose directions can be cut separately.
 
-mod command;
 mod cut;
 mod tcp;
 mod udp;
 
-pub use self::{command::run, cut::Cut};
+pub use self::cut::Cut;
 
 use std::{io, net::SocketAddr, sync::Arc};
 
--- a/crates/citron-wire/src/generated.rs
+++ b/crates/citron-wire/src/generated.rs
@@ -211,6 +211,9 @@
     /// Order among the ejected targets of a service: the proxy keeps the lowest ranks ejected when its floor binds.
     #[prost(uint32, tag = "7")]
     pub rank: u32,
+    /// True while the target gets a trickle of idempotent requests before it returns.
+    #[prost(bool, tag = "8")]
+    pub trial: bool,
 }
 /// What one proxy saw of the targets of a service since its last report.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -219,6 +222,12 @@
     pub host: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// Failure domain of the host.
+    #[prost(string, tag = "3")]
+    pub domain: ::prost::alloc::string::String,
+    /// Counts the batches of this host; a batch that arrives twice is dropped.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Evidence {
@@ -247,6 +256,22 @@
     /// The reporting proxy's suspicion of its own network, 0 to 1000.
     #[prost(uint32, tag = "11")]
     pub self_milli: u32,
+    /// Answers and requests in flight by their time, against the service's own quantiles at this proxy:
+    /// up to the median, up to the 90th percentile, up to the 99th, and beyond.
+    #[prost(uint32, tag = "12")]
+    pub brisk: u32,
+    #[prost(uint32, tag = "13")]
+    pub usual: u32,
+    #[prost(uint32, tag = "14")]
+    pub slow: u32,
+    #[prost(uint32, tag = "15")]
+    pub late: u32,
+    /// Connections that could not be made.
+    #[prost(uint32, tag = "16")]
+    pub refused: u32,
+    /// Probes that failed.
+    #[prost(uint32, tag = "17")]
+    pub probes: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ClaimRequest {
@@ -271,7 +296,14 @@
     pub results: ::prost::alloc::vec::Vec<i32>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct TablesRequest {}
+pub struct TablesRequest {
+    /// Version of the host list that the caller has; 0 asks for all of it.
+    #[prost(uint64, tag = "1")]
+    pub hosts_version: u64,
+    /// True to get the members as well.
+    #[prost(bool, tag = "2")]
+    pub members: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Tables {
     #[prost(message, optional, tag = "1")]
@@ -280,6 +312,12 @@
     pub targets: ::core::option::Option<TargetTable>,
     #[prost(message, optional, tag = "3")]
     pub verdicts: ::core::option::Option<VerdictTable>,
+    /// Version of the host list that the targets and entries below bring the caller to.
+    #[prost(uint64, tag = "4")]
+    pub hosts_version: u64,
+    /// Changes of the platform's entry host list; only name, domain, state and addresses are set.
+    #[prost(message, optional, tag = "5")]
+    pub entries: ::core::option::Option<MemberTable>,
 }
 /// A loan message between two proxies, one per UDP datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -355,6 +393,9 @@
     pub evidence: ::prost::alloc::vec::Vec<EvidenceBatch>,
     #[prost(message, repeated, tag = "11")]
     pub targets: ::prost::alloc::vec::Vec<Target>,
+    /// Newest version of the platform's host list known to the sender.
+    #[prost(uint64, tag = "12")]
+    pub hosts_version: u64,
     #[prost(oneof = "gossip::Body", tags = "4, 5, 6")]
     pub body: ::core::option::Option<gossip::Body>,
 }
@@ -370,10 +411,17 @@
         PingRequest(super::PingRequest),
     }
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ping {
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
+    /// The member on whose behalf the sender probes, with the number of its own ping.
+    #[prost(string, tag = "2")]
+    pub origin: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub origin_gossip: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub origin_sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ack {
@@ -382,6 +430,9 @@
     /// The member whose answer this acknowledges.
     #[prost(string, tag = "2")]
     pub subject: ::prost::alloc::string::String,
+    /// True when the subject heard the prober's own ping.
+    #[prost(bool, tag = "3")]
+    pub heard: bool,
 }
 /// Asks the receiver to probe a third member.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
