--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -1,13 +1,19 @@
 //! The subcommands of `citron-stand`.
 
 mod load;
+mod platform;
+mod relay;
 mod target;
 
-pub use self::{load::run as run_load, target::run as run_target};
+pub use self::{
+    load::run as run_load, platform::run as run_platform, relay::run as run_relay,
+    target::run as run_target,
+};
 
 use std::{env, ffi::OsString, future::Future};
 
 use citron_daemon::setting::{self, Request, Spec, Values};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Reads the settings of a subcommand, or prints its help.
 ///
@@ -33,3 +39,14 @@
 fn block_on<T>(future: impl Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
     tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(future)
 }
+
+/// Waits until the process is asked to stop.
+async fn stopped() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod bench;
 pub mod command;
 pub mod load;
+pub mod platform;
+pub mod relay;
 pub mod target;
