Wait when no target is believed to have a free slot

Cause: after a shed the next attempt went to a random target, which at full load sheds as well, until the four attempts were used up. Now a target whose estimated busy part is above 0.8 is not tried within a tenth of the mean answer time after a shed; an answer with a free slot is used at once.

--- a/crates/citron/src/choice/pool.rs
+++ b/crates/citron/src/choice/pool.rs
@@ -18,6 +18,10 @@
 const SHED_HOLD_MAX: Duration = Duration::from_secs(1);
 /// The answer time assumed before the first answer.
 const FIRST_ANSWER_TIME: Duration = Duration::from_millis(50);
+/// The estimated busy part from which a target is not believed to have a free slot.
+const FULL: f64 = 0.8;
+/// How long after a shed no such target is tried, as a divisor of the mean answer time.
+const EXPLORE_GAP_PART: u32 = 10;
 /// The share of a new answer time in the moving average.
 const AVERAGE_GAIN: f64 = 0.05;
 /// The part of a target's slots that a longer way counts as, from 0 to 1.
@@ -79,6 +83,7 @@
     proxies: u32,
     mean_others: f64,
     answer_time: Duration,
+    explore_at: Duration,
 }
 
 impl Pool {
@@ -94,6 +99,7 @@
             proxies: 1,
             mean_others: 0.0,
             answer_time: FIRST_ANSWER_TIME,
+            explore_at: Duration::ZERO,
         }
     }
 
@@ -178,6 +184,10 @@
             }
         }
         let (_, index) = best?;
+        // Without news, another attempt so soon would most likely be shed as well.
+        if now < self.explore_at && self.busy(index, now) > FULL {
+            return None;
+        }
         let entry = &self.entries[index];
         assert!(entry.is_open(), "a target that leaves or is ejected must not be chosen");
         assert!(
@@ -261,14 +271,19 @@
     /// Estimates the busy part of a target's slots, with preferences added.
     fn score(&self, index: usize, now: Duration) -> f64 {
         let entry = &self.entries[index];
-        let others = entry.estimate.others(self.mean_others, self.answer_time, now);
-        let slots = f64::from(entry.target.slots.max(1));
-        let busy = (f64::from(entry.in_flight) + others) / slots;
+        let busy = self.busy(index, now);
         let far = if entry.target.domain == self.domain { 0.0 } else { FAR_PENALTY };
         let owned = if entry.in_flight < entry.share { SHARE_BONUS } else { 0.0 };
         busy + far - owned
     }
 
+    /// Estimates the busy part of a target's slots.
+    fn busy(&self, index: usize, now: Duration) -> f64 {
+        let entry = &self.entries[index];
+        let others = entry.estimate.others(self.mean_others, self.answer_time, now);
+        (f64::from(entry.in_flight) + others) / f64::from(entry.target.slots.max(1))
+    }
+
     pub fn start(&mut self, name: &str) {
         if let Some(entry) = self.entry(name) {
             entry.in_flight += 1;
@@ -308,6 +323,7 @@
         let answer_time = self.answer_time;
         let Some(&index) = self.by_name.get(name) else { return false };
         self.recent.retain(|&mut recent| recent != index);
+        self.explore_at = now + self.answer_time / EXPLORE_GAP_PART;
         let entry = &mut self.entries[index];
         let slots = entry.target.slots.max(1);
         entry.estimate.full(slots, entry.in_flight, now);
