--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -5,7 +5,14 @@
 //! comes from a generator that the caller seeds. Equal inputs give equal outputs.
 
 pub mod attempt;
+pub mod choice;
 pub mod event;
+pub mod health;
 pub mod hlc;
 pub mod leave;
+pub mod home;
+pub mod hosts;
+pub mod member;
 pub mod policy;
+pub mod rumor;
+pub mod watcher;
