Refuse bodies cut short and what the HTTP libraries would change

Cause: Rocket looks at the first 14 bytes of every body before it routes and hides a connection fault there, so a chunked order cut within them reached the target as a whole one. Ruled out: the reader itself, which reports the fault once past those bytes. Now a body of unknown length that ends within them without having been seen whole is refused.

--- a/crates/citron-proxy/src/body.rs
+++ b/crates/citron-proxy/src/body.rs
@@ -21,6 +21,8 @@
 const CHUNK_QUEUE: usize = 2;
 /// How much of a form is looked at for a method.
 const PEEK_BYTES: usize = 32;
+/// How much of every body Rocket reads before it routes; it hides a fault of the connection there.
+const ROCKET_PEEK_BYTES: usize = 14;
 
 /// The body of a request.
 pub enum Body {
@@ -45,6 +47,22 @@
     Fault(io::Error),
 }
 
+/// What is known of a streamed body's length.
+#[derive(Debug, Copy, Clone)]
+enum Extent {
+    Exactly(u64),
+    AtLeast(u64),
+}
+
+impl Extent {
+    fn allows(self, total: u64) -> bool {
+        match self {
+            Self::Exactly(length) => total == length,
+            Self::AtLeast(length) => total >= length,
+        }
+    }
+}
+
 /// Moves a streamed body from the caller towards the target while polled.
 pub type Pump<'r> = Pin<Box<dyn Future<Output = ()> + Send + 'r>>;
 
@@ -57,15 +75,23 @@
     mut data: Data<'r>,
     limit: u64,
 ) -> Result<(Body, Option<Pump<'r>>), Reason> {
-    if intake.is_form && intake.hides_method(data.peek(PEEK_BYTES).await) {
-        return Err(Reason::FormMethodAmbiguous);
+    // A body that ended while Rocket looked at its first bytes is complete, or was cut short.
+    let least = if data.peek_complete() { 0 } else { ROCKET_PEEK_BYTES };
+    if intake.is_form {
+        let start = data.peek(PEEK_BYTES).await;
+        if intake.hides_method(start) {
+            return Err(Reason::FormMethodAmbiguous);
+        }
+        if start.len() < least || (start.len() < PEEK_BYTES && !data.peek_complete()) {
+            return Err(Reason::BodyCutShort);
+        }
     }
     match intake.length {
         Length::None => Ok((Body::Empty, None)),
         Length::Known(length) if length > limit => Err(Reason::BodyTooLarge),
         Length::Known(length) if length <= HELD_LIMIT_BYTES => hold(data, length).await,
-        Length::Known(length) => Ok(stream_body(data, limit, Some(length))),
-        Length::Chunked => Ok(stream_body(data, limit, None)),
+        Length::Known(length) => Ok(stream_body(data, limit, Extent::Exactly(length))),
+        Length::Chunked => Ok(stream_body(data, limit, Extent::AtLeast(least as u64))),
     }
 }
 
@@ -78,26 +104,19 @@
     Ok((Body::Held(bytes.into()), None))
 }
 
-fn stream_body(data: Data<'_>, limit: u64, length: Option<u64>) -> (Body, Option<Pump<'_>>) {
+fn stream_body(data: Data<'_>, limit: u64, extent: Extent) -> (Body, Option<Pump<'_>>) {
     let (sender, receiver) = mpsc::channel(CHUNK_QUEUE);
     let stream = data.open((limit + 1).bytes());
     let upload = Upload { chunks: Arc::new(Mutex::new(Some(receiver))) };
-    (Body::Streamed(upload), Some(Box::pin(pump(stream, sender, limit, length))))
+    (Body::Streamed(upload), Some(Box::pin(pump(stream, sender, limit, extent))))
 }
 
-async fn pump(
-    mut stream: DataStream<'_>,
-    sender: mpsc::Sender<Chunk>,
-    limit: u64,
-    length: Option<u64>,
-) {
+async fn pump(mut stream: DataStream<'_>, sender: mpsc::Sender<Chunk>, limit: u64, extent: Extent) {
     let mut total = 0;
     loop {
         let mut bytes = bytes::BytesMut::with_capacity(CHUNK_BYTES);
         let chunk = match stream.read_buf(&mut bytes).await {
-            Ok(0) if length.is_some_and(|length| length != total) => {
-                Chunk::Fault(io::ErrorKind::UnexpectedEof.into())
-            }
+            Ok(0) if !extent.allows(total) => Chunk::Fault(io::ErrorKind::UnexpectedEof.into()),
             Ok(0) => Chunk::End,
             Ok(count) => {
                 total += count as u64;
--- a/crates/citron-proxy/src/send.rs
+++ b/crates/citron-proxy/src/send.rs
@@ -74,6 +74,9 @@
 
 /// Returns the URL of `path_and_query` at `authority` if the URL library leaves it as it is.
 pub fn url(authority: &str, path_and_query: &str) -> Option<Url> {
+    if !path_and_query.starts_with('/') {
+        return None;
+    }
     let url = Url::parse(&format!("http://{authority}{path_and_query}")).ok()?;
     let kept = match path_and_query.split_once('?') {
         Some((path, query)) => url.path() == path && url.query() == Some(query),
--- a/crates/citron-proxy/tests/support/mod.rs
+++ b/crates/citron-proxy/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 pub use self::{
     agent::{Agent, ClaimScript, target_entry},
-    caller::{Caller, Reply},
+    caller::{Caller, Reply, read_reply},
     target::{Act, Script, Seen, Target, answer},
 };
 
