--- /dev/null
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -0,0 +1,161 @@
+//! The graceful stop of a real process: no request is cut.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    process::{Child, ChildStdout, Command, Stdio},
+    sync::Arc,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use support::{Act, Agent, Caller, Script, Target, read_reply, wait_for};
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Notify};
+
+/// A proxy as its own process, with its agent and one target here.
+struct Process {
+    child: Child,
+    addr: SocketAddr,
+    admin: String,
+    agent: Agent,
+    target: Target,
+    /// Kept open, as the process may write to it.
+    _stdout: std::io::BufReader<ChildStdout>,
+}
+
+impl Process {
+    async fn start(script: Script, leave_ms: &str) -> Self {
+        use std::io::BufRead;
+        let target = Target::spawn(script).await;
+        let agent = Agent::spawn().await;
+        agent.send_policy(1, support::CUSTOMERS, support::GRANTS);
+        agent.send_targets(&[target.addr]);
+        let free = "127.0.0.1:0";
+        let mut child = Command::new(env!("CARGO_BIN_EXE_citron-proxy"))
+            .args(["--host", "h1", "--domain", "a", "--listen", free, "--loans", free])
+            .args(["--admin", free, "--agent", &agent.addr.to_string(), "--log", "warn"])
+            .args(["--leave-ms", leave_ms])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program must start");
+        let mut stdout = std::io::BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let mut line = String::new();
+        stdout.read_line(&mut line).expect("a ready line must come");
+        let ready: serde_json::Value = line.parse().expect("the ready line must be JSON");
+        let text = |key: &str| ready[key].as_str().expect("an address").to_owned();
+        let addr = text("listen").parse().expect("an address");
+        let admin = text("admin");
+        let process = Self { child, addr, admin, agent, target, _stdout: stdout };
+        wait_for(|| async { process.status().await["services"]["lot-desk"]["listed"] == 1 }).await;
+        process
+    }
+
+    async fn status(&self) -> serde_json::Value {
+        let url = format!("http://{}/status", self.admin);
+        reqwest::get(url).await.expect("status").json().await.expect("status must be JSON")
+    }
+
+    fn terminate(&self) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, Signal::TERM).expect("the process must take SIGTERM");
+    }
+
+    /// Starts a request and waits until its target has it.
+    async fn begin(&self, request: &str) -> TcpStream {
+        let before = self.target.seen().len();
+        let mut stream = Caller::new(self.addr).connect().await;
+        stream.write_all(request.as_bytes()).await.expect("the proxy must read");
+        wait_for(|| async { self.target.seen().len() > before }).await;
+        stream
+    }
+
+    /// Waits until the process has ended and returns its exit code.
+    async fn ended(&mut self) -> Option<i32> {
+        let child = parking_lot::Mutex::new(&mut self.child);
+        wait_for(|| async { child.lock().try_wait().expect("wait").is_some() }).await;
+        self.child.wait().expect("wait").code()
+    }
+
+    async fn refuses_connections(&self) -> bool {
+        TcpStream::connect(self.addr).await.is_err()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+const GET: &str = "GET /lots/1 HTTP/1.1\r\nhost: x\r\ncitron-customer: roaster\r\n\r\n";
+const POST: &str =
+    "POST /lots/2 HTTP/1.1\r\nhost: x\r\ncitron-customer: roaster\r\ncontent-length: 0\r\n\r\n";
+
+/// A target whose answers begin, wait until released and then end.
+fn slow(release: &Arc<Notify>) -> Script {
+    let release = Arc::clone(release);
+    Arc::new(move |seen| {
+        let head =
+            "HTTP/1.1 200 OK\r\ncitron-request-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
+        let (first, rest) = ("3\r\nabc\r\n", "3\r\ndef\r\n0\r\n\r\n");
+        let wait = Act::Wait(Arc::clone(&release));
+        if seen.line.starts_with("GET") {
+            vec![Act::Write(format!("{head}{first}")), wait, Act::Write(rest.to_owned())]
+        } else {
+            vec![wait, Act::Write(format!("{head}{first}{rest}"))]
+        }
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_cuts_nothing_in_flight() {
+    let release = Arc::new(Notify::new());
+    let mut process = Process::start(slow(&release), "200").await;
+    let mut streams =
+        [process.begin(GET).await, process.begin(POST).await, process.begin(GET).await];
+    process.terminate();
+    wait_for(|| process.refuses_connections()).await;
+    assert!(process.child.try_wait().expect("wait").is_none(), "requests are in flight");
+    for _ in 0..streams.len() {
+        release.notify_one();
+    }
+    for stream in &mut streams {
+        let reply = read_reply(stream, false).await;
+        assert_eq!((reply.status, reply.outcome(), reply.whole), (200, "answered", true));
+        assert_eq!(reply.text(), "abcdef");
+    }
+    assert_eq!(process.ended().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn it_announces_and_accepts_for_the_notice_with_connection_close() {
+    let fine: Script = Arc::new(|_| vec![support::answer("200 OK", "", "fine")]);
+    let mut process = Process::start(fine, "60000").await;
+    process.terminate();
+    let leaving = |report: &citron_wire::Report| matches!(&report.body, Some(citron_wire::report::Body::Progress(p)) if p.leaving);
+    wait_for(|| async { process.agent.reports().iter().any(leaving) }).await;
+    let reply = Caller::new(process.addr).call(GET.as_bytes()).await;
+    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")));
+    assert!(process.child.try_wait().expect("wait").is_none(), "it must accept for the notice");
+    process.child.kill().expect("kill");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_agent_can_ask_it_to_leave() {
+    let fine: Script = Arc::new(|_| vec![support::answer("200 OK", "", "fine")]);
+    let mut process = Process::start(fine, "50").await;
+    process.agent.send(citron_wire::update::Body::Leave(citron_wire::Leave {}));
+    assert_eq!(process.ended().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_idle_connection_does_not_hold_it_back() {
+    let fine: Script = Arc::new(|_| vec![support::answer("200 OK", "", "fine")]);
+    let mut process = Process::start(fine, "50").await;
+    let mut idle = process.begin(GET).await;
+    assert_eq!(read_reply(&mut idle, false).await.status, 200);
+    process.terminate();
+    assert_eq!(process.ended().await, Some(0));
+}
