End a graceful stop once every answer has left the host

Cause: Rocket's shutdown waits its whole grace for idle connections (with 2 s of grace the case an_idle_connection_does_not_hold_it_back took 2.1 s, with 30 s it failed after 20 s). Ruled out: the closed listener; the same without it. A short grace would cut callers that read slowly. Now the stop waits until nothing is in flight and the kernel's send queues of the port are empty three times in a row.

--- a/crates/citron-proxy/src/leaving.rs
+++ b/crates/citron-proxy/src/leaving.rs
@@ -10,6 +10,10 @@
 
 /// How often the stop is moved on.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
+/// How often the connections are looked at for bytes not yet sent.
+const SENT_INTERVAL: Duration = Duration::from_millis(100);
+/// How many looks in a row must find none.
+const SENT_CHECKS: u32 = 3;
 
 /// Asks a proxy to leave.
 #[derive(Clone)]
@@ -46,6 +50,19 @@
             Some(Action::Announce) | None => time::sleep(STEP_INTERVAL).await,
         }
     }
-    server.stop().await;
+    // Rocket waits for idle connections as well; there is nothing left to send on these.
+    tokio::select! {
+        () = server.stop() => {}
+        () = all_sent(listen) => {}
+    }
     shared.recorder.record(Kind::Stopped, &shared.settings.host, &[]);
 }
+
+/// Waits until every answer has left this host.
+async fn all_sent(listen: SocketAddr) {
+    let mut empty_checks = 0;
+    while empty_checks < SENT_CHECKS {
+        time::sleep(SENT_INTERVAL).await;
+        empty_checks = if socket::unsent_bytes(listen) == 0 { empty_checks + 1 } else { 0 };
+    }
+}
--- a/crates/citron-proxy/src/socket.rs
+++ b/crates/citron-proxy/src/socket.rs
@@ -15,6 +15,9 @@
 /// The folder that names the open files of this process.
 const FD_FOLDER: &str = "/proc/self/fd";
 
+/// The kernel's tables of TCP connections.
+const CONNECTION_TABLES: [&str; 2] = ["/proc/self/net/tcp", "/proc/self/net/tcp6"];
+
 /// The connection of one caller, sharing the socket that the HTTP server uses.
 #[derive(Debug)]
 pub struct Connection {
@@ -67,6 +70,27 @@
     }
 }
 
+/// Returns how many bytes the connections to the listening address `local` have not yet got
+/// acknowledged by their callers.
+pub fn unsent_bytes(local: SocketAddr) -> u64 {
+    CONNECTION_TABLES
+        .iter()
+        .filter_map(|table| std::fs::read_to_string(table).ok())
+        .map(|table| table.lines().filter_map(|line| unsent_of(line, local.port())).sum::<u64>())
+        .sum()
+}
+
+/// Reads the send queue from one line of the kernel's connection table, if its port is `port`.
+fn unsent_of(line: &str, port: u16) -> Option<u64> {
+    let mut fields = line.split_ascii_whitespace().skip(1);
+    let (_, local_port) = fields.next()?.rsplit_once(':')?;
+    if u16::from_str_radix(local_port, 16).ok()? != port {
+        return None;
+    }
+    let (unsent, _) = fields.nth(2)?.split_once(':')?;
+    u64::from_str_radix(unsent, 16).ok()
+}
+
 fn local_addr(fd: &OwnedFd) -> Option<SocketAddr> {
     getsockname(fd).ok()?.try_into().ok()
 }
--- a/crates/citron-proxy/tests/leaving.rs
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -159,3 +159,21 @@
     process.terminate();
     assert_eq!(process.ended().await, Some(0));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_reads_slowly_gets_its_whole_answer() {
+    const LENGTH: usize = 12_000_000;
+    let large: Script = Arc::new(|_| vec![support::answer("200 OK", "", &"x".repeat(LENGTH))]);
+    let mut process = Process::start(large, "0").await;
+    let mut stream = process.begin(GET).await;
+    process.terminate();
+    wait_for(|| process.refuses_connections()).await;
+    for _ in 0..20 {
+        // Other connections come and go while this one waits to be read.
+        assert!(process.child.try_wait().expect("wait").is_none(), "an answer is unread");
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    let reply = read_reply(&mut stream, false).await;
+    assert!(reply.whole && reply.body.len() == LENGTH, "{} bytes", reply.body.len());
+    assert_eq!(process.ended().await, Some(0));
+}
