Cut a caller that does not read its answer by the deadline

Such a caller held its target's slot for good, since the server stops asking for the answer once its buffers are full. Shown by a_caller_that_does_not_read_gives_its_slot_back_at_the_deadline.

--- a/crates/citron-proxy/src/answer.rs
+++ b/crates/citron-proxy/src/answer.rs
@@ -18,6 +18,7 @@
 };
 use tokio::{
     io::{AsyncRead, ReadBuf},
+    task::JoinHandle,
     time,
 };
 
@@ -34,6 +35,8 @@
 
 /// The most bytes of an answer passed on at once.
 const CHUNK_BYTES: usize = 64 << 10;
+/// How many chunks of an answer are passed on before its caller's reading is watched.
+const WATCH_AFTER_CHUNKS: u32 = 2;
 
 /// What a request holds until its answer has ended.
 pub struct Holds {
@@ -44,6 +47,7 @@
 }
 
 /// Where an answer goes and until when.
+#[derive(Clone)]
 pub struct Route {
     /// The state of the proxy.
     pub shared: Arc<Shared>,
@@ -81,6 +85,8 @@
         rest: Bytes::new(),
         pump,
         limit: None,
+        passed: 0,
+        watchdog: None,
         route,
         _slot: slot,
         _holds: holds,
@@ -88,12 +94,43 @@
     Some(answer)
 }
 
+impl Route {
+    /// Cuts the caller's connection.
+    fn cut(&self) {
+        self.shared.metrics.cut.inc();
+        match self.peer.and_then(|peer| Connection::find(self.local, peer)) {
+            Some(connection) => connection.cut(),
+            None => log::debug!("the caller's connection is already gone"),
+        }
+    }
+}
+
+/// Cuts the connection of a caller that has not read its answer by the deadline.
+struct Watchdog(JoinHandle<()>);
+
+impl Watchdog {
+    fn spawn(route: Route) -> Self {
+        Self(tokio::spawn(async move {
+            time::sleep_until(route.shared.clock.instant(route.deadline)).await;
+            route.cut();
+        }))
+    }
+}
+
+impl Drop for Watchdog {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Reads a target's answer; an answer that ends early cuts the caller's connection.
 struct Reader<'r> {
     upstream: BoxStream<'static, reqwest::Result<Bytes>>,
     rest: Bytes,
     pump: Option<Pump<'r>>,
     limit: Option<BoxFuture<'static, ()>>,
+    passed: u32,
+    watchdog: Option<Watchdog>,
     route: Route,
     _slot: Slot,
     _holds: Holds,
@@ -102,13 +139,8 @@
 impl Reader<'_> {
     /// Ends the answer for the caller as the target's answer ended: early.
     fn cut(&self) -> io::Error {
-        self.route.shared.metrics.cut.inc();
         // The HTTP server would end a chunked answer cleanly, so the connection goes first.
-        let connection = self.route.peer.and_then(|peer| Connection::find(self.route.local, peer));
-        match connection {
-            Some(connection) => connection.cut(),
-            None => log::debug!("the caller's connection is already gone"),
-        }
+        self.route.cut();
         io::ErrorKind::UnexpectedEof.into()
     }
 
@@ -150,6 +182,10 @@
                 }
             }
         }
+        self.passed = self.passed.saturating_add(1);
+        if self.passed > WATCH_AFTER_CHUNKS && self.watchdog.is_none() {
+            self.watchdog = Some(Watchdog::spawn(self.route.clone()));
+        }
         let count = self.rest.len().min(buf.remaining());
         buf.put_slice(&self.rest[..count]);
         self.rest.advance(count);
--- a/crates/citron-proxy/tests/attempt.rs
+++ b/crates/citron-proxy/tests/attempt.rs
@@ -8,7 +8,7 @@
 };
 
 use citron_wire::ClaimResult;
-use support::{Act, Reply, Rig, Script, Seen, answer, wait_for};
+use support::{Act, Reply, Rig, Script, Seen, answer, read_reply, wait_for};
 use tokio::{io::AsyncWriteExt, sync::Notify};
 
 const SHED: &str = "HTTP/1.1 503 Busy\r\ncitron-request-id: {id}\r\ncitron-target-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
@@ -327,6 +327,17 @@
     ended.notified().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_does_not_read_gives_its_slot_back_at_the_deadline() {
+    let rig = rig(1, vec![vec![answer("200 OK", "", &"x".repeat(50_000_000))]]).await;
+    let mut stream = rig.caller().connect().await;
+    let headers = "citron-deadline-ms: 300\r\n";
+    stream.write_all(request("GET", "/lots/1", headers).as_bytes()).await.expect("write");
+    wait_for(|| async { rig.seen().len() == 1 }).await;
+    wait_for(|| async { support::status(&rig.proxy).await["in_flight"] == 0 }).await;
+    assert!(!read_reply(&mut stream, false).await.whole);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_foreign_answer_is_an_event() {
     let rig = rig(1, vec![write(FOREIGN)]).await;
