--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -145,6 +145,11 @@
         Ok(fleet)
     }
 
+    /// Returns how the fleet was set up.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Returns the platform's address.
     ///
     /// # Errors
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{process::ExitCode, time::Duration};
 
-use citron_tests::{Fleet, Process, Settings, run};
+use citron_tests::{Fleet, Load, Process, Settings, Summary};
 use eyre::eyre;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -10,7 +10,7 @@
 /// The target that turns gray.
 const GRAY_TARGET: &str = "tec-live-2";
 /// How long the load runs, seconds.
-const LOAD_SECONDS: &str = "20";
+const LOAD_SECONDS: u64 = 20;
 /// When the target turns gray, after the load's start.
 const GRAY_AFTER: Duration = Duration::from_secs(5);
 /// When the proxy is killed, after the target turned gray.
@@ -47,27 +47,17 @@
     println!("starting a platform, 20 targets of four services and three hosts");
     let mut fleet = Fleet::spawn(Settings::demo()).await?;
     println!("sending lookups, orders and archive pulls for {LOAD_SECONDS} s");
-    let (agents, ledgers, workloads) = (fleet.agents()?, fleet.ledgers(), WORKLOADS.join(","));
-    let load = tokio::spawn(async move {
-        let args = ["load", "--agents", &agents, "--workloads", &workloads];
-        let rest = ["--ledgers", &ledgers, "--seconds", LOAD_SECONDS, "--name", "demo"];
-        run("citron-stand", &[&args[..], &rest[..]].concat()).await
-    });
+    let load = Load::spawn(&fleet, "demo", LOAD_SECONDS, WORKLOADS)?;
     sleep(GRAY_AFTER).await;
     turn_gray(&fleet).await?;
     sleep(KILL_AFTER).await;
     kill_proxy(&mut fleet)?;
-    let output = load.await??;
-    let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    let last = text.lines().last().unwrap_or_default();
-    let summary: Value = serde_json::from_str(last).map_err(|error| {
-        eyre!("the load failed: {error}; {}", String::from_utf8_lossy(&output.stderr))
-    })?;
+    let summary = load.finish().await?;
     let timeline = timeline(&fleet).await?;
     print_timeline(&timeline);
     println!("\nby workload:");
-    text.lines().filter(|line| *line != last).for_each(|line| println!("  {line}"));
-    Ok(print_summary(&summary, detection_ms(&timeline)) && output.status.success())
+    summary.text.lines().for_each(|line| println!("  {line}"));
+    Ok(print_summary(&summary, detection_ms(&timeline)))
 }
 
 async fn turn_gray(fleet: &Fleet) -> eyre::Result<()> {
@@ -119,20 +109,19 @@
 }
 
 /// Prints the summary and returns whether every request ended as it should.
-fn print_summary(summary: &Value, detection_ms: Option<u64>) -> bool {
-    let count = |key: &str| summary[key].as_u64().unwrap_or(u64::MAX);
+fn print_summary(summary: &Summary, detection_ms: Option<u64>) -> bool {
     println!("\nsummary:");
     for key in ["answered", "refused", "unknown", "unreached", "target_errors"] {
-        println!("  {key:<16} {}", count(key));
+        println!("  {key:<16} {}", summary.count(key));
     }
-    println!("  {:<16} {}", "refused because", summary["refused_by_reason"]);
-    println!("  {:<16} {}", "run twice", count("run_twice"));
-    println!("  {:<16} {}", "wrong answers", count("wrong"));
-    println!("  {:<16} {}", "lost", count("lost"));
-    println!("  {:<16} {}", "denied", count("denied"));
+    println!("  {:<16} {}", "refused because", summary.figures["refused_by_reason"]);
+    println!("  {:<16} {}", "run twice", summary.count("run_twice"));
+    println!("  {:<16} {}", "wrong answers", summary.count("wrong"));
+    println!("  {:<16} {}", "lost", summary.count("lost"));
+    println!("  {:<16} {}", "denied", summary.count("denied"));
     match detection_ms {
         Some(ms) => println!("  {:<16} {ms} ms", "detection time"),
         None => println!("  {:<16} {GRAY_TARGET} was not ejected", "detection time"),
     }
-    ["run_twice", "wrong", "lost", "denied", "unreached"].iter().all(|key| count(key) == 0)
+    summary.faults().is_empty() && summary.count("unreached") == 0
 }
--- /dev/null
+++ b/tests/tests/promises.rs
@@ -0,0 +1,245 @@
+//! The promises of the system under failure, with real processes on loopback.
+
+use std::{future::Future, time::Duration};
+
+use citron_tests::{Fleet, Load, Settings, run, wait_until};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// How long a condition may take that the system must reach; far above its stated targets.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Reads and orders of both users.
+const MIXED: &[&str] = &[
+    "lookup:izmir-roasters:lot-desk:/lots/:25:2000",
+    "order:izmir-roasters:lot-desk:/lots/:10:100",
+    "lookup:casablanca-survey:tec-live:/tec/live/:25:800",
+];
+
+macro_rules! case {
+    ($name:ident, $settings:expr, |$fleet:ident| $body:expr) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() -> eyre::Result<()> {
+            #[allow(unused_mut)]
+            let mut $fleet = Fleet::spawn($settings).await?;
+            $body
+            Ok(())
+        }
+    };
+}
+
+/// Runs a load while `disturb` does its part, and checks that no request was treated wrongly.
+async fn under_load<F>(fleet: &Fleet, name: &str, disturb: F) -> eyre::Result<u64>
+where
+    F: Future<Output = eyre::Result<()>>,
+{
+    let load = Load::spawn(fleet, name, 8, MIXED)?;
+    sleep(Duration::from_secs(2)).await;
+    disturb.await?;
+    let summary = load.finish().await?;
+    assert_eq!(summary.faults(), [], "{}\n{}", summary.text, summary.figures);
+    assert!(summary.count("answered") > 0, "{}", summary.figures);
+    Ok(summary.count("unreached"))
+}
+
+case!(killed_proxy_doubles_no_order, Settings::demo(), |fleet| {
+    let pid = fleet.hosts[0].proxy.pid();
+    under_load(&fleet, "kill", async {
+        let pid = rustix::process::Pid::from_raw(pid as i32).unwrap();
+        Ok(rustix::process::kill_process(pid, Signal::KILL)?)
+    })
+    .await?;
+});
+
+case!(paused_proxy_doubles_no_order, Settings::demo(), |fleet| {
+    under_load(&fleet, "pause", async {
+        fleet.hosts[0].proxy.signal(Signal::STOP)?;
+        sleep(Duration::from_secs(3)).await;
+        fleet.hosts[0].proxy.signal(Signal::CONT)
+    })
+    .await?;
+});
+
+case!(killed_agent_leaves_the_proxy_serving, Settings::demo(), |fleet| {
+    let pid = fleet.hosts[0].agent.pid();
+    under_load(&fleet, "agent", async {
+        let pid = rustix::process::Pid::from_raw(pid as i32).unwrap();
+        Ok(rustix::process::kill_process(pid, Signal::KILL)?)
+    })
+    .await?;
+    let status = fleet.status(&fleet.hosts[0].proxy.text("admin")?).await?;
+    assert!(status["revision"].as_u64() > Some(0), "{status}");
+});
+
+case!(wrong_answers_do_not_reach_callers, Settings::demo(), |fleet| {
+    let wrong: Vec<_> = fleet.targets.iter().filter(|target| target.name.ends_with("-1")).collect();
+    under_load(&fleet, "wrong", async {
+        for target in wrong {
+            fleet.switch(&target.admin, "/fault", &json!({"kind": "wrong", "share": 0.5})).await?;
+        }
+        Ok(())
+    })
+    .await?;
+});
+
+case!(cut_bodies_do_not_pass_as_whole, Settings::demo(), |fleet| {
+    let cut: Vec<_> = fleet.targets.iter().filter(|target| target.name.ends_with("-1")).collect();
+    under_load(&fleet, "cut", async {
+        for target in cut {
+            fleet.switch(&target.admin, "/fault", &json!({"kind": "cut"})).await?;
+        }
+        Ok(())
+    })
+    .await?;
+});
+
+case!(platform_outage_leaves_reads_served, Settings::demo(), |fleet| {
+    let platform = fleet.platform.text("listen")?;
+    under_load(&fleet, "outage", async {
+        fleet.switch(&platform, "/admin/mode", &json!({"mode": "down", "delay_ms": 0})).await
+    })
+    .await?;
+});
+
+case!(new_host_starts_from_peers_alone, Settings::demo(), |fleet| {
+    let platform = fleet.platform.text("listen")?;
+    fleet.switch(&platform, "/admin/mode", &json!({"mode": "down", "delay_ms": 0})).await?;
+    let seeds =
+        fleet.hosts.iter().map(|host| host.agent.text("gossip")).collect::<Result<Vec<_>, _>>()?;
+    let seeds = seeds.join(",");
+    let url = fleet.platform_url()?;
+    let args = ["--host", "entry-9", "--domain", "domain-1", "--platform", &url, "--seeds", &seeds];
+    let ports = ["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0", "--gossip", "127.0.0.1:0"];
+    let agent =
+        citron_tests::Process::spawn("citron-agent", &[&args[..], &ports[..]].concat()).await?;
+    let proxy = fleet.spawn_proxy("entry-9", "domain-1", &url, &agent.text("control")?).await?;
+    let admin = proxy.text("admin")?;
+    wait_until("a policy at the new proxy", LIMIT, || async {
+        let revision = fleet.status(&admin).await.ok()?["revision"].as_u64()?;
+        (revision > 0).then_some(())
+    })
+    .await?;
+});
+
+case!(leaving_proxy_cuts_no_request, Settings::demo(), |fleet| {
+    let load = Load::spawn(
+        &fleet,
+        "leave",
+        8,
+        &[
+            "pull:casablanca-survey:tec-archive:/tec/archive/:6:3000000",
+            "order:izmir-roasters:lot-desk:/lots/:10:100",
+        ],
+    )?;
+    sleep(Duration::from_secs(2)).await;
+    let code = fleet.hosts[0].proxy.terminate().await?;
+    assert_eq!(code, 0, "a graceful stop exits with code 0");
+    let summary = load.finish().await?;
+    assert_eq!(summary.faults(), [], "{}\n{}", summary.text, summary.figures);
+    assert_eq!(summary.count("unknown"), 0, "{}\n{}", summary.text, summary.figures);
+    assert_eq!(summary.count("unreached"), 0, "{}\n{}", summary.text, summary.figures);
+});
+
+case!(leaving_target_gets_no_new_work, Settings::demo(), |fleet| {
+    let target = fleet.targets.iter().find(|target| target.name == "lot-desk-1").unwrap().clone();
+    fleet.publish(&["lot-desk-1"]).await?;
+    let load = Load::spawn(&fleet, "target", 12, MIXED)?;
+    let settled = wait_until("two seconds without new work", LIMIT, || async {
+        let before = answered(&fleet, &target.admin).await.ok()?;
+        sleep(Duration::from_secs(2)).await;
+        (answered(&fleet, &target.admin).await.ok()? == before).then_some(before)
+    })
+    .await?;
+    assert!(!load.is_finished(), "the target must run dry while the load goes on");
+    let summary = load.finish().await?;
+    assert_eq!(answered(&fleet, &target.admin).await?, settled, "{}", summary.figures);
+});
+
+case!(floor_holds_when_most_targets_are_gray, Settings::demo().only("lot-desk", 10), |fleet| {
+    for target in fleet.targets.iter().take(8) {
+        fleet.switch(&target.admin, "/fault", &json!({"kind": "errors", "share": 1.0})).await?;
+    }
+    let load = Load::spawn(&fleet, "floor", 10, &["lookup:izmir-roasters:lot-desk:/lots/:60:100"])?;
+    load.finish().await?;
+    for host in &fleet.hosts {
+        let status = fleet.status(&host.proxy.text("admin")?).await?;
+        let usable = status["services"]["lot-desk"]["usable"].as_u64();
+        // The demo's floor for lot-desk is 0.7 of its 10 targets.
+        assert!(usable >= Some(7), "{}: {status}", host.name);
+    }
+});
+
+case!(change_reaches_every_proxy, Settings::demo(), |fleet| {
+    let edited = edit(&fleet, "port-pilots", "casablanca-survey")?;
+    let path = |name: &str| edited.path().join(name).display().to_string();
+    fleet
+        .control(&["apply", &path("customers.toml"), &path("grants.toml"), "--as", "first-owner"])
+        .await?;
+    wait_for_revision(&fleet, 2).await?;
+});
+
+case!(racing_operators_commit_one_edit_each_revision, Settings::demo(), |fleet| {
+    fleet.control(&["handover", "--as", "first-owner", "--to", "second-owner"]).await?;
+    let edited = edit(&fleet, "port-pilots", "casablanca-survey")?;
+    let path = |name: &str| edited.path().join(name).display().to_string();
+    let (customers, grants, url) =
+        (path("customers.toml"), path("grants.toml"), fleet.platform_url()?);
+    let apply = |holder: &'static str| {
+        let (customers, grants, url) = (customers.clone(), grants.clone(), url.clone());
+        async move {
+            run("citronctl", &["apply", &customers, &grants, "--as", holder, "--platform", &url])
+                .await
+        }
+    };
+    let (stale, current) = tokio::join!(apply("first-owner"), apply("second-owner"));
+    let (stale, current) = (stale?, current?);
+    assert!(!stale.status.success(), "an edit without the final say must be refused");
+    assert!(current.status.success(), "{}", String::from_utf8_lossy(&current.stderr));
+    wait_for_revision(&fleet, 3).await?;
+});
+
+async fn answered(fleet: &Fleet, admin: &str) -> eyre::Result<u64> {
+    let text = fleet.client.get(format!("http://{admin}/metrics")).send().await?.text().await?;
+    let line =
+        text.lines().find(|line| line.starts_with("stand_requests_total{result=\"answered\"}"));
+    Ok(line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0))
+}
+
+/// Copies the policy with the plan of one customer replaced by that of another.
+fn edit(fleet: &Fleet, customer: &str, like: &str) -> eyre::Result<tempfile::TempDir> {
+    let folder = tempfile::tempdir()?;
+    let policy = &fleet.settings().policy;
+    std::fs::copy(policy.join("grants.toml"), folder.path().join("grants.toml"))?;
+    let text = std::fs::read_to_string(policy.join("customers.toml"))?;
+    let plan_of = |name: &str| {
+        let entry =
+            text.split("[[customer]]").find(|entry| entry.contains(&format!("{name:?}")))?;
+        entry.lines().find(|line| line.starts_with("plan")).map(str::to_owned)
+    };
+    let (old, new) = (plan_of(customer).unwrap(), plan_of(like).unwrap());
+    assert_ne!(old, new, "the edit must change a plan");
+    let entries = text.split("[[customer]]").map(|entry| {
+        if entry.contains(&format!("{customer:?}")) {
+            entry.replace(&old, &new)
+        } else {
+            entry.to_owned()
+        }
+    });
+    std::fs::write(
+        folder.path().join("customers.toml"),
+        entries.collect::<Vec<_>>().join("[[customer]]"),
+    )?;
+    Ok(folder)
+}
+
+async fn wait_for_revision(fleet: &Fleet, revision: u64) -> eyre::Result<()> {
+    for host in &fleet.hosts {
+        let admin = host.proxy.text("admin")?;
+        wait_until("the change in force", LIMIT, || async {
+            let status: Value = fleet.status(&admin).await.ok()?;
+            (status["revision"].as_u64()? >= revision).then_some(())
+        })
+        .await?;
+    }
+    Ok(())
+}
