--- /dev/null
+++ b/crates/citron-stand/src/bench/control/mod.rs
@@ -0,0 +1,125 @@
+//! What the control path costs a node and the platform, by the number of members and the size of the policy.
+
+mod fleet;
+mod sample;
+mod size;
+mod slope;
+
+use std::time::Duration;
+
+use citron_platform::Hosts;
+use eyre::{WrapErr, bail};
+use tokio::time::{Instant, sleep};
+
+use self::{
+    fleet::Fleet,
+    sample::{Sample, Usage},
+    slope::slope,
+};
+use super::{Summary, policy};
+use crate::platform;
+
+/// The numbers of agents that are measured.
+const SIZES: &[usize] = &[4, 8, 16, 32, 64, 128];
+/// How long one measurement lasts.
+const WINDOW: Duration = Duration::from_secs(10);
+/// The time between two policy changes in the second phase.
+const CHANGE_EVERY: Duration = Duration::from_secs(2);
+/// The time between two replaced hosts in the second phase.
+const REPLACE_EVERY: Duration = Duration::from_secs(3);
+
+/// Runs the bench; words: the largest number of agents, 128 if absent, and `members` or `policy` for one table only.
+///
+/// # Errors
+/// Fails if agents cannot be started or do not join.
+pub fn run(words: &[String]) -> eyre::Result<Summary> {
+    let largest = match words.first() {
+        Some(word) => word.parse().wrap_err("the first word is the largest number of agents, such as 64")?,
+        None => SIZES[SIZES.len() - 1],
+    };
+    let only = words.get(1).map(String::as_str);
+    if !matches!(only, None | Some("members" | "policy")) {
+        bail!("the second word is members or policy");
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    runtime.block_on(async {
+        let mut summary = Summary::default();
+        if only != Some("policy") {
+            measure_members(largest, &mut summary).await?;
+        }
+        if only != Some("members") {
+            size::measure(&mut summary).await?;
+        }
+        Ok(summary)
+    })
+}
+
+async fn measure_members(largest: usize, summary: &mut Summary) -> eyre::Result<()> {
+    println!("agents phase   cpu_percent_of_core rss_mb sent_bytes_per_s peer_bytes_per_s platform_calls_per_s waiting_watches");
+    let mut rows = Vec::new();
+    for &size in SIZES.iter().filter(|&&size| size <= largest) {
+        let (steady, busy) = measure_size(size).await.wrap_err_with(|| format!("with {size} agents"))?;
+        print_row(size, "steady", &steady);
+        print_row(size, "changes", &busy);
+        rows.push((size as f64, steady, busy));
+    }
+    let phases: [(&str, fn(&(f64, Usage, Usage)) -> &Usage); 2] = [("steady", |row| &row.1), ("changes", |row| &row.2)];
+    for (phase, usage) in phases {
+        let figures: [(&str, fn(&Usage) -> f64); 5] = [
+            ("cpu_percent", |usage| usage.cpu_percent),
+            ("rss_kb", |usage| usage.rss_mb * 1024.0),
+            ("sent_bytes_per_s", |usage| usage.sent_per_s),
+            ("peer_bytes_per_s", |usage| usage.peer_per_s),
+            ("platform_calls_per_s", |usage| usage.calls_per_s),
+        ];
+        for (name, figure) in figures {
+            let points: Vec<(f64, f64)> = rows.iter().map(|row| (row.0, figure(usage(row)))).collect();
+            let (slope, start) = slope(&points);
+            summary.push(format!("{phase}_{name}_at_0"), start);
+            summary.push(format!("{phase}_{name}_per_1000_members"), slope * 1000.0);
+        }
+    }
+    Ok(())
+}
+
+/// Measures a steady fleet, then one with policy changes and replaced hosts.
+async fn measure_size(size: usize) -> eyre::Result<(Usage, Usage)> {
+    let platform = platform::bind("127.0.0.1:0".parse()?, Hosts::default()).await?;
+    let mut lists = policy::Lists::demo(1000);
+    lists.publish(&platform.url()).await?;
+    let mut fleet = Fleet::spawn(&platform, size).await?;
+    fleet.wait_joined().await?;
+    // Messages of the start have died down after a few protocol periods.
+    sleep(WINDOW / 2).await;
+
+    let before = Sample::take(&fleet, &platform).await?;
+    sleep(WINDOW).await;
+    let steady = Sample::take(&fleet, &platform).await?.since(&before);
+
+    let before = Sample::take(&fleet, &platform).await?;
+    let (mut change, mut replace) = (Instant::now(), Instant::now() + REPLACE_EVERY);
+    let end = Instant::now() + WINDOW;
+    while Instant::now() < end {
+        if Instant::now() >= change {
+            lists.change();
+            lists.publish(&platform.url()).await?;
+            change += CHANGE_EVERY;
+        }
+        if Instant::now() >= replace {
+            fleet.replace(&platform).await?;
+            replace += REPLACE_EVERY;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    let busy = Sample::take(&fleet, &platform).await?.since(&before);
+    fleet.stop()?;
+    platform.stop().await;
+    Ok((steady, busy))
+}
+
+fn print_row(size: usize, phase: &str, usage: &Usage) {
+    println!(
+        "{size:>6} {phase:<8} {:>18.2} {:>6.1} {:>16.0} {:>16.0} {:>20.2} {:>15}",
+        usage.cpu_percent, usage.rss_mb, usage.sent_per_s, usage.peer_per_s, usage.calls_per_s, usage.waiting,
+    );
+}
