Add the control bench

Agents run as separate processes of the bench; processor time and memory come from /proc, bytes from their metrics, calls from the platform stand-in.

--- a/crates/citron-stand/src/bench/control/fleet.rs
+++ b/crates/citron-stand/src/bench/control/fleet.rs
@@ -68,11 +68,30 @@
     /// Fails if the process cannot be started.
     pub(super) fn start(&mut self, platform: &str, seeds: &str) -> eyre::Result<Agent> {
         self.started += 1;
-        let (name, domain) = (format!("entry-{}", self.started), format!("domain-{}", self.started % DOMAINS));
-        let mut args = vec!["agent", "--host", &name, "--domain", &domain, "--platform", platform, "--log", "off"];
-        args.extend(["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0", "--gossip", "127.0.0.1:0"]);
+        let (name, domain) =
+            (format!("entry-{}", self.started), format!("domain-{}", self.started % DOMAINS));
+        let mut args = vec![
+            "agent",
+            "--host",
+            &name,
+            "--domain",
+            &domain,
+            "--platform",
+            platform,
+            "--log",
+            "off",
+        ];
+        args.extend([
+            "--listen",
+            "127.0.0.1:0",
+            "--control",
+            "127.0.0.1:0",
+            "--gossip",
+            "127.0.0.1:0",
+        ]);
         args.extend(["--seeds", seeds]);
-        let mut child = Command::new(env::current_exe()?).args(&args).stdout(Stdio::piped()).spawn()?;
+        let mut child =
+            Command::new(env::current_exe()?).args(&args).stdout(Stdio::piped()).spawn()?;
         let stdout = child.stdout.take().ok_or_else(|| eyre!("the agent has no output"))?;
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line)?;
@@ -141,7 +160,10 @@
             state: State::Live,
             gossip: Some(self.gossip().to_owned()),
             control: self.ready["control"].as_str().map(str::to_owned),
-            ..Host::default()
+            address: None,
+            service: None,
+            slots: None,
+            connections: None,
         }
     }
 }
--- a/crates/citron-stand/src/bench/control/mod.rs
+++ b/crates/citron-stand/src/bench/control/mod.rs
@@ -14,7 +14,7 @@
 use self::{
     fleet::Fleet,
     sample::{Sample, Usage},
-    slope::slope,
+    slope::{Figure, push_lines},
 };
 use super::{Summary, policy};
 use crate::platform;
@@ -28,20 +28,39 @@
 /// The time between two replaced hosts in the second phase.
 const REPLACE_EVERY: Duration = Duration::from_secs(3);
 
+/// What is drawn a line through while nothing changes.
+const STEADY: &[Figure<Usage>] = &[
+    ("steady_cpu_percent", |usage| usage.cpu_percent),
+    ("steady_rss_kb", |usage| usage.rss_mb * 1024.0),
+    ("steady_sent_bytes_per_s", |usage| usage.sent_per_s),
+    ("steady_peer_bytes_per_s", |usage| usage.peer_per_s),
+    ("steady_platform_calls_per_s", |usage| usage.calls_per_s),
+];
+/// What is drawn a line through while the policy changes and hosts are replaced.
+const BUSY: &[Figure<Usage>] = &[
+    ("changes_cpu_percent", |usage| usage.cpu_percent),
+    ("changes_sent_bytes_per_s", |usage| usage.sent_per_s),
+    ("changes_peer_bytes_per_s", |usage| usage.peer_per_s),
+    ("changes_platform_calls_per_s", |usage| usage.calls_per_s),
+];
+
 /// Runs the bench; words: the largest number of agents, 128 if absent, and `members` or `policy` for one table only.
 ///
 /// # Errors
 /// Fails if agents cannot be started or do not join.
 pub fn run(words: &[String]) -> eyre::Result<Summary> {
     let largest = match words.first() {
-        Some(word) => word.parse().wrap_err("the first word is the largest number of agents, such as 64")?,
+        Some(word) => {
+            word.parse().wrap_err("the first word is the largest number of agents, such as 64")?
+        }
         None => SIZES[SIZES.len() - 1],
     };
     let only = words.get(1).map(String::as_str);
     if !matches!(only, None | Some("members" | "policy")) {
         bail!("the second word is members or policy");
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     runtime.block_on(async {
         let mut summary = Summary::default();
         if only != Some("policy") {
@@ -55,30 +74,20 @@
 }
 
 async fn measure_members(largest: usize, summary: &mut Summary) -> eyre::Result<()> {
-    println!("agents phase   cpu_percent_of_core rss_mb sent_bytes_per_s peer_bytes_per_s platform_calls_per_s waiting_watches");
-    let mut rows = Vec::new();
+    println!(
+        "agents phase   cpu_percent_of_core rss_mb sent_bytes_per_s peer_bytes_per_s platform_calls_per_s waiting_watches"
+    );
+    let (mut steady_rows, mut busy_rows) = (Vec::new(), Vec::new());
     for &size in SIZES.iter().filter(|&&size| size <= largest) {
-        let (steady, busy) = measure_size(size).await.wrap_err_with(|| format!("with {size} agents"))?;
+        let (steady, busy) =
+            measure_size(size).await.wrap_err_with(|| format!("with {size} agents"))?;
         print_row(size, "steady", &steady);
         print_row(size, "changes", &busy);
-        rows.push((size as f64, steady, busy));
-    }
-    let phases: [(&str, fn(&(f64, Usage, Usage)) -> &Usage); 2] = [("steady", |row| &row.1), ("changes", |row| &row.2)];
-    for (phase, usage) in phases {
-        let figures: [(&str, fn(&Usage) -> f64); 5] = [
-            ("cpu_percent", |usage| usage.cpu_percent),
-            ("rss_kb", |usage| usage.rss_mb * 1024.0),
-            ("sent_bytes_per_s", |usage| usage.sent_per_s),
-            ("peer_bytes_per_s", |usage| usage.peer_per_s),
-            ("platform_calls_per_s", |usage| usage.calls_per_s),
-        ];
-        for (name, figure) in figures {
-            let points: Vec<(f64, f64)> = rows.iter().map(|row| (row.0, figure(usage(row)))).collect();
-            let (slope, start) = slope(&points);
-            summary.push(format!("{phase}_{name}_at_0"), start);
-            summary.push(format!("{phase}_{name}_per_1000_members"), slope * 1000.0);
-        }
+        steady_rows.push((size as f64, steady));
+        busy_rows.push((size as f64, busy));
     }
+    push_lines(summary, "members", &steady_rows, STEADY);
+    push_lines(summary, "members", &busy_rows, BUSY);
     Ok(())
 }
 
@@ -120,6 +129,11 @@
 fn print_row(size: usize, phase: &str, usage: &Usage) {
     println!(
         "{size:>6} {phase:<8} {:>18.2} {:>6.1} {:>16.0} {:>16.0} {:>20.2} {:>15}",
-        usage.cpu_percent, usage.rss_mb, usage.sent_per_s, usage.peer_per_s, usage.calls_per_s, usage.waiting,
+        usage.cpu_percent,
+        usage.rss_mb,
+        usage.sent_per_s,
+        usage.peer_per_s,
+        usage.calls_per_s,
+        usage.waiting,
     );
 }
--- a/crates/citron-stand/src/bench/control/sample.rs
+++ b/crates/citron-stand/src/bench/control/sample.rs
@@ -50,7 +50,7 @@
             nodes.insert(agent.pid(), Node::read(agent.pid(), agent.listen()).await?);
         }
         let calls = platform.calls();
-        Ok(Self { at: Instant::now(), nodes, calls: calls.total(), waiting: calls.waiting })
+        Ok(Self { at: Instant::now(), nodes, calls: calls.total(), waiting: calls.waiting_watches })
     }
 
     /// Returns the usage since an earlier sample, over the agents that are in both.
@@ -61,8 +61,11 @@
             waiting: self.waiting,
             ..Usage::default()
         };
-        let pairs: Vec<(&Node, &Node)> =
-            self.nodes.iter().filter_map(|(pid, now)| Some((before.nodes.get(pid)?, now))).collect();
+        let pairs: Vec<(&Node, &Node)> = self
+            .nodes
+            .iter()
+            .filter_map(|(pid, now)| Some((before.nodes.get(pid)?, now)))
+            .collect();
         let share = 1.0 / (pairs.len().max(1) as f64);
         for (then, now) in pairs {
             usage.cpu_percent += (now.cpu_s - then.cpu_s) / seconds * 100.0 * share;
@@ -82,7 +85,9 @@
     pub(super) async fn read(pid: u32, listen: &str) -> eyre::Result<Self> {
         let text = reqwest::get(format!("http://{listen}/metrics")).await?.text().await?;
         let metric = |name: &str| {
-            let line = text.lines().find(|line| line.starts_with(name) && line[name.len()..].starts_with(' '));
+            let line = text
+                .lines()
+                .find(|line| line.starts_with(name) && line[name.len()..].starts_with(' '));
             line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
         };
         Ok(Self {
@@ -99,13 +104,17 @@
     // The command name is in parentheses and may hold spaces; user and system time are fields 14 and 15.
     let rest = text.rsplit(") ").next().unwrap_or_default();
     let fields: Vec<&str> = rest.split(' ').collect();
-    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
+    let ticks =
+        |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
     Ok((ticks(11) + ticks(12)) / TICKS_PER_S)
 }
 
 fn resident_mb(pid: u32) -> eyre::Result<f64> {
     let text = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find(|line| line.starts_with("VmRSS:")).ok_or_else(|| eyre!("no VmRSS of {pid}"))?;
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .ok_or_else(|| eyre!("no VmRSS of {pid}"))?;
     let kb: f64 = line.split_whitespace().nth(1).unwrap_or_default().parse()?;
     Ok(kb / 1024.0)
 }
--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,6 +1,8 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
 mod choice;
+mod control;
+mod policy;
 
 use std::fmt::{self, Display, Formatter};
 
@@ -36,7 +38,7 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[("choice", choice::run)];
+pub const BENCHES: &[(&str, Bench)] = &[("choice", choice::run), ("control", control::run)];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
 fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
--- a/crates/citron-stand/src/command/agent.rs
+++ b/crates/citron-stand/src/command/agent.rs
@@ -13,7 +13,9 @@
 /// # Errors
 /// Fails on a bad setting or an address that cannot be bound.
 pub fn run(words: &[String]) -> eyre::Result<ExitCode> {
-    let Some(values) = read("citron-stand agent", "an agent, as the benches start it", SPECS, words)? else {
+    let Some(values) =
+        read("citron-stand agent", "an agent, as the benches start it", SPECS, words)?
+    else {
         return Ok(ExitCode::SUCCESS);
     };
     let settings = Settings::parse(&values)?;
--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands of `citron-stand`.
 
+mod agent;
 mod load;
 mod platform;
 mod relay;
