Add policy::Copy, a node's policy that never goes back

`policy::Copy` takes heads and shards from any source with on_head and on_shard, applies a higher revision only once all its shards are present, match their digests and pass the checks, keeps the earlier policy in force until then and names the missing shards. It also holds the stored form of each shard for peers. Registers `platform` and `relay` among the stand's subcommands.

--- a/crates/citron-stand/src/main.rs
+++ b/crates/citron-stand/src/main.rs
@@ -7,8 +7,13 @@
 /// Runs a subcommand with the words after its name.
 type Command = fn(&[String]) -> eyre::Result<ExitCode>;
 
-const COMMANDS: &[(&str, Command)] =
-    &[("target", command::run_target), ("load", command::run_load), ("bench", bench)];
+const COMMANDS: &[(&str, Command)] = &[
+    ("platform", command::run_platform),
+    ("target", command::run_target),
+    ("relay", command::run_relay),
+    ("load", command::run_load),
+    ("bench", bench),
+];
 
 fn main() -> ExitCode {
     let words: Vec<String> = env::args().skip(1).collect();
--- a/crates/citron/src/policy/mod.rs
+++ b/crates/citron/src/policy/mod.rs
@@ -1,10 +1,12 @@
 //! The operators' two lists: which plan each customer has, and what each plan may use.
 
+mod copy;
 mod head;
 mod list;
 mod shard;
 
 pub use self::{
+    copy::{Applied, Copy, Refusal},
     head::{Digest, Head, ShardRef},
     list::{Allowance, Class, Customer, Error, Grants, Plan, Profile, Route, Service},
     shard::{SHARD_LIMIT_BYTES, Shard},
--- /dev/null
+++ b/crates/citron/tests/policy_copy.rs
@@ -0,0 +1,194 @@
+//! A node's copy of the policy: what it applies, what it keeps and what it refuses.
+
+use std::collections::BTreeMap;
+
+use assert_matches::assert_matches;
+use citron::policy::{Copy, Digest, Head, Policy, Refusal, Shard, ShardRef};
+
+const GRANTS: &str = r#"
+    service = [{ name = "lot-desk", profile = "careful", class = "live", floor = 0.7, deadline_ms = 5000 }]
+    plan = [{ name = "roaster", use = [{ service = "lot-desk", rate = 5.0, burst = 10.0 }] }]
+"#;
+
+/// The objects of one accepted edit.
+struct Edit {
+    head: Head,
+    shards: BTreeMap<Digest, Vec<u8>>,
+    policy: Policy,
+}
+
+fn policy(customers: &[&str]) -> Policy {
+    let list: String = customers
+        .iter()
+        .map(|name| format!("[[customer]]\nname = {name:?}\nplan = \"roaster\"\n"))
+        .collect();
+    Policy::parse(&list, GRANTS).unwrap()
+}
+
+fn edit(revision: u64, term: u64, policy: Policy) -> Edit {
+    let mut head = Head {
+        revision,
+        term,
+        holder: "owner".to_owned(),
+        edits: vec![revision.to_string()],
+        ..Head::default()
+    };
+    let mut shards = BTreeMap::new();
+    for (key, shard) in Shard::split(&policy) {
+        let (digest, bytes) = shard.encode();
+        head.shards.insert(key, ShardRef { digest: digest.clone(), bytes: bytes.len() as u64 });
+        shards.insert(digest, bytes);
+    }
+    Edit { head, shards, policy }
+}
+
+/// Gives a copy all shards that it misses and returns whether one brought a policy into force.
+fn fill(copy: &mut Copy, edit: &Edit) -> bool {
+    let missing: Vec<Digest> = copy.missing().into_iter().cloned().collect();
+    missing.iter().map(|digest| copy.on_shard(digest, &edit.shards[digest]).unwrap()).last()
+        == Some(true)
+}
+
+fn applied(edits: &[&Edit]) -> Copy {
+    let mut copy = Copy::default();
+    for edit in edits {
+        assert_eq!(copy.on_head(&edit.head), Ok(false));
+        assert!(fill(&mut copy, edit));
+    }
+    copy
+}
+
+#[track_caller]
+fn assert_in_force(copy: &Copy, edit: &Edit) {
+    let applied = copy.applied().unwrap();
+    assert_eq!((&applied.head, &*applied.policy), (&edit.head, &edit.policy));
+}
+
+/// Names a case over two successive edits.
+macro_rules! case {
+    ($name:ident, |$first:ident, $second:ident| $body:expr) => {
+        #[test]
+        fn $name() {
+            let $first = edit(1, 1, policy(&["izmir", "mersin"]));
+            let $second = edit(2, 1, policy(&["izmir", "mersin", "bursa"]));
+            $body
+        }
+    };
+}
+
+case!(head_alone_is_not_in_force, |first, _second| {
+    let mut copy = Copy::default();
+    assert_eq!(copy.on_head(&first.head), Ok(false));
+    assert!(copy.applied().is_none());
+    assert_eq!(copy.revision(), 0);
+    assert_eq!(copy.missing().len(), first.shards.len());
+});
+
+case!(last_shard_brings_the_policy_into_force, |first, _second| {
+    let mut copy = Copy::default();
+    copy.on_head(&first.head).unwrap();
+    let count = first.shards.len();
+    for (index, (digest, bytes)) in first.shards.iter().enumerate() {
+        assert_eq!(copy.on_shard(digest, bytes), Ok(index + 1 == count));
+    }
+    assert_in_force(&copy, &first);
+});
+
+case!(earlier_policy_stays_in_force_until_the_later_is_whole, |first, second| {
+    let mut copy = applied(&[&first]);
+    copy.on_head(&second.head).unwrap();
+    assert_in_force(&copy, &first);
+    assert_eq!(copy.missing().len(), 1);
+    assert!(fill(&mut copy, &second));
+    assert_in_force(&copy, &second);
+});
+
+case!(lower_revision_is_ignored, |first, second| {
+    let mut copy = applied(&[&first, &second]);
+    assert_eq!(copy.on_head(&first.head), Ok(false));
+    assert!(copy.missing().is_empty());
+    assert_in_force(&copy, &second);
+});
+
+case!(lower_revision_does_not_displace_the_coming_one, |first, second| {
+    let mut copy = Copy::default();
+    copy.on_head(&second.head).unwrap();
+    assert_eq!(copy.on_head(&first.head), Ok(false));
+    assert!(fill(&mut copy, &second));
+    assert_in_force(&copy, &second);
+});
+
+case!(repeated_head_changes_nothing, |first, _second| {
+    let mut copy = applied(&[&first]);
+    assert_eq!(copy.on_head(&first.head), Ok(false));
+    assert_in_force(&copy, &first);
+});
+
+case!(same_content_under_a_new_head_is_in_force_at_once, |first, _second| {
+    let mut copy = applied(&[&first]);
+    let handover = edit(2, 2, first.policy.clone());
+    assert_eq!(copy.on_head(&handover.head), Ok(true));
+    assert_in_force(&copy, &handover);
+});
+
+case!(corrupt_shard_is_refused_and_still_missing, |first, _second| {
+    let mut copy = Copy::default();
+    copy.on_head(&first.head).unwrap();
+    let (digest, bytes) = first.shards.first_key_value().unwrap();
+    let short = &bytes[..bytes.len() - 1];
+    assert_matches!(copy.on_shard(digest, short), Err(Refusal::Corrupt { .. }));
+    assert!(copy.missing().contains(digest));
+});
+
+case!(foreign_shard_is_not_needed, |first, second| {
+    let mut copy = Copy::default();
+    let (digest, bytes) = second.shards.first_key_value().unwrap();
+    assert_eq!(copy.on_shard(digest, bytes), Err(Refusal::NotNeeded));
+    copy.on_head(&first.head).unwrap();
+    assert_eq!(copy.on_shard(&Digest::of(b"x"), b"x"), Err(Refusal::NotNeeded));
+});
+
+case!(two_heads_of_one_revision_are_reported, |first, second| {
+    let mut copy = applied(&[&first]);
+    let fork = Head { revision: 1, ..second.head };
+    assert_eq!(copy.on_head(&fork), Err(Refusal::Forked { revision: 1 }));
+    assert_in_force(&copy, &first);
+});
+
+case!(term_that_goes_back_is_reported, |first, second| {
+    let mut copy = applied(&[&edit(1, 5, first.policy)]);
+    let refusal = Refusal::TermWentBack { revision: 2, term: 1 };
+    assert_eq!(copy.on_head(&second.head), Err(refusal));
+    assert_eq!(copy.revision(), 1);
+});
+
+case!(bad_lists_leave_the_earlier_policy_in_force, |first, second| {
+    let mut copy = applied(&[&first]);
+    let mut broken = second.policy.clone();
+    broken.grants.plans.clear();
+    let broken = edit(2, 1, broken);
+    copy.on_head(&broken.head).unwrap();
+    let missing: Vec<Digest> = copy.missing().into_iter().cloned().collect();
+    let results: Vec<_> =
+        missing.iter().map(|digest| copy.on_shard(digest, &broken.shards[digest])).collect();
+    assert_matches!(results.last(), Some(Err(Refusal::BadLists { revision: 2, .. })));
+    assert_in_force(&copy, &first);
+    // It is not fetched again, and a later edit comes into force.
+    assert_eq!(copy.on_head(&broken.head), Ok(false));
+    assert!(copy.missing().is_empty());
+    let third = edit(3, 1, second.policy);
+    copy.on_head(&third.head).unwrap();
+    fill(&mut copy, &third);
+    assert_in_force(&copy, &third);
+});
+
+case!(shards_are_held_for_peers_while_they_are_named, |first, second| {
+    let copy = applied(&[&first, &second]);
+    for (digest, bytes) in &second.shards {
+        assert_eq!(copy.shard(digest).as_deref(), Some(&**bytes));
+    }
+    let gone = first.shards.keys().filter(|digest| !second.shards.contains_key(digest));
+    for digest in gone {
+        assert_eq!(copy.shard(digest), None);
+    }
+});
