Add the edit machine and citronctl

An edit reads the head, refuses an author without the final say in the term it saw and lists made without knowledge of another accepted edit, writes changed shards first and then updates the head under the version seen. A missing answer to the head's write is decided by writing again under the same version and, on a conflict, by the ids in the head; when the ids no longer reach back it is said to be undecided. Reading the head alone would not decide it: a late write can still take effect while the head stands.

--- a/crates/citron-stand/src/command/relay.rs
+++ b/crates/citron-stand/src/command/relay.rs
@@ -70,9 +70,8 @@
     let listen = relay.addr();
     let recorder = Recorder::open(&listen.to_string(), PROGRAM, Clock::start());
     let status = move || json!({"listen": listen, "to": settings.to});
-    let managed = (relay.clone(), recorder.clone());
     let admin = bind_admin(settings.admin, Registry::new(), recorder, status, |rocket| {
-        rocket.manage(managed.0).manage(managed.1).mount("/", routes![cut])
+        rocket.manage(relay).mount("/", routes![cut])
     })
     .await?;
     println!(
--- /dev/null
+++ b/crates/citron/src/policy/edit/refusal.rs
@@ -0,0 +1,99 @@
+//! Why an edit is refused.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::policy::{self, SHARD_LIMIT_BYTES};
+
+/// The longest name of a holder, bytes.
+const HOLDER_LIMIT_BYTES: usize = 64;
+
+/// Why an edit did not and cannot take effect.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub enum Refusal {
+    /// The author does not hold the final say.
+    NotHolder {
+        /// The edit's author.
+        author: String,
+        /// Who holds the final say.
+        holder: String,
+        /// Since which term.
+        term: u64,
+    },
+    /// The final say was handed over, perhaps back to the author, since the edit began.
+    TermChanged {
+        /// The term in which the edit began.
+        began: u64,
+        /// The term now.
+        term: u64,
+    },
+    /// Another edit was accepted first, which this one would revert.
+    Overtaken {
+        /// The revision that the edit was to replace.
+        base: u64,
+        /// The revision now.
+        revision: u64,
+    },
+    /// There is no policy yet.
+    NoPolicy,
+    /// The holder would hand over to itself.
+    SameHolder {
+        /// The holder.
+        holder: String,
+    },
+    /// A holder's name is not valid.
+    BadHolder {
+        /// The name.
+        name: String,
+    },
+    /// The lists do not pass their checks.
+    BadLists(policy::Error),
+    /// A part of the lists exceeds what the platform holds.
+    ShardTooLarge {
+        /// The part.
+        key: String,
+        /// Its length, bytes.
+        bytes: usize,
+    },
+}
+
+impl Display for Refusal {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotHolder { author, holder, term } => write!(
+                f,
+                "{author} does not hold the final say; {holder} holds it since term {term} and can hand it over"
+            ),
+            Self::TermChanged { began, term } => write!(
+                f,
+                "the final say was handed over meanwhile, from term {began} to {term}; compare the lists and apply again"
+            ),
+            Self::Overtaken { base, revision } => write!(
+                f,
+                "the policy is at revision {revision}, not at {base}; run diff, take the other edit into the lists and apply again"
+            ),
+            Self::NoPolicy => f.write_str("there is no policy yet; apply the first lists"),
+            Self::SameHolder { holder } => {
+                write!(f, "{holder} already holds the final say; name another holder")
+            }
+            Self::BadHolder { name } => write!(
+                f,
+                "the holder's name {name:?} is not valid; use 1 to {HOLDER_LIMIT_BYTES} letters, digits, '-', '_' or '.'"
+            ),
+            Self::BadLists(error) => error.fmt(f),
+            Self::ShardTooLarge { key, bytes } => write!(
+                f,
+                "the part {key} of the lists has {bytes} bytes and the platform holds {SHARD_LIMIT_BYTES}; shorten it"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// Checks the name of a holder.
+pub(super) fn check_holder(name: &str) -> Result<(), Refusal> {
+    let valid = !name.is_empty()
+        && name.len() <= HOLDER_LIMIT_BYTES
+        && name.chars().all(|c| c.is_alphanumeric() || matches!(c, '-' | '_' | '.'));
+    if valid { Ok(()) } else { Err(Refusal::BadHolder { name: name.to_owned() }) }
+}
--- a/crates/citron/src/policy/head.rs
+++ b/crates/citron/src/policy/head.rs
@@ -22,6 +22,18 @@
     pub edits: Vec<String>,
 }
 
+impl Head {
+    /// Returns the stored form.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a head has only string keys")
+    }
+
+    /// Reads the stored form, or returns `None` if it cannot be read.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        serde_json::from_slice(bytes).ok()
+    }
+}
+
 /// Names a shard by its content.
 #[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ShardRef {
--- a/crates/citron/src/policy/mod.rs
+++ b/crates/citron/src/policy/mod.rs
@@ -1,5 +1,8 @@
 //! The operators' two lists: which plan each customer has, and what each plan may use.
 
+pub mod diff;
+pub mod edit;
+
 mod copy;
 mod head;
 mod list;
@@ -7,6 +10,8 @@
 
 pub use self::{
     copy::{Applied, Copy, Refusal},
+    diff::Diff,
+    edit::Edit,
     head::{Digest, Head, ShardRef},
     list::{Allowance, Class, Customer, Error, Grants, Plan, Profile, Route, Service},
     shard::{SHARD_LIMIT_BYTES, Shard},
--- a/crates/citronctl/src/lib.rs
+++ b/crates/citronctl/src/lib.rs
@@ -1,1 +1,15 @@
 //! The operators' command line of the citronlanding proxy fleet.
+
+mod code;
+mod command;
+mod fleet;
+mod operate;
+mod setting;
+mod timeline;
+
+pub use self::{
+    code::Code,
+    command::{Output, run},
+    operate::{drive, read_policy},
+    setting::{Command, Format, Settings},
+};
--- /dev/null
+++ b/crates/citronctl/tests/cli.rs
@@ -0,0 +1,283 @@
+//! The program `citronctl`: settings, output and exit codes.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    process::{Command, Output},
+};
+
+use citron_platform::Hosts;
+use citron_stand::platform::{Call, Mode, Platform, bind};
+use serde_json::Value;
+use tempfile::TempDir;
+
+const CUSTOMERS: &str = "[[customer]]\nname = \"izmir-roasters\"\nplan = \"roaster\"\n";
+const GRANTS: &str = r#"
+    service = [{ name = "lot-desk", profile = "careful", class = "live", floor = 0.7, deadline_ms = 5000 }]
+    plan = [{ name = "roaster", use = [{ service = "lot-desk", rate = 5.0, burst = 10.0 }] }]
+    route = [{ prefix = "/lots/", service = "lot-desk" }]
+"#;
+
+/// A platform and a folder with both lists.
+struct Bench {
+    platform: Platform,
+    folder: TempDir,
+}
+
+impl Bench {
+    async fn open() -> Self {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = bind(addr, Hosts::default()).await.unwrap();
+        let bench = Self { platform, folder: TempDir::new().unwrap() };
+        bench.write(CUSTOMERS, GRANTS);
+        bench
+    }
+
+    fn write(&self, customers: &str, grants: &str) {
+        std::fs::write(self.folder.path().join("customers.toml"), customers).unwrap();
+        std::fs::write(self.folder.path().join("grants.toml"), grants).unwrap();
+    }
+
+    /// Runs a command line in the folder of the lists, against the platform.
+    fn run(&self, line: &str) -> (i32, String, String) {
+        run(line, Some(self.folder.path()), &[("CITRON_PLATFORM", &self.platform.url())])
+    }
+
+    /// Runs a command line that must end with `code` and returns its output as JSON.
+    #[track_caller]
+    fn json(&self, code: i32, line: &str) -> Value {
+        let (got, out, err) = self.run(&format!("{line} --output json"));
+        assert_eq!(got, code, "{line}: {out}{err}");
+        serde_json::from_str(&out).unwrap()
+    }
+}
+
+const APPLY: &str = "apply customers.toml grants.toml --as anadolu";
+
+fn run(line: &str, folder: Option<&Path>, variables: &[(&str, &str)]) -> (i32, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_citronctl"));
+    command.args(line.split_whitespace()).env_clear().envs(variables.iter().copied());
+    if let Some(folder) = folder {
+        command.current_dir(folder);
+    }
+    let Output { status, stdout, stderr } = command.output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (status.code().unwrap(), text(stdout), text(stderr))
+}
+
+/// Names a case of a command line that is refused before anything is sent; its message must
+/// contain each word.
+macro_rules! usage {
+    ($name:ident, $line:expr, [$($variable:expr),*], [$($word:expr),+]) => {
+        #[test]
+        fn $name() {
+            let (code, out, err) = run($line, None, &[$($variable),*]);
+            assert_eq!((code, out.as_str()), (2, ""), "{err}");
+            $(assert!(err.contains($word), "{err} lacks {}", $word);)+
+        }
+    };
+}
+
+usage!(no_command, "", [], ["there is no command", "--help"]);
+usage!(unknown_command, "frobnicate", [], ["frobnicate", "--help"]);
+usage!(unknown_flag, "status --frob 1", [], ["frob", "--help"]);
+usage!(missing_argument, "check customers.toml", [], ["CUSTOMERS.toml GRANTS.toml"]);
+usage!(excess_argument, "status now", [], ["status", "now"]);
+usage!(missing_platform, "status", [], ["--platform", "CITRON_PLATFORM", "http://"]);
+usage!(
+    bad_platform,
+    "status --platform nowhere",
+    [],
+    ["--platform", "CITRON_PLATFORM", "\"nowhere\""]
+);
+usage!(
+    bad_platform_variable,
+    "status",
+    [("CITRON_PLATFORM", "ftp://x")],
+    ["CITRON_PLATFORM", "ftp://x"]
+);
+usage!(missing_author, "apply a b --platform http://127.0.0.1:1", [], ["--as", "CITRON_AS"]);
+usage!(missing_next, "handover --as a --platform http://127.0.0.1:1", [], ["--to", "CITRON_TO"]);
+usage!(
+    bad_base,
+    "apply a b --as a --base x --platform http://127.0.0.1:1",
+    [],
+    ["--base", "CITRON_BASE", "\"x\""]
+);
+usage!(
+    edit_without_base,
+    "status --edit e --platform http://127.0.0.1:1",
+    [],
+    ["--base", "CITRON_BASE"]
+);
+usage!(bad_output, "check a b --output xml", [], ["--output", "CITRON_OUTPUT", "\"xml\"", "json"]);
+usage!(
+    bad_timeout,
+    "check a b --timeout-ms 0",
+    [],
+    ["--timeout-ms", "CITRON_TIMEOUT_MS", "600000"]
+);
+usage!(missing_admin, "timeline", [], ["--admin", "CITRON_ADMIN"]);
+usage!(
+    bad_admin,
+    "drain entry-1 --admin 127.0.0.1:1,here",
+    [],
+    ["--admin", "CITRON_ADMIN", "\"here\""]
+);
+usage!(same_holder, "handover --as a --to a --platform http://127.0.0.1:1", [], ["another holder"]);
+usage!(bad_holder, "handover --as a --to b/c --platform http://127.0.0.1:1", [], ["b/c"]);
+
+#[test]
+fn help_names_every_command_and_variable() {
+    let (code, out, _) = run("--help", None, &[]);
+    assert_eq!(code, 0);
+    for word in ["check", "diff", "apply", "handover", "sweep", "status", "drain", "timeline"] {
+        assert!(out.contains(word), "{word}");
+    }
+    assert!(out.contains("CITRON_PLATFORM") && out.contains("Exit codes"));
+    assert_eq!(run("--version", None, &[]).0, 0);
+}
+
+/// Names a case with a platform of its own.
+macro_rules! case {
+    ($name:ident, |$bench:ident| $body:expr) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let $bench = Bench::open().await;
+            $body
+        }
+    };
+}
+
+case!(check_needs_no_platform, |bench| {
+    let report = bench.json(0, "check customers.toml grants.toml");
+    assert_eq!((&report["customers"], &report["routes"]), (&1.into(), &1.into()));
+    assert_eq!(bench.platform.calls().total(), 0);
+});
+
+case!(bad_lists_change_nothing, |bench| {
+    bench.json(0, APPLY);
+    let before = bench.json(0, "status");
+    let calls = bench.platform.calls().total();
+    for customers in ["[[customer]]\nname = \"x\"\nplan = \"gone\"\n", "not toml", "[[customer]]\n"]
+    {
+        bench.write(customers, GRANTS);
+        for command in ["check", "diff", "apply --as anadolu"] {
+            bench.json(3, &format!("{command} customers.toml grants.toml"));
+        }
+    }
+    bench.json(3, "check absent.toml grants.toml");
+    assert_eq!(bench.platform.calls().total(), calls);
+    assert_eq!(bench.json(0, "status"), before);
+});
+
+case!(first_apply_makes_its_author_the_holder, |bench| {
+    assert_eq!(bench.json(0, "status")["revision"], 0);
+    assert_eq!(bench.json(0, APPLY)["revision"], 1);
+    let status = bench.json(0, "status");
+    assert_eq!((&status["term"], &status["holder"]), (&1.into(), &"anadolu".into()));
+});
+
+case!(diff_shows_what_apply_would_change, |bench| {
+    bench.json(0, APPLY);
+    assert_eq!(bench.json(0, "diff customers.toml grants.toml")["revision"], 1);
+    bench.write(&CUSTOMERS.replace("izmir", "bursa"), &GRANTS.replace("rate = 5.0", "rate = 6.0"));
+    let (code, out, _) = bench.run("diff customers.toml grants.toml");
+    assert_eq!(code, 1);
+    for line in [
+        "- customer izmir-roasters: plan roaster",
+        "+ customer bursa-roasters: plan roaster",
+        "- plan roaster: lot-desk 5/s burst 10",
+        "+ plan roaster: lot-desk 6/s burst 10",
+    ] {
+        assert!(out.contains(line), "{out}");
+    }
+    assert_eq!(bench.json(0, APPLY)["revision"], 2);
+    bench.json(0, "diff customers.toml grants.toml");
+});
+
+case!(equal_lists_are_not_written_again, |bench| {
+    bench.json(0, APPLY);
+    let puts = bench.platform.calls().calls[&Call::Put];
+    let report = bench.json(0, APPLY);
+    assert_eq!((&report["result"], &report["revision"]), (&"unchanged".into(), &1.into()));
+    assert_eq!(bench.platform.calls().calls[&Call::Put], puts);
+});
+
+case!(only_the_holder_edits, |bench| {
+    bench.json(0, APPLY);
+    bench.write("", GRANTS);
+    let refused = bench.json(4, "apply customers.toml grants.toml --as atlas");
+    assert!(refused["message"].as_str().unwrap().contains("anadolu"), "{refused}");
+    bench.json(4, "handover --as atlas --to atlas-2");
+    bench.json(0, "handover --as anadolu --to atlas");
+    bench.json(4, APPLY);
+    bench.json(0, "apply customers.toml grants.toml --as atlas");
+    let status = bench.json(0, "status");
+    assert_eq!((&status["term"], &status["revision"]), (&2.into(), &3.into()));
+});
+
+case!(edit_on_another_base_is_refused, |bench| {
+    bench.json(0, APPLY);
+    bench.write("", GRANTS);
+    bench.json(4, &format!("{APPLY} --base 7"));
+    bench.json(0, &format!("{APPLY} --base 1"));
+    bench.json(4, &format!("{APPLY} --base 1"));
+});
+
+case!(handover_needs_a_policy, |bench| {
+    bench.json(4, "handover --as anadolu --to atlas");
+});
+
+case!(lost_answer_to_the_head_is_decided, |bench| {
+    bench.json(0, APPLY);
+    bench.platform.lose_answers(1);
+    assert_eq!(bench.json(0, "handover --as anadolu --to atlas")["revision"], 2);
+    assert_eq!(bench.platform.calls().lost_answers, 1);
+    assert_eq!(bench.json(0, "status")["holder"], "atlas");
+});
+
+case!(lost_answers_to_shards_are_written_again, |bench| {
+    bench.platform.lose_answers(3);
+    assert_eq!(bench.json(0, APPLY)["revision"], 1);
+    bench.json(0, "diff customers.toml grants.toml");
+});
+
+case!(outage_is_unreachable, |bench| {
+    bench.json(0, APPLY);
+    bench.platform.set_mode(Mode::Down);
+    bench.json(5, "status");
+    bench.json(5, "diff customers.toml grants.toml");
+    bench.json(5, "handover --as anadolu --to atlas");
+    bench.platform.set_mode(Mode::Up);
+    assert_eq!(bench.json(0, "status")["holder"], "anadolu");
+});
+
+case!(edit_is_decided_later_by_its_id, |bench| {
+    let id = bench.json(0, APPLY)["edit"].as_str().unwrap().to_owned();
+    let asked = bench.json(0, &format!("status --edit {id} --base 0"));
+    assert_eq!((&asked["result"], &asked["revision"]), (&"accepted".into(), &1.into()));
+    assert_eq!(bench.json(0, "status --edit other --base 0")["result"], "not-accepted");
+    bench.json(6, "status --edit other --base 1");
+});
+
+case!(sweep_deletes_only_unused_parts, |bench| {
+    bench.json(0, APPLY);
+    bench.write(&CUSTOMERS.replace("izmir", "bursa"), GRANTS);
+    bench.json(0, APPLY);
+    let count = || bench.platform.inspect(|store| store.list("policy-shards").len());
+    assert_eq!(count(), 5);
+    bench.json(4, "sweep --as atlas");
+    assert_eq!(bench.json(0, "sweep --as anadolu")["revision"], 3);
+    assert_eq!(count(), 4);
+    bench.json(0, "diff customers.toml grants.toml");
+});
+
+case!(hosts_that_do_not_answer_are_named, |bench| {
+    let (code, _, err) = bench.run("timeline --admin 127.0.0.1:1");
+    assert_eq!(code, 5);
+    assert!(err.contains("127.0.0.1:1"), "{err}");
+    let (code, _, err) = bench.run("drain entry-1 --admin 127.0.0.1:1");
+    assert_eq!(code, 5);
+    assert!(err.contains("entry-1") && err.contains("127.0.0.1:1"), "{err}");
+});
