--- /dev/null
+++ b/crates/citron-stand/tests/policy/edit.rs
@@ -0,0 +1,412 @@
+//! One edit under each fault of the platform and each race.
+
+use std::collections::BTreeMap;
+
+use assert_matches::assert_matches;
+use citron::policy::{
+    Customer, Edit, Head, Policy, SHARD_LIMIT_BYTES,
+    edit::{Action, Change, Decision, EDIT_LIMIT, Outcome, Refusal, decide},
+};
+use citron_platform::{Expect, Version};
+use citron_stand::platform::Store;
+
+use crate::world::{finish, finish_from, head, is_write, join, perform, policy, run_until};
+
+fn apply(id: &str, author: &str, policy: Policy) -> Edit {
+    Edit::open(id, author, Change::Apply(policy), None).unwrap()
+}
+
+fn hand_over(id: &str, author: &str, next: &str) -> Edit {
+    Edit::open(id, author, Change::HandOver { next: next.to_owned() }, None).unwrap()
+}
+
+fn accepted(revision: u64) -> Outcome {
+    Outcome::Accepted { revision }
+}
+
+/// Returns a store whose first policy `a` has applied.
+fn store() -> Store {
+    let mut store = Store::default();
+    let outcome = finish(&mut store, &mut apply("first", "a", policy(&[1], 5)));
+    assert_eq!(outcome, accepted(1));
+    store
+}
+
+fn is_head_write(action: &Action) -> bool {
+    matches!(action, Action::PutHead { .. })
+}
+
+/// Names a case over a store whose first policy `a` has applied.
+macro_rules! case {
+    ($name:ident, |$store:ident| $body:expr) => {
+        #[test]
+        fn $name() {
+            #[allow(unused_mut)]
+            let mut $store = store();
+            $body
+        }
+    };
+}
+
+case!(both_lists_change_by_one_update, |store| {
+    let mut edit = apply("e", "a", policy(&[1, 2], 6));
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[1], 5)));
+    perform(&mut store, &action);
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[1, 2], 6)));
+});
+
+case!(only_changed_shards_are_written, |store| {
+    let mut edit = apply("e", "a", policy(&[1], 6));
+    let mut action = edit.action();
+    let mut writes = 0;
+    while !is_head_write(&action) {
+        writes += usize::from(is_write(&action));
+        let reply = perform(&mut store, &action);
+        action = crate::world::deliver(&mut edit, reply);
+    }
+    assert_eq!(writes, 1);
+});
+
+case!(other_author_is_refused, |store| {
+    let refusal = Refusal::NotHolder { author: "b".into(), holder: "a".into(), term: 1 };
+    let outcome = finish(&mut store, &mut apply("e", "b", policy(&[2], 5)));
+    assert_eq!(outcome, Outcome::Refused(refusal.clone()));
+    assert_eq!(finish(&mut store, &mut hand_over("f", "b", "c")), Outcome::Refused(refusal));
+});
+
+case!(handover_raises_the_term, |store| {
+    assert_eq!(finish(&mut store, &mut hand_over("h", "a", "b")), accepted(2));
+    let (_, head) = head(&store).unwrap();
+    assert_eq!((head.term, head.holder.as_str()), (2, "b"));
+    let outcome = finish(&mut store, &mut apply("e", "a", policy(&[2], 5)));
+    assert_matches!(outcome, Outcome::Refused(Refusal::NotHolder { .. }));
+});
+
+case!(edit_begun_before_a_handover_is_refused, |store| {
+    let mut edit = apply("e", "a", policy(&[2], 5));
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(finish(&mut store, &mut hand_over("h", "a", "b")), accepted(2));
+    let outcome = finish_from(&mut store, &mut edit, action);
+    assert_matches!(outcome, Outcome::Refused(Refusal::NotHolder { .. }));
+});
+
+case!(edit_of_an_earlier_term_of_its_author_is_refused, |store| {
+    let mut edit = hand_over("e", "a", "c");
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(finish(&mut store, &mut hand_over("h", "a", "b")), accepted(2));
+    assert_eq!(finish(&mut store, &mut hand_over("i", "b", "a")), accepted(3));
+    let outcome = finish_from(&mut store, &mut edit, action);
+    assert_eq!(outcome, Outcome::Refused(Refusal::TermChanged { began: 1, term: 3 }));
+});
+
+case!(overtaken_lists_do_not_revert_the_other_edit, |store| {
+    let mut edit = apply("e", "a", policy(&[2], 5));
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(finish(&mut store, &mut apply("f", "a", policy(&[3], 5))), accepted(2));
+    let outcome = finish_from(&mut store, &mut edit, action);
+    assert_eq!(outcome, Outcome::Refused(Refusal::Overtaken { base: 1, revision: 2 }));
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[3], 5)));
+});
+
+case!(overtaken_handover_keeps_the_other_edit, |store| {
+    let mut edit = hand_over("h", "a", "b");
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(finish(&mut store, &mut apply("f", "a", policy(&[3], 5))), accepted(2));
+    assert_eq!(finish_from(&mut store, &mut edit, action), accepted(3));
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[3], 5)));
+});
+
+#[test]
+fn first_policies_race_and_one_wins() {
+    let mut store = Store::default();
+    let mut edit = apply("e", "a", policy(&[1], 5));
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(finish(&mut store, &mut apply("f", "b", policy(&[2], 5))), accepted(1));
+    let outcome = finish_from(&mut store, &mut edit, action);
+    assert_matches!(outcome, Outcome::Refused(Refusal::NotHolder { .. }));
+}
+
+#[test]
+fn only_lists_can_come_first() {
+    for mut edit in [hand_over("h", "a", "b"), Edit::open("s", "a", Change::Sweep, None).unwrap()] {
+        let outcome = finish(&mut Store::default(), &mut edit);
+        assert_eq!(outcome, Outcome::Refused(Refusal::NoPolicy));
+    }
+}
+
+/// What becomes of the write of the head.
+#[derive(Copy, Clone)]
+enum Fate {
+    /// It took effect and its answer was lost.
+    Lost,
+    /// It was lost itself.
+    Dropped,
+    /// It was not sent.
+    NotSent,
+    /// It takes effect only after the edit has tried again.
+    Late,
+}
+
+/// Brings one fate on the write of the head, lets `between` happen, and ends the edit.
+fn end_after(
+    store: &mut Store,
+    edit: &mut Edit,
+    fate: Fate,
+    between: impl FnOnce(&mut Store),
+) -> Outcome {
+    let action = edit.action();
+    let write = run_until(store, edit, action, is_head_write);
+    if matches!(fate, Fate::Lost) {
+        perform(store, &write);
+    }
+    let action = edit.on_failed(!matches!(fate, Fate::NotSent));
+    assert_eq!(action, Action::Pause { failures: 1 });
+    between(store);
+    let outcome = finish_from(store, edit, action);
+    if matches!(fate, Fate::Late) {
+        perform(store, &write);
+    }
+    outcome
+}
+
+/// Names a case of the head's write of an apply; the lists must be in force just if it is said so,
+/// and the edit's id be listed once at most.
+macro_rules! fate {
+    ($name:ident, $fate:expr, $between:expr, $outcome:pat) => {
+        #[test]
+        fn $name() {
+            let mut store = store();
+            let mut edit = apply("e", "a", policy(&[2], 5));
+            let outcome = end_after(&mut store, &mut edit, $fate, $between);
+            assert_matches!(outcome, $outcome);
+            let (_, head) = head(&store).unwrap();
+            let listed = head.edits.iter().filter(|id| *id == "e").count();
+            assert_eq!(listed, usize::from(matches!(outcome, Outcome::Accepted { .. })));
+        }
+    };
+}
+
+fn nothing(_: &mut Store) {}
+
+fn other_edit(store: &mut Store) {
+    assert_matches!(finish(store, &mut apply("f", "a", policy(&[9], 9))), Outcome::Accepted { .. });
+}
+
+fn handover(store: &mut Store) {
+    assert_matches!(finish(store, &mut hand_over("h", "a", "b")), Outcome::Accepted { .. });
+}
+
+fate!(lost_answer, Fate::Lost, nothing, Outcome::Accepted { revision: 2 });
+fate!(lost_answer_then_other_edit, Fate::Lost, other_edit, Outcome::Accepted { revision: 2 });
+fate!(lost_answer_then_handover, Fate::Lost, handover, Outcome::Accepted { revision: 2 });
+fate!(dropped_write, Fate::Dropped, nothing, Outcome::Accepted { revision: 2 });
+fate!(
+    dropped_write_then_other_edit,
+    Fate::Dropped,
+    other_edit,
+    Outcome::Refused(Refusal::Overtaken { .. })
+);
+fate!(
+    dropped_write_then_handover,
+    Fate::Dropped,
+    handover,
+    Outcome::Refused(Refusal::NotHolder { .. })
+);
+fate!(unsent_write, Fate::NotSent, nothing, Outcome::Accepted { revision: 2 });
+fate!(
+    unsent_write_then_other_edit,
+    Fate::NotSent,
+    other_edit,
+    Outcome::Refused(Refusal::Overtaken { .. })
+);
+fate!(late_write, Fate::Late, nothing, Outcome::Accepted { revision: 2 });
+fate!(
+    late_write_then_other_edit,
+    Fate::Late,
+    other_edit,
+    Outcome::Refused(Refusal::Overtaken { .. })
+);
+
+/// Ends an edit on a platform that fails from the first action that satisfies `from`.
+fn end_in_outage(from: impl Fn(&Action) -> bool, sent: bool) -> Outcome {
+    let mut store = store();
+    let mut edit = apply("e", "a", policy(&[2], 5));
+    let action = edit.action();
+    let mut action = run_until(&mut store, &mut edit, action, from);
+    loop {
+        action = match action {
+            Action::Finish(outcome) => return outcome,
+            Action::Pause { .. } => edit.on_resumed(),
+            _ => edit.on_failed(sent),
+        };
+    }
+}
+
+/// Names a case of an outage that lasts.
+macro_rules! outage {
+    ($name:ident, $from:expr, $sent:expr, $outcome:pat) => {
+        #[test]
+        fn $name() {
+            assert_matches!(end_in_outage($from, $sent), $outcome);
+        }
+    };
+}
+
+outage!(outage_from_the_start, |_| true, false, Outcome::Unreachable);
+outage!(outage_at_the_shards, |a| matches!(a, Action::PutShard { .. }), true, Outcome::Unreachable);
+outage!(outage_before_the_head, is_head_write, false, Outcome::Unreachable);
+outage!(outage_at_the_head, is_head_write, true, Outcome::Undecided { base: 1, .. });
+
+#[test]
+fn pushed_out_id_is_undecided() {
+    for (later, expected) in [
+        (EDIT_LIMIT - 1, accepted(2)),
+        (EDIT_LIMIT, Outcome::Undecided { id: "e".into(), base: 1 }),
+    ] {
+        let mut store = store();
+        let mut edit = apply("e", "a", policy(&[2], 5));
+        let outcome = end_after(&mut store, &mut edit, Fate::Lost, |store| {
+            for index in 0..later {
+                let lists = policy(&[2, 3], index as u32 + 10);
+                finish(store, &mut apply(&format!("later-{index}"), "a", lists));
+            }
+        });
+        assert_eq!(outcome, expected, "{later} later edits");
+    }
+}
+
+#[test]
+fn head_decides_only_what_it_shows() {
+    let head = |revision: u64| Head {
+        revision,
+        edits: (revision.saturating_sub(2)..=revision).map(|r| format!("e{r}")).collect(),
+        ..Head::default()
+    };
+    for (head, id, base, expected) in [
+        (None, "x", 0, Decision::Pending),
+        (Some(head(9)), "e9", 8, Decision::Accepted { revision: 9 }),
+        (Some(head(9)), "e7", 6, Decision::Accepted { revision: 7 }),
+        (Some(head(9)), "x", 6, Decision::NotAccepted),
+        (Some(head(9)), "e6", 5, Decision::PushedOut),
+        (Some(head(9)), "x", 9, Decision::Pending),
+    ] {
+        assert_eq!(decide(head.as_ref(), id, base), expected, "{id} on {base}");
+    }
+}
+
+#[test]
+fn bad_edits_are_refused_before_anything_is_read() {
+    let mut unknown_plan = policy(&[1], 5);
+    unknown_plan.grants.plans.clear();
+    let open = |change| Edit::open("e", "a", change, None).map(drop);
+    assert_matches!(open(Change::Apply(unknown_plan)), Err(Refusal::BadLists(_)));
+    let next = |next: &str| Change::HandOver { next: next.to_owned() };
+    assert_matches!(open(next("a")), Err(Refusal::SameHolder { .. }));
+    assert_matches!(open(next("")), Err(Refusal::BadHolder { .. }));
+    assert_matches!(open(next("a/b")), Err(Refusal::BadHolder { .. }));
+    assert_matches!(
+        Edit::open("e", "", Change::Sweep, None).map(drop),
+        Err(Refusal::BadHolder { .. })
+    );
+}
+
+#[test]
+fn shard_over_the_limit_is_refused() {
+    let mut lists = policy(&[], 5);
+    let service = lists.grants.services["lot-desk"].clone();
+    // All services are in one shard.
+    let services = (0..12_000).map(|index| (format!("service-{index:05}"), service.clone()));
+    lists.grants.services.extend(services.collect::<BTreeMap<_, _>>());
+    let refusal = Edit::open("e", "a", Change::Apply(lists), None).map(drop).unwrap_err();
+    assert_matches!(refusal, Refusal::ShardTooLarge { bytes, .. } if bytes > SHARD_LIMIT_BYTES);
+}
+
+#[test]
+fn many_customers_fit_their_shards() {
+    let mut lists = policy(&[], 5);
+    let customer = Customer { plan: "roaster".to_owned() };
+    lists.customers =
+        (0..110_000).map(|index| (format!("team-{index:06}"), customer.clone())).collect();
+    assert_eq!(finish(&mut Store::default(), &mut apply("e", "a", lists)), accepted(1));
+}
+
+/// Returns the number of stored shards.
+fn count(store: &Store) -> usize {
+    store.list("policy-shards").len()
+}
+
+fn sweep() -> Edit {
+    Edit::open("s", "a", Change::Sweep, None).unwrap()
+}
+
+case!(sweep_deletes_what_no_head_names, |store| {
+    other_edit(&mut store);
+    let used = head(&store).unwrap().1.shards.len();
+    assert!(count(&store) > used);
+    assert_eq!(finish(&mut store, &mut sweep()), accepted(3));
+    assert_eq!(count(&store), used);
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[9], 9)));
+});
+
+case!(edit_begun_before_a_sweep_is_overtaken, |store| {
+    // The edit has written its shards, which no head names yet.
+    let mut edit = apply("e", "a", policy(&[2], 6));
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    assert_eq!(finish(&mut store, &mut sweep()), accepted(2));
+    let outcome = finish_from(&mut store, &mut edit, action);
+    assert_matches!(outcome, Outcome::Refused(Refusal::Overtaken { .. }));
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[1], 5)));
+});
+
+case!(sweep_spares_a_shard_that_is_written_again, |store| {
+    // The shards of the first policy are unused once another one is in force.
+    other_edit(&mut store);
+    let mut sweep = sweep();
+    let action = sweep.action();
+    let stop = |action: &Action| matches!(action, Action::DeleteShard { .. });
+    let action = run_until(&mut store, &mut sweep, action, stop);
+    assert_eq!(finish(&mut store, &mut apply("e", "a", policy(&[1], 5))), accepted(4));
+    assert_eq!(finish_from(&mut store, &mut sweep, action), accepted(3));
+    assert_eq!(join(&store, &head(&store).unwrap().1), Ok(policy(&[1], 5)));
+});
+
+case!(sweep_that_cannot_delete_is_accepted_all_the_same, |store| {
+    other_edit(&mut store);
+    let mut sweep = sweep();
+    let action = sweep.action();
+    let stop = |action: &Action| matches!(action, Action::DeleteShard { .. });
+    let mut action = run_until(&mut store, &mut sweep, action, stop);
+    while !matches!(action, Action::Finish(_)) {
+        action = match action {
+            Action::Pause { .. } => sweep.on_resumed(),
+            _ => sweep.on_failed(false),
+        };
+    }
+    assert_eq!(action, Action::Finish(accepted(3)));
+});
+
+case!(unchanged_lists_write_nothing, |store| {
+    let before = store.version();
+    let outcome = finish(&mut store, &mut apply("e", "a", policy(&[1], 5)));
+    assert_eq!((outcome, store.version()), (Outcome::Unchanged { revision: 1 }, before));
+});
+
+case!(reused_version_cannot_pass, |store| {
+    // A head deleted and written anew by hand has a higher version.
+    let mut edit = apply("e", "a", policy(&[2], 5));
+    let action = edit.action();
+    let action = run_until(&mut store, &mut edit, action, is_head_write);
+    let bytes = store.get("policy", "head").unwrap().1;
+    store.delete("policy", "head", Expect::Any).unwrap();
+    let version = store.put("policy", "head", &bytes, Expect::Absent).unwrap();
+    assert!(version > Version(0));
+    assert_matches!(finish_from(&mut store, &mut edit, action), Outcome::Undecided { .. });
+});
