Test the agent over loopback and its settings

Seven cases with agents in one process over the stand-in platform: join, policy to all, start from peers alone, a dead agent noticed, drain, a leaving target, a host that the list drops.

--- /dev/null
+++ b/crates/citron-agent/tests/fleet.rs
@@ -0,0 +1,144 @@
+//! Several agents over loopback with the stand-in of the platform.
+
+mod support;
+
+use citron_agent::{Core, locate};
+use citron_platform::{Hosts, State};
+use citron_stand::platform::Mode;
+use citron_wire::update::Body;
+
+use support::{Proxy, accept, agent, alive, entry, fleet, platform, revision, target, until};
+
+macro_rules! case {
+    ($name:ident, $body:expr) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            $body.await;
+        }
+    };
+}
+
+case!(agents_join_and_an_accepted_policy_reaches_all, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 5).await;
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 4) }).await;
+    accept(&platform.url(), 1).await;
+    until("revision 1", || async { agents.iter().all(|agent| revision(agent) == 1) }).await;
+    accept(&platform.url(), 2).await;
+    until("revision 2", || async { agents.iter().all(|agent| revision(agent) == 2) }).await;
+});
+
+case!(an_older_head_on_the_platform_changes_nothing, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 3).await;
+    accept(&platform.url(), 5).await;
+    until("revision 5", || async { agents.iter().all(|agent| revision(agent) == 5) }).await;
+    accept(&platform.url(), 4).await;
+    accept(&platform.url(), 6).await;
+    until("revision 6", || async {
+        assert!(agents.iter().all(|agent| revision(agent) >= 5));
+        agents.iter().all(|agent| revision(agent) == 6)
+    })
+    .await;
+});
+
+case!(a_new_agent_starts_from_peers_alone_while_the_platform_is_away, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 3).await;
+    accept(&platform.url(), 3).await;
+    platform.set_hosts(Hosts {
+        version: 1,
+        hosts: vec![entry(&agents[0]), target("target-1", State::Live)],
+    });
+    until("revision 3 and the list", || async {
+        agents.iter().all(|agent| revision(agent) == 3 && agent.core().hosts_version() > 0)
+    })
+    .await;
+    platform.set_mode(Mode::Down);
+    let fresh = agent(&platform.url(), 9, 1, &[&agents[1]]).await;
+    let mut proxy = Proxy::attach(&fresh, "127.0.0.1:5001").await;
+    proxy.wait("synced", |body| matches!(body, Body::Synced(_))).await;
+    assert_eq!(revision(&fresh), 3);
+    until("targets", || async { fresh.core().target_table().targets.len() == 1 }).await;
+    until("members", || async { alive(&fresh).len() == 3 }).await;
+});
+
+case!(a_dead_agent_is_left_out_of_locate_answers, async {
+    let platform = platform().await;
+    accept(&platform.url(), 1).await;
+    let mut agents = fleet(&platform.url(), 4).await;
+    let mut proxies = Vec::new();
+    for (index, agent) in agents.iter().enumerate() {
+        proxies.push(Proxy::attach(agent, &format!("127.0.0.1:700{index}")).await);
+    }
+    let addresses = |agent: &Core| locate(agent, "izmir", "lot-desk");
+    until("all located", || async {
+        agents.iter().all(|agent| addresses(agent.core()).len() == 4)
+    })
+    .await;
+    let first = addresses(agents[0].core());
+    assert!(agents.iter().all(|agent| addresses(agent.core()) == first), "one order for all");
+    agents.pop().unwrap().stop().await;
+    until("three located", || async {
+        agents.iter().all(|agent| addresses(agent.core()).len() == 3)
+    })
+    .await;
+});
+
+case!(a_drained_host_leaves_locate_answers_and_tells_its_proxy, async {
+    let platform = platform().await;
+    accept(&platform.url(), 1).await;
+    let agents = fleet(&platform.url(), 3).await;
+    let mut proxies = Vec::new();
+    for (index, agent) in agents.iter().enumerate() {
+        proxies.push(Proxy::attach(agent, &format!("127.0.0.1:710{index}")).await);
+    }
+    until("all located", || async {
+        agents.iter().all(|agent| locate(agent.core(), "izmir", "lot-desk").len() == 3)
+    })
+    .await;
+    let url = format!("http://{}/drain", agents[1].core().settings.listen);
+    let answer = reqwest::Client::new().post(url).send().await.unwrap();
+    assert_eq!(answer.status(), 202);
+    proxies[1].wait("leave", |body| matches!(body, Body::Leave(_))).await;
+    until("two located", || async {
+        agents.iter().all(|agent| {
+            let located = locate(agent.core(), "izmir", "lot-desk");
+            located.len() == 2 && !located.contains(&"127.0.0.1:7101".to_owned())
+        })
+    })
+    .await;
+});
+
+case!(a_leaving_target_reaches_every_attached_proxy, async {
+    let platform = platform().await;
+    accept(&platform.url(), 1).await;
+    let agents = fleet(&platform.url(), 4).await;
+    let mut proxies = Vec::new();
+    for (index, agent) in agents.iter().enumerate() {
+        proxies.push(Proxy::attach(agent, &format!("127.0.0.1:720{index}")).await);
+    }
+    for (version, state) in [(1, State::Live), (2, State::Leaving)] {
+        platform.set_hosts(Hosts { version, hosts: vec![target("target-1", state)] });
+        let leaving = state == State::Leaving;
+        for proxy in &mut proxies {
+            proxy
+                .wait("target", |body| match body {
+                    Body::Targets(table) => table.targets.iter().any(|t| t.leaving == leaving),
+                    _ => false,
+                })
+                .await;
+        }
+    }
+});
+
+case!(a_member_that_the_list_drops_but_that_answers_stays, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 3).await;
+    platform.set_hosts(Hosts { version: 1, hosts: agents.iter().map(entry).collect() });
+    until("listed", || async { agents.iter().all(|agent| agent.core().listed().len() == 3) }).await;
+    platform.set_hosts(Hosts { version: 2, hosts: vec![entry(&agents[0])] });
+    until("dropped", || async { agents.iter().all(|agent| agent.core().listed().len() == 1) })
+        .await;
+    assert!(agents.iter().all(|agent| alive(agent).len() == 2));
+});
--- /dev/null
+++ b/crates/citron-agent/tests/support/mod.rs
@@ -0,0 +1,173 @@
+//! A fleet of agents in this process, with the stand-in of the platform.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use citron::policy::{Head, Policy, Shard, ShardRef};
+use citron_agent::{Agent, Settings};
+use citron_daemon::Clock;
+use citron_platform::{Client, Expect, Host, Hosts, Role, State};
+use citron_stand::platform::{self, Platform};
+use citron_wire::{Hello, Report, Update, agent_client::AgentClient, report, update};
+use log::LevelFilter;
+use tokio::{sync::mpsc, time};
+use tokio_stream::wrappers::ReceiverStream;
+
+const CUSTOMERS: &str = "[[customer]]\nname = \"izmir\"\nplan = \"basic\"\n";
+const GRANTS: &str = r#"
+[[service]]
+name = "lot-desk"
+profile = "careful"
+class = "live"
+floor = 0.7
+deadline_ms = 2000
+
+[[plan]]
+name = "basic"
+use = [{ service = "lot-desk", rate = 10.0, burst = 20.0 }]
+"#;
+
+/// An address of this machine whose port the system chooses.
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The two lists that the tests use.
+pub fn policy() -> Policy {
+    Policy::parse(CUSTOMERS, GRANTS).unwrap()
+}
+
+/// Waits until `holds`; gives up after a generous time.
+pub async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    let limit = time::Instant::now() + Duration::from_secs(60);
+    while !holds().await {
+        assert!(time::Instant::now() < limit, "not seen in time: {what}");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn platform() -> Platform {
+    platform::bind(any(), Hosts::default()).await.unwrap()
+}
+
+/// Starts the agent of a host.
+pub async fn agent(platform: &str, index: usize, domain: usize, seeds: &[&Agent]) -> Agent {
+    let settings = Settings {
+        host: format!("host-{index}"),
+        domain: format!("domain-{domain}"),
+        listen: any(),
+        control: any(),
+        gossip: any(),
+        platform: platform.to_owned(),
+        seeds: seeds.iter().map(|agent| agent.core().settings.gossip.to_string()).collect(),
+        ttl: Duration::from_secs(5),
+        grace: Duration::ZERO,
+        log: LevelFilter::Off,
+    };
+    Agent::bind(settings, Clock::start()).await.unwrap()
+}
+
+/// Starts `count` agents over three failure domains, each with the first as its seed.
+pub async fn fleet(platform: &str, count: usize) -> Vec<Agent> {
+    let mut agents: Vec<Agent> = Vec::new();
+    for index in 0..count {
+        let seeds: Vec<&Agent> = agents.first().into_iter().collect();
+        let started = agent(platform, index, index % 3, &seeds).await;
+        agents.push(started);
+    }
+    agents
+}
+
+/// Writes a policy head of this revision with the shards of [`policy`].
+pub async fn accept(url: &str, revision: u64) {
+    let client = Client::open(url, Duration::from_secs(5)).unwrap();
+    let mut head = Head { revision, term: 1, holder: "operator".to_owned(), ..Head::default() };
+    for (key, shard) in Shard::split(&policy()) {
+        let (digest, bytes) = shard.encode();
+        client.put("policy-shards", digest.as_str(), &bytes, Expect::Any).await.unwrap();
+        head.shards.insert(key, ShardRef { digest, bytes: bytes.len() as u64 });
+    }
+    let json = serde_json::to_vec(&head).unwrap();
+    client.put("policy", "head", &json, Expect::Any).await.unwrap();
+}
+
+/// Returns the host list's entry for an agent.
+pub fn entry(agent: &Agent) -> Host {
+    let settings = &agent.core().settings;
+    Host {
+        name: settings.host.clone(),
+        role: Role::Entry,
+        domain: settings.domain.clone(),
+        state: State::Live,
+        address: None,
+        service: None,
+        slots: None,
+        connections: None,
+        gossip: Some(settings.gossip.to_string()),
+        control: Some(settings.control.to_string()),
+    }
+}
+
+/// Returns the host list's entry for a target.
+pub fn target(name: &str, state: State) -> Host {
+    Host {
+        name: name.to_owned(),
+        role: Role::Target,
+        domain: "domain-0".to_owned(),
+        state,
+        address: Some("127.0.0.1:9".to_owned()),
+        service: Some("lot-desk".to_owned()),
+        slots: Some(3),
+        connections: Some(400),
+        gossip: None,
+        control: None,
+    }
+}
+
+/// A proxy that is attached to an agent, as far as the agent can tell.
+pub struct Proxy {
+    /// Keeps the stream of reports open.
+    _reports: mpsc::Sender<Report>,
+    updates: tonic::Streaming<Update>,
+}
+
+impl Proxy {
+    pub async fn attach(agent: &Agent, listen: &str) -> Self {
+        let url = format!("http://{}", agent.core().settings.control);
+        let mut client = AgentClient::connect(url).await.unwrap();
+        let (reports, receiver) = mpsc::channel(16);
+        let hello = Hello { listen: listen.to_owned(), loans: "127.0.0.1:1".to_owned() };
+        let report = Report { stamp: None, body: Some(report::Body::Hello(hello)) };
+        reports.send(report).await.unwrap();
+        let updates = client.attach(ReceiverStream::new(receiver)).await.unwrap().into_inner();
+        Self { _reports: reports, updates }
+    }
+
+    /// Waits for an update for which `wanted` holds.
+    pub async fn wait(&mut self, what: &str, wanted: impl Fn(&update::Body) -> bool) {
+        let search = async {
+            while let Some(update) = self.updates.message().await.unwrap() {
+                if update.body.as_ref().is_some_and(&wanted) {
+                    return;
+                }
+            }
+            panic!("the stream ended before: {what}");
+        };
+        time::timeout(Duration::from_secs(60), search).await.expect(what);
+    }
+}
+
+/// Returns the revision that an agent knows.
+pub fn revision(agent: &Agent) -> u64 {
+    agent.core().with_policy(|copy| copy.head.revision)
+}
+
+/// Returns the names of an agent's live members, sorted, without itself.
+pub fn alive(agent: &Agent) -> Vec<String> {
+    agent.core().with_members(|members| {
+        members
+            .others()
+            .filter(|member| member.record.state == citron::member::State::Alive)
+            .map(|member| member.record.host.clone())
+            .collect()
+    })
+}
