--- /dev/null
+++ b/crates/citron/src/claim/mod.rs
@@ -0,0 +1,31 @@
+//! Claims of idempotency keys, kept on the platform so that a resubmitted request runs once.
+//!
+//! Keys hash into buckets, each one object. A bucket takes many claims into one conditional update.
+//! A claim is granted only after a write that carries it was confirmed, or a read has shown it;
+//! any number of members may work on one bucket at a time.
+
+mod bucket;
+mod table;
+
+pub use self::{
+    bucket::{Bucket, Read, Request, Verdict, Write},
+    table::{Entry, Table},
+};
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The number of buckets.
+pub const BUCKETS: u64 = 256;
+/// How long a claim is kept.
+pub const RETENTION: Duration = Duration::from_secs(900);
+/// How far the wall clocks of two members may differ.
+pub const CLOCK_SKEW: Duration = Duration::from_secs(60);
+/// The most claims in a bucket, which keeps its object under the platform's limit.
+pub const BUCKET_CLAIMS: usize = 5000;
+
+/// Returns the name of the bucket of a key's digest.
+pub fn bucket_of(digest: &str) -> String {
+    format!("{:03}", xxh3_64(digest.as_bytes()) % BUCKETS)
+}
--- /dev/null
+++ b/crates/citron/src/claim/table.rs
@@ -0,0 +1,67 @@
+//! The stored form of a bucket.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{BUCKET_CLAIMS, CLOCK_SKEW, RETENTION};
+
+/// The claims of a bucket.
+#[derive(Debug, Default, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// The highest lease term under which expired claims were removed.
+    #[serde(default)]
+    pub term: u64,
+    /// Claims by the digest of their key.
+    pub claims: BTreeMap<String, Entry>,
+}
+
+/// One claim.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The attempt that owns the key.
+    #[serde(rename = "o")]
+    pub owner: String,
+    /// When the claim may be dropped, milliseconds since the Unix epoch.
+    #[serde(rename = "e")]
+    pub expires_ms: u64,
+}
+
+impl Table {
+    /// Reads the stored form, or returns `None` if it cannot be read.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        serde_json::from_slice(bytes).ok()
+    }
+
+    /// Returns the stored form.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a table has only string keys")
+    }
+
+    /// Returns the owner of a key.
+    pub fn owner(&self, digest: &str) -> Option<&str> {
+        self.claims.get(digest).map(|entry| entry.owner.as_str())
+    }
+
+    /// Returns true if no further claim fits.
+    pub fn is_full(&self) -> bool {
+        self.claims.len() >= BUCKET_CLAIMS
+    }
+
+    /// Adds a claim of a key that nobody owns.
+    pub fn insert(&mut self, digest: &str, owner: &str, wall_ms: u64) {
+        let expires_ms = wall_ms + RETENTION.as_millis() as u64;
+        let entry = Entry { owner: owner.to_owned(), expires_ms };
+        let before = self.claims.insert(digest.to_owned(), entry);
+        assert!(before.is_none(), "a key that is owned must not be claimed again");
+        assert!(self.claims.len() <= BUCKET_CLAIMS, "a bucket must stay bounded");
+    }
+
+    /// Drops claims that have expired on every member's clock; returns true if there were any.
+    pub fn expire(&mut self, wall_ms: u64) -> bool {
+        let before = self.claims.len();
+        let skew = CLOCK_SKEW.as_millis() as u64;
+        self.claims.retain(|_, entry| entry.expires_ms + skew > wall_ms);
+        self.claims.len() < before
+    }
+}
--- /dev/null
+++ b/crates/citron/src/lease.rs
@@ -0,0 +1,171 @@
+//! Leases over an object of the platform.
+//!
+//! The object carries a term that grows with each change of the holder. The holder counts its
+//! time from before it sent a renewal, others from after they read one, each on its own clock, so
+//! that the holder stops before others may take over. What the holder writes is conditional on
+//! versions that it read under its term, so that a holder that was paused writes in vain.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How long a renewal lasts for its holder.
+pub const TERM: Duration = Duration::from_secs(10);
+/// How much longer others wait, which covers clocks that run at different rates.
+pub const MARGIN: Duration = Duration::from_secs(2);
+/// The time between two renewals by the holder, or two looks by others.
+pub const INTERVAL: Duration = Duration::from_secs(3);
+
+/// The stored form of a lease.
+#[derive(Debug, Default, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Counts the changes of the holder.
+    pub term: u64,
+    /// The holder's host, empty when it was given back.
+    pub holder: String,
+    /// Counts renewals within the term, so that each is a new value.
+    pub renewal: u64,
+}
+
+/// What the lease asks for.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub enum Request {
+    /// Read the lease's object.
+    Read,
+    /// Write the lease's object if it has this version, or if it does not exist.
+    Write {
+        /// The new value.
+        record: Record,
+        /// The version it must have; `None` when it must not exist.
+        expect: Option<u64>,
+    },
+}
+
+/// The result of a request.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub enum Answer {
+    /// The object as read, `None` if it does not exist.
+    Read(Option<(u64, Record)>),
+    /// The write took effect and gave the object this version.
+    Written(u64),
+    /// The condition did not hold, the answer was lost, or the platform is away.
+    Failed,
+}
+
+/// The right to act, as long as it lasts.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct Permit {
+    /// The term under which to act.
+    pub term: u64,
+    /// When acting must stop.
+    pub until: Duration,
+}
+
+/// A lease as one member sees it.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    host: String,
+    held: Option<Permit>,
+    /// The object as last seen, and when it was first seen so.
+    seen: Option<(u64, Record, Duration)>,
+    /// When the request under way was sent, and what it would write.
+    sent: Option<(Duration, Option<Record>)>,
+    next: Duration,
+}
+
+impl Lease {
+    /// Opens a lease that `host` does not hold.
+    pub fn open(host: &str) -> Self {
+        Self { host: host.to_owned(), held: None, seen: None, sent: None, next: Duration::ZERO }
+    }
+
+    /// Returns the right to act at `now`, if there is one.
+    pub fn permit(&self, now: Duration) -> Option<Permit> {
+        self.held.filter(|permit| now < permit.until)
+    }
+
+    /// Advances time; at most one request is under way.
+    pub fn tick(&mut self, now: Duration) -> Option<Request> {
+        if self.held.is_some_and(|permit| now >= permit.until) {
+            self.held = None;
+        }
+        if self.sent.is_some() || now < self.next {
+            return None;
+        }
+        self.next = now + INTERVAL;
+        let Some((version, record, since)) = self.seen.clone() else {
+            self.sent = Some((now, None));
+            return Some(Request::Read);
+        };
+        if let Some(permit) = self.permit(now) {
+            assert_eq!(record.term, permit.term, "a holder must renew its own term");
+            let renewal = record.renewal + 1;
+            return Some(self.write(Record { renewal, ..record }, version, now));
+        }
+        let free = record.holder.is_empty() || now >= since + TERM + MARGIN;
+        if !free {
+            self.sent = Some((now, None));
+            return Some(Request::Read);
+        }
+        let record = Record { term: record.term + 1, holder: self.host.clone(), renewal: 0 };
+        Some(self.write(record, version, now))
+    }
+
+    /// Takes the answer to the request under way.
+    pub fn take(&mut self, answer: Answer, now: Duration) {
+        let (sent_at, wrote) = self.sent.take().expect("an answer without a request");
+        match (answer, wrote) {
+            (Answer::Read(found), _) => {
+                self.look(found, now);
+                if self.seen.as_ref().is_some_and(|(_, record, _)| record.holder.is_empty()) {
+                    self.next = now;
+                }
+            }
+            (Answer::Written(version), Some(record)) => {
+                let until = sent_at + TERM;
+                if let Some(held) = self.held {
+                    assert!(record.term >= held.term, "the term of a lease must not go back");
+                }
+                let holds = record.holder == self.host && now < until;
+                self.held = holds.then_some(Permit { term: record.term, until });
+                self.seen = Some((version, record, now));
+            }
+            (Answer::Written(_), None) => panic!("a write that was not asked for"),
+            // The object is read again before anything is written; the right to act ends by itself.
+            (Answer::Failed, wrote) => {
+                if wrote.is_some() {
+                    self.next = now;
+                    self.seen = None;
+                }
+            }
+        }
+    }
+
+    /// Gives the lease back, if it is held and no request is under way.
+    pub fn release(&mut self, now: Duration) -> Option<Request> {
+        let permit = self.permit(now).filter(|_| self.sent.is_none())?;
+        self.held = None;
+        let (version, record, _) = self.seen.clone()?;
+        assert_eq!(record.term, permit.term, "a holder must release its own term");
+        let record = Record { holder: String::new(), renewal: record.renewal + 1, ..record };
+        Some(self.write(record, version, now))
+    }
+
+    fn look(&mut self, found: Option<(u64, Record)>, now: Duration) {
+        let (version, record) = found.unwrap_or_default();
+        let lost = self.held.is_some_and(|permit| permit.term != record.term);
+        if lost {
+            self.held = None;
+        }
+        match &self.seen {
+            // Its time counts from when this version was first seen.
+            Some((known, ..)) if *known == version => {}
+            _ => self.seen = Some((version, record, now)),
+        }
+    }
+
+    fn write(&mut self, record: Record, version: u64, now: Duration) -> Request {
+        self.sent = Some((now, Some(record.clone())));
+        Request::Write { record, expect: (version > 0).then_some(version) }
+    }
+}
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -5,11 +5,13 @@
 //! comes from a generator that the caller seeds. Equal inputs give equal outputs.
 
 pub mod choice;
+pub mod claim;
 pub mod event;
 pub mod health;
 pub mod hlc;
 pub mod home;
 pub mod hosts;
+pub mod lease;
 pub mod member;
 pub mod policy;
 pub mod rumor;
