--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod attempt;
 pub mod choice;
+pub mod claim;
 pub mod event;
 pub mod health;
 pub mod hlc;
 pub mod home;
 pub mod hosts;
+pub mod lease;
 pub mod leave;
 pub mod member;
 pub mod policy;
