--- a/crates/citron-stand/src/main.rs
+++ b/crates/citron-stand/src/main.rs
@@ -8,7 +8,9 @@
 type Command = fn(&[String]) -> eyre::Result<ExitCode>;
 
 const COMMANDS: &[(&str, Command)] = &[
+    ("platform", command::run_platform),
     ("target", command::run_target),
+    ("relay", command::run_relay),
     ("load", command::run_load),
     ("agent", command::run_agent),
     ("bench", bench),
