Keep allowances over the fleet by shares and loans

Cause: a customer's rate holds over all proxies, which may be cut off from each other at any time. Each home holds a share and lends what it does not use; the lender debits itself first and the borrower counts the term from its request. Not yet measured.

--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod choice;
 pub mod event;
 pub mod hlc;
+pub mod limit;
 pub mod policy;
--- /dev/null
+++ b/crates/citron/src/limit/gate.rs
@@ -0,0 +1,342 @@
+//! The accounts of one proxy.
+
+use std::{
+    collections::HashMap,
+    fmt::{self, Debug, Formatter},
+    sync::Arc,
+    time::Duration,
+};
+
+use smallvec::SmallVec;
+
+use super::{HANDOVER, Message, PAUSE_LIMIT, Request, Share, account::Account, loan::Credit};
+use crate::policy::Allowance;
+
+/// How long an answer to a loan request is awaited.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
+/// The least time between two requests to one lender about one account; longer than a round trip,
+/// since only the answer to the last request counts.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long before its end a loan is renewed.
+const RENEW_AHEAD: Duration = Duration::from_millis(1000);
+/// How long an idle account is kept.
+const IDLE_RETENTION: Duration = Duration::from_secs(60);
+
+/// The homes of a customer for a service, in order.
+pub type Homes = SmallVec<[Arc<str>; 4]>;
+
+/// Finds the homes of a customer for a service under one host list.
+pub type HomeFinder = Arc<dyn Fn(&str, &str) -> Homes + Send + Sync>;
+
+/// What is decided about a request.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is within the allowance and has been counted.
+    Admitted,
+    /// A loan was asked for; ask again when a grant came, or at `until` at the latest.
+    Borrowing {
+        /// When the answer is no longer awaited.
+        until: Duration,
+    },
+    /// It exceeds the allowance.
+    Refused {
+        /// How long until a request may be admitted, if nothing else changes.
+        after: Option<Duration>,
+    },
+}
+
+/// A message to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outgoing {
+    /// The host of the proxy that receives it.
+    pub to: Arc<str>,
+    /// The message.
+    pub message: Message,
+}
+
+/// Admits requests at one proxy, or at one shard of it.
+pub struct Gate {
+    host: Arc<str>,
+    finders: Finders,
+    quiet_until: Duration,
+    /// Shares that are not in memory have been in use since then.
+    settled_at: Duration,
+    seen: Duration,
+    next_id: u64,
+    accounts: HashMap<(Arc<str>, Arc<str>), Entry>,
+    outbox: Vec<Outgoing>,
+}
+
+/// The host list in force and those that may still be in use elsewhere.
+struct Finders {
+    current: Option<HomeFinder>,
+    earlier: Vec<(HomeFinder, Duration)>,
+    epoch: u64,
+}
+
+struct Entry {
+    account: Account,
+    epoch: u64,
+    allowance: Allowance,
+    homes: Homes,
+}
+
+impl Gate {
+    /// Opens the gate of a process that has just started; `first_id` must be random.
+    pub fn open(host: &str, first_id: u64, now: Duration) -> Self {
+        Self {
+            host: host.into(),
+            finders: Finders { current: None, earlier: Vec::new(), epoch: 0 },
+            quiet_until: now + HANDOVER,
+            settled_at: now + HANDOVER,
+            seen: now,
+            next_id: first_id,
+            accounts: HashMap::new(),
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Puts a new host list in force; shares that grow by it are used after [`HANDOVER`].
+    pub fn set_homes(&mut self, finder: HomeFinder, now: Duration) {
+        self.observe(now);
+        if let Some(before) = self.finders.current.replace(finder) {
+            self.finders.earlier.push((before, now + HANDOVER));
+        }
+        self.finders.epoch += 1;
+        let keys: Vec<_> = self.accounts.keys().cloned().collect();
+        for key in keys {
+            self.update(&key, now);
+        }
+    }
+
+    /// Decides about a request of a customer with this allowance.
+    pub fn admit(
+        &mut self,
+        customer: &str,
+        service: &str,
+        allowance: &Allowance,
+        now: Duration,
+    ) -> Verdict {
+        self.observe(now);
+        let key = self.enter(customer, service, allowance, now);
+        let entry = self.accounts.get_mut(&key).expect("the account was just entered");
+        let admitted = entry.account.admit(now);
+        self.ask(&key, now);
+        let entry = &self.accounts[&key];
+        if admitted {
+            return Verdict::Admitted;
+        }
+        let awaited = entry.account.credits.iter().filter_map(Credit::asked_at);
+        match awaited.map(|at| at + ANSWER_TIMEOUT).filter(|until| *until > now).max() {
+            Some(until) => Verdict::Borrowing { until },
+            None => Verdict::Refused { after: entry.account.wait() },
+        }
+    }
+
+    /// Takes in a message; `allowance` is that of its customer for its service. Returns whether
+    /// a loan was made or taken.
+    pub fn receive(
+        &mut self,
+        from: &str,
+        message: &Message,
+        allowance: Option<&Allowance>,
+        now: Duration,
+    ) -> bool {
+        self.observe(now);
+        let Some(allowance) = allowance else { return false };
+        match message {
+            Message::Request(request) => self.lend(from, request, allowance, now),
+            Message::Grant(grant) => {
+                let key = (Arc::clone(&grant.customer), Arc::clone(&grant.service));
+                let entry = self.accounts.get_mut(&key);
+                entry.is_some_and(|entry| entry.account.borrow(from, grant, now))
+            }
+        }
+    }
+
+    /// Lets time pass; called several times a second. Forgets idle accounts.
+    pub fn tick(&mut self, now: Duration) {
+        self.observe(now);
+        self.accounts.retain(|_, entry| {
+            now < entry.account.used_at + IDLE_RETENTION || !entry.account.is_idle(now)
+        });
+    }
+
+    /// Returns the messages to be sent since the last call.
+    pub fn drain(&mut self) -> Vec<Outgoing> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// Returns the number of accounts in memory.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Returns whether no account is in memory.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Notices a pause of the process, after which its shares may be in other hands.
+    fn observe(&mut self, now: Duration) {
+        let paused = now > self.seen + PAUSE_LIMIT;
+        self.seen = self.seen.max(now);
+        if paused {
+            self.quiet_until = now + HANDOVER;
+            self.settled_at = self.quiet_until;
+            for entry in self.accounts.values_mut() {
+                entry.account.stop(self.quiet_until, now);
+            }
+        }
+        while let Some((_, until)) = self.finders.earlier.first().filter(|(_, at)| *at <= now) {
+            self.settled_at = self.settled_at.max(*until);
+            self.finders.earlier.remove(0);
+        }
+    }
+
+    /// Returns the key of an account that is up to date, opening it if need be.
+    fn enter(
+        &mut self,
+        customer: &str,
+        service: &str,
+        allowance: &Allowance,
+        now: Duration,
+    ) -> (Arc<str>, Arc<str>) {
+        let key: (Arc<str>, Arc<str>) = (customer.into(), service.into());
+        match self.accounts.get_mut(&key) {
+            Some(entry) if entry.allowance != *allowance => {
+                entry.allowance = *allowance;
+                self.revise(&key, now);
+            }
+            Some(_) => {}
+            None => {
+                let entry = self.new_entry(customer, service, allowance, now);
+                self.accounts.insert(key.clone(), entry);
+            }
+        }
+        key
+    }
+
+    fn new_entry(
+        &self,
+        customer: &str,
+        service: &str,
+        allowance: &Allowance,
+        now: Duration,
+    ) -> Entry {
+        let homes = self.finders.homes(customer, service);
+        let share = share_of(&self.host, &homes, allowance);
+        let mut least = share;
+        for (finder, _) in &self.finders.earlier {
+            least = least.min(share_of(&self.host, &finder(customer, service), allowance));
+        }
+        let quiet = now < self.quiet_until;
+        let used = now.saturating_sub(self.settled_at).as_secs_f64();
+        let tokens = if quiet { 0.0 } else { (least.rate * used).min(least.burst) };
+        let mut account = Account::new(if quiet { Share::default() } else { least }, tokens, now);
+        let growth = self.finders.earlier.last().map_or(Duration::ZERO, |(_, at)| *at);
+        let growth = growth.max(self.quiet_until);
+        if growth > now {
+            account.grow(share, growth, now);
+        }
+        Entry { account, epoch: self.finders.epoch, allowance: *allowance, homes }
+    }
+
+    /// Recomputes the share of an account after a change of the host list.
+    fn update(&mut self, key: &(Arc<str>, Arc<str>), now: Duration) {
+        let quiet_until = self.quiet_until;
+        let homes = self.finders.homes(&key.0, &key.1);
+        let Some(entry) = self.accounts.get_mut(key) else { return };
+        if entry.epoch == self.finders.epoch {
+            return;
+        }
+        entry.epoch = self.finders.epoch;
+        if entry.homes == homes {
+            return;
+        }
+        let share = share_of(&self.host, &homes, &entry.allowance);
+        entry.homes = homes;
+        entry.account.grow(share, (now + HANDOVER).max(quiet_until), now);
+    }
+
+    /// Recomputes the share of an account after a change of its allowance.
+    fn revise(&mut self, key: &(Arc<str>, Arc<str>), now: Duration) {
+        let Some(entry) = self.accounts.get_mut(key) else { return };
+        let share = share_of(&self.host, &entry.homes, &entry.allowance);
+        entry.account.revise(share, now);
+    }
+
+    fn lend(
+        &mut self,
+        from: &str,
+        request: &Request,
+        allowance: &Allowance,
+        now: Duration,
+    ) -> bool {
+        let key = self.enter(&request.customer, &request.service, allowance, now);
+        let from: Arc<str> = from.into();
+        let entry = self.accounts.get_mut(&key).expect("the account was just entered");
+        let grant = entry.account.lend(&from, request, now);
+        let made = grant.lent != Share::default();
+        self.outbox.push(Outgoing { to: from, message: Message::Grant(grant) });
+        made
+    }
+
+    /// Asks other homes for what is missing, and renews loans that are still needed.
+    fn ask(&mut self, key: &(Arc<str>, Arc<str>), now: Duration) {
+        let entry = self.accounts.get_mut(key).expect("the account was just entered");
+        let account = &mut entry.account;
+        let whole = Share { rate: entry.allowance.rate, burst: entry.allowance.burst };
+        let (wanted, usable) = (account.wanted(whole), account.usable());
+        let others: SmallVec<[&Arc<str>; 4]> =
+            entry.homes.iter().filter(|home| **home != self.host).collect();
+        account
+            .credits
+            .retain(|credit| credit.until().is_some() || others.contains(&&credit.lender));
+        let missing = wanted.less(usable);
+        let lacks = missing.rate > 0.0 || usable.burst < 1.0;
+        let more = Share { rate: missing.rate / others.len().max(1) as f64, ..missing };
+        let mut excess = usable.less(wanted);
+        for lender in others {
+            let credit = account.credit(lender);
+            let renew = credit.until().is_some_and(|until| until < now + RENEW_AHEAD);
+            if now < credit.next_ask || !(lacks || renew) {
+                continue;
+            }
+            let want = credit.loan.plus(more).less(excess);
+            excess = excess.less(credit.loan);
+            if want.rate <= 0.0 || want.burst <= 0.0 {
+                continue;
+            }
+            credit.ask(self.next_id, now);
+            credit.next_ask = now + ASK_INTERVAL;
+            let (customer, service) = key.clone();
+            let request = Request { id: self.next_id, customer, service, want };
+            self.next_id = self.next_id.wrapping_add(1);
+            let message = Message::Request(request);
+            self.outbox.push(Outgoing { to: Arc::clone(lender), message });
+        }
+    }
+}
+
+impl Finders {
+    fn homes(&self, customer: &str, service: &str) -> Homes {
+        self.current.as_ref().map_or_else(Homes::new, |finder| finder(customer, service))
+    }
+}
+
+impl Debug for Gate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gate")
+            .field("host", &self.host)
+            .field("accounts", &self.accounts.len())
+            .finish_non_exhaustive()
+    }
+}
+
+fn share_of(host: &str, homes: &[Arc<str>], allowance: &Allowance) -> Share {
+    match homes.iter().position(|home| &**home == host) {
+        Some(rank) => Share::of(allowance, rank, homes.len()),
+        None => Share::default(),
+    }
+}
