--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hosts;
 pub mod lease;
 pub mod leave;
+pub mod limit;
 pub mod member;
 pub mod policy;
 pub mod rumor;
