--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -7,8 +7,8 @@
 mod target;
 
 pub use self::{
-    load::run as run_load, platform::run as run_platform, relay::run as run_relay,
-    target::run as run_target,
+    agent::run as run_agent, load::run as run_load, platform::run as run_platform,
+    relay::run as run_relay, target::run as run_target,
 };
 
 use std::{env, ffi::OsString, future::Future};
