--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -6,12 +6,15 @@
 
 pub mod attempt;
 pub mod choice;
+pub mod claim;
 pub mod event;
 pub mod health;
 pub mod hlc;
 pub mod home;
 pub mod hosts;
+pub mod lease;
 pub mod leave;
+pub mod limit;
 pub mod member;
 pub mod policy;
 pub mod rumor;
