Take policies in through citron::policy::Copy

The proxy put shards together itself; the library's copy also holds heads back until all shards are there and refuses forked and earlier heads.

--- a/crates/citron-proxy/src/link.rs
+++ b/crates/citron-proxy/src/link.rs
@@ -159,7 +159,7 @@
 }
 
 fn apply_policy(shared: &Shared, assembly: &mut Assembly, message: &wire::Policy) {
-    let Some((revision, policy)) = assembly.take(message, shared.view.load().revision) else {
+    let Some((revision, policy)) = assembly.take(message) else {
         return;
     };
     change(shared, |view| view.with_policy(revision, policy));
--- a/crates/citron-proxy/src/view.rs
+++ b/crates/citron-proxy/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use citron::policy::{Digest, Head, Policy, Shard};
+use citron::policy::{self, Digest, Head, Policy};
 use citron_wire as wire;
 
 use crate::service::{Service, Target};
@@ -20,47 +20,40 @@
     pub members: Arc<BTreeMap<String, wire::Member>>,
 }
 
-/// Shards received so far, from which a policy is put together.
+/// Puts policies together from messages.
 #[derive(Debug, Default)]
 pub struct Assembly {
-    shards: BTreeMap<String, Shard>,
+    copy: policy::Copy,
 }
 
 impl Assembly {
-    /// Takes in a policy message; returns the policy if it is newer than `revision` and whole.
-    pub fn take(&mut self, message: &wire::Policy, revision: u64) -> Option<(u64, Policy)> {
+    /// Takes in a policy message; returns the revision and the policy that came into force by it.
+    pub fn take(&mut self, message: &wire::Policy) -> Option<(u64, Arc<Policy>)> {
+        let before = self.copy.revision();
+        let head: Head = serde_json::from_slice(&message.head.as_ref()?.json).ok()?;
+        log_refusal(self.copy.on_head(&head));
         for shard in &message.shards {
             let digest = Digest::from_hex(shard.digest.clone());
-            if let Some(decoded) = Shard::decode(&digest, &shard.json) {
-                self.shards.insert(shard.digest.clone(), decoded);
-            }
+            log_refusal(self.copy.on_shard(&digest, &shard.json));
         }
-        let head: Head = serde_json::from_slice(&message.head.as_ref()?.json).ok()?;
-        if head.revision <= revision {
-            return None;
-        }
-        let parts: Vec<&Shard> = head
-            .shards
-            .values()
-            .map(|part| self.shards.get(part.digest.as_str()))
-            .collect::<Option<_>>()?;
-        let policy = Shard::join(parts);
-        if let Err(error) = policy.check() {
-            log::warn!("policy revision {} is not valid: {error}", head.revision);
-            return None;
-        }
-        self.shards.retain(|digest, _| {
-            head.shards.values().any(|part| part.digest.as_str() == digest.as_str())
-        });
-        Some((head.revision, policy))
+        let applied = self.copy.applied()?;
+        (applied.head.revision > before)
+            .then(|| (applied.head.revision, Arc::clone(&applied.policy)))
+    }
+}
+
+fn log_refusal(result: Result<bool, policy::Refusal>) {
+    match result {
+        Ok(_) | Err(policy::Refusal::NotNeeded) => {}
+        Err(refusal) => log::warn!("a policy message was not taken in: {refusal}"),
     }
 }
 
 impl View {
     /// Returns this view with a newer policy.
-    pub fn with_policy(&self, revision: u64, policy: Policy) -> Self {
+    pub fn with_policy(&self, revision: u64, policy: Arc<Policy>) -> Self {
         assert!(revision > self.revision, "a policy must never be replaced by an older one");
-        let mut next = Self { policy: Some(Arc::new(policy)), revision, ..self.clone() };
+        let mut next = Self { policy: Some(policy), revision, ..self.clone() };
         next.add_services();
         next
     }
