Find callers' connections without a scan for each request

Every request that waited 50 ms read all open files of the process, so the work grew with the square of slow requests. One scan now serves all connections that are open by then; a remembered file number is checked by its addresses before use.

--- a/crates/citron-proxy/src/answer.rs
+++ b/crates/citron-proxy/src/answer.rs
@@ -30,7 +30,7 @@
     refusal::OUTCOME,
     service::Slot,
     shared::{InFlight, Shared},
-    socket::Connection,
+    socket::Finder,
 };
 
 /// The most bytes of an answer passed on at once.
@@ -51,8 +51,8 @@
 pub struct Route {
     /// The state of the proxy.
     pub shared: Arc<Shared>,
-    /// The address that the caller connected to.
-    pub local: SocketAddr,
+    /// Finds the caller's connection.
+    pub finder: Arc<Finder>,
     /// The caller's address.
     pub peer: Option<SocketAddr>,
     /// When the answer must have ended, since the process origin.
@@ -98,7 +98,7 @@
     /// Cuts the caller's connection.
     fn cut(&self) {
         self.shared.metrics.cut.inc();
-        match self.peer.map(|peer| Connection::find(self.local, peer)) {
+        match self.peer.map(|peer| self.finder.find(peer)) {
             Some(Ok(Some(connection))) => connection.cut(),
             Some(Ok(None)) | None => log::debug!("the caller's connection is already gone"),
             Some(Err(error)) => log::error!("cannot cut a caller's connection: {error}"),
@@ -150,7 +150,7 @@
         let route = &self.route;
         let limit = self.limit.get_or_insert_with(|| {
             let deadline = time::sleep_until(route.shared.clock.instant(route.deadline));
-            let gone = carry::caller_gone(route.local, route.peer);
+            let gone = carry::caller_gone(Arc::clone(&route.finder), route.peer);
             Box::pin(async move {
                 tokio::select! {
                     () = deadline => {}
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -19,7 +19,7 @@
     send::{self, Attempt},
     service::{Service, Slot},
     shared::Shared,
-    socket::Connection,
+    socket::Finder,
 };
 
 /// How long a request waits before its caller's connection is watched.
@@ -48,9 +48,9 @@
 }
 
 /// Waits until the caller from `peer` has gone away; forever if that cannot be found out.
-pub async fn caller_gone(local: SocketAddr, peer: Option<SocketAddr>) {
+pub async fn caller_gone(finder: Arc<Finder>, peer: Option<SocketAddr>) {
     time::sleep(WATCH_AFTER).await;
-    let closed = match peer.map(|peer| Connection::find(local, peer)) {
+    let closed = match peer.map(|peer| finder.find(peer)) {
         Some(Ok(Some(connection))) => connection.closed().await,
         // The HTTP server has noticed first and has closed its side.
         Some(Ok(None)) => Ok(()),
--- a/crates/citron-proxy/src/door.rs
+++ b/crates/citron-proxy/src/door.rs
@@ -1,6 +1,9 @@
 //! Takes requests from Rocket and hands each to the stages in turn.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
 
 use citron::attempt::Outcome;
 use citron_daemon::Server;
@@ -22,6 +25,7 @@
     refusal::{Reason, Refusal},
     send,
     shared::{InFlight, Shared},
+    socket::Finder,
 };
 
 /// How long Rocket lets requests end after its shutdown has begun, seconds; none is left by then.
@@ -43,6 +47,7 @@
 #[derive(Clone)]
 pub struct Door {
     shared: Arc<Shared>,
+    finder: Arc<OnceLock<Arc<Finder>>>,
 }
 
 /// Starts serving callers.
@@ -54,7 +59,7 @@
     let mut config = citron_daemon::config(addr);
     config.shutdown.grace = GRACE_S;
     config.shutdown.mercy = GRACE_S;
-    let door = Door { shared: Arc::clone(shared) };
+    let door = Door { shared: Arc::clone(shared), finder: Arc::default() };
     let routes: Vec<Route> =
         METHODS.iter().map(|&method| Route::new(method, "/<path..>", door.clone())).collect();
     let rocket =
@@ -111,7 +116,7 @@
         let (body, mut pump) = time::timeout_at(shared.clock.instant(deadline), taken)
             .await
             .map_err(|_| Reason::BodyTooSlow)??;
-        let (local, peer) = (local(request), request.remote());
+        let (finder, peer) = (self.finder(request), request.remote());
         let mut carriage = Carriage {
             shared,
             intake: &intake,
@@ -119,13 +124,13 @@
             admission: &admission,
             waited: Default::default(),
         };
-        let carry = carriage.carry(carry::caller_gone(local, peer));
+        let carry = carriage.carry(carry::caller_gone(Arc::clone(&finder), peer));
         let result = body::while_pumping(&mut pump, carry).await;
         let added = (shared.clock.now() - start).saturating_sub(carriage.waited);
         shared.metrics.added.observe(added.as_secs_f64());
         let carried = result.inspect_err(|refusal| self.count(&admission, *refusal))?;
         let status = carried.response.status().as_u16();
-        let route = answer::Route { shared: Arc::clone(shared), local, peer, deadline };
+        let route = answer::Route { shared: Arc::clone(shared), finder, peer, deadline };
         let holds = Holds { _in_flight: in_flight, _place: place };
         let Some(answer) = answer::answer(carried, route, pump, holds) else {
             let refusal = Refusal::internal();
@@ -145,10 +150,13 @@
         let service = &admission.service.name;
         self.shared.metrics.count_request(service, refusal.outcome, refusal.status);
     }
-}
 
-/// Returns the address that the server is bound to.
-fn local(request: &Request<'_>) -> SocketAddr {
-    let config = request.rocket().config();
-    SocketAddr::new(config.address, config.port)
+    /// Returns the finder for the address that the server is bound to.
+    fn finder(&self, request: &Request<'_>) -> Arc<Finder> {
+        let finder = self.finder.get_or_init(|| {
+            let config = request.rocket().config();
+            Arc::new(Finder::new(SocketAddr::new(config.address, config.port)))
+        });
+        Arc::clone(finder)
+    }
 }
--- a/crates/citron-proxy/src/socket.rs
+++ b/crates/citron-proxy/src/socket.rs
@@ -1,11 +1,13 @@
 //! Finds the TCP sockets of this process that Rocket does not hand out.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     os::fd::{BorrowedFd, OwnedFd, RawFd},
 };
 
+use parking_lot::Mutex;
 use rustix::{
     fs::{Dir, Mode, OFlags},
     io::Errno,
@@ -25,21 +27,56 @@
     fd: OwnedFd,
 }
 
-impl Connection {
-    /// Finds the connection from `peer` to the listening address `local`; there is none once the
-    /// HTTP server has closed it.
+/// Finds callers' connections, and remembers the numbers of the files it has seen.
+///
+/// One scan of the open files serves all connections that are open by then; a remembered number
+/// is checked before it is used, as the file may have been closed and the number reused.
+#[derive(Debug)]
+pub struct Finder {
+    local: SocketAddr,
+    known: Mutex<HashMap<SocketAddr, RawFd>>,
+}
+
+impl Finder {
+    /// Creates a finder of connections to the listening address `local`.
+    pub fn new(local: SocketAddr) -> Self {
+        Self { local, known: Mutex::default() }
+    }
+
+    /// Finds the connection from `peer`; there is none once the HTTP server has closed it.
     ///
     /// # Errors
     /// Fails if the open files of this process cannot be listed or duplicated.
-    pub fn find(local: SocketAddr, peer: SocketAddr) -> io::Result<Option<Self>> {
-        let found = find(|fd| {
-            let has_peer =
-                getpeername(fd).ok().flatten().and_then(|addr| addr.try_into().ok()) == Some(peer);
-            has_peer && local_addr(fd).is_some_and(|addr| addr.port() == local.port())
+    pub fn find(&self, peer: SocketAddr) -> io::Result<Option<Connection>> {
+        let known = self.known.lock().get(&peer).copied();
+        if let Some(Ok(fd)) = known.map(duplicate)
+            && self.peer_of(&fd) == Some(peer)
+        {
+            return Ok(Some(Connection { fd }));
+        }
+        let mut found = None;
+        let mut seen = HashMap::new();
+        scan(|raw, fd| {
+            if let Some(other) = self.peer_of(&fd) {
+                seen.insert(other, raw);
+                if other == peer {
+                    found = Some(Connection { fd });
+                }
+            }
+            true
         })?;
-        Ok(found.map(|fd| Self { fd }))
+        *self.known.lock() = seen;
+        Ok(found)
+    }
+
+    /// Returns the peer of a connection to the listening address.
+    fn peer_of(&self, fd: &OwnedFd) -> Option<SocketAddr> {
+        let is_ours = local_addr(fd).is_some_and(|addr| addr.port() == self.local.port());
+        if is_ours { getpeername(fd).ok()??.try_into().ok() } else { None }
     }
+}
 
+impl Connection {
     /// Ends the connection in both directions, so that an unfinished answer cannot end cleanly.
     pub fn cut(&self) {
         if let Err(error) = rustix::net::shutdown(&self.fd, Shutdown::Both) {
@@ -63,9 +100,16 @@
 
 /// Stops accepting connections on the listening address `local`.
 pub fn stop_listening(local: SocketAddr) {
-    let listener =
-        find(|fd| sockopt::socket_acceptconn(fd).unwrap_or(false) && local_addr(fd) == Some(local));
-    match listener {
+    let mut listener = None;
+    let scanned = scan(|_, fd| {
+        let matches =
+            sockopt::socket_acceptconn(&fd).unwrap_or(false) && local_addr(&fd) == Some(local);
+        if matches {
+            listener = Some(fd);
+        }
+        !matches
+    });
+    match scanned.map(|()| listener) {
         Ok(Some(fd)) => {
             if let Err(error) = rustix::net::shutdown(&fd, Shutdown::Both) {
                 log::warn!("cannot stop listening on {local}: {error}");
@@ -101,8 +145,8 @@
     getsockname(fd).ok()?.try_into().ok()
 }
 
-/// Returns a duplicate of the first open file that `matches`.
-fn find(matches: impl Fn(&OwnedFd) -> bool) -> io::Result<Option<OwnedFd>> {
+/// Shows `visit` a duplicate of each open file with its number, until it returns false.
+fn scan(mut visit: impl FnMut(RawFd, OwnedFd) -> bool) -> io::Result<()> {
     let flags = OFlags::RDONLY | OFlags::DIRECTORY | OFlags::CLOEXEC;
     let folder = rustix::fs::open(FD_FOLDER, flags, Mode::empty())?;
     for entry in Dir::read_from(&folder)? {
@@ -111,13 +155,17 @@
             continue;
         };
         match duplicate(raw) {
-            Ok(fd) if matches(&fd) => return Ok(Some(fd)),
+            Ok(fd) => {
+                if !visit(raw, fd) {
+                    return Ok(());
+                }
+            }
             // Another thread has closed it since.
-            Ok(_) | Err(Errno::BADF) => {}
+            Err(Errno::BADF) => {}
             Err(error) => return Err(error.into()),
         }
     }
-    Ok(None)
+    Ok(())
 }
 
 #[allow(unsafe_code)]
