--- a/crates/citron-proxy/tests/leaving.rs
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -76,6 +76,25 @@
         self.child.wait().expect("wait").code()
     }
 
+    /// Gives the target more slots than it began with.
+    async fn give_slots(&self, slots: u32) {
+        let entry = citron_wire::Target { slots, ..support::target_entry(0, self.target.addr) };
+        let table =
+            citron_wire::TargetTable { full: true, targets: vec![entry], ..Default::default() };
+        self.agent.send(citron_wire::update::Body::Targets(table));
+        // The policy follows on the same stream.
+        self.agent.send_policy(2, support::CUSTOMERS, support::GRANTS);
+        wait_for(|| async { self.status().await["revision"] == 2 }).await;
+    }
+
+    /// Checks for a while that the process goes on, as requests are unfinished.
+    async fn hold(&mut self) {
+        for _ in 0..30 {
+            assert!(self.child.try_wait().expect("wait").is_none(), "an answer is unfinished");
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    }
+
     async fn refuses_connections(&self) -> bool {
         TcpStream::connect(self.addr).await.is_err()
     }
@@ -117,7 +136,7 @@
         [process.begin(GET).await, process.begin(POST).await, process.begin(GET).await];
     process.terminate();
     wait_for(|| process.refuses_connections()).await;
-    assert!(process.child.try_wait().expect("wait").is_none(), "requests are in flight");
+    process.hold().await;
     for _ in 0..streams.len() {
         release.notify_one();
     }
@@ -161,19 +180,33 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_caller_that_reads_slowly_gets_its_whole_answer() {
-    const LENGTH: usize = 12_000_000;
-    let large: Script = Arc::new(|_| vec![support::answer("200 OK", "", &"x".repeat(LENGTH))]);
+async fn callers_that_read_slowly_get_their_whole_answers() {
+    // Between them these fill the buffers of the socket and of the HTTP server to any degree.
+    const CALLERS: usize = 24;
+    const STEP: usize = 300_000;
+    let large: Script = Arc::new(|seen| {
+        let size: usize = seen.header("x-size").expect("a size").parse().expect("a size");
+        vec![support::answer("200 OK", "", &"x".repeat(size))]
+    });
     let mut process = Process::start(large, "0").await;
-    let mut stream = process.begin(GET).await;
+    process.give_slots(CALLERS as u32).await;
+    let mut streams = Vec::new();
+    for i in 1..=CALLERS {
+        let request = GET.replace("host: x", &format!("host: x\r\nx-size: {}", i * STEP));
+        streams.push(process.begin(&request).await);
+    }
     process.terminate();
     wait_for(|| process.refuses_connections()).await;
-    for _ in 0..20 {
-        // Other connections come and go while this one waits to be read.
-        assert!(process.child.try_wait().expect("wait").is_none(), "an answer is unread");
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    // The largest are read first, until the others' answers are wholly in the buffers.
+    while process.status().await["in_flight"] != 0 {
+        let mut stream = streams.pop().expect("requests in flight have callers");
+        assert!(read_reply(&mut stream, false).await.whole);
+    }
+    process.hold().await;
+    assert!(!streams.is_empty(), "answers must be left in the buffers");
+    for stream in &mut streams {
+        let reply = read_reply(stream, false).await;
+        assert!(reply.whole, "{} bytes", reply.body.len());
     }
-    let reply = read_reply(&mut stream, false).await;
-    assert!(reply.whole && reply.body.len() == LENGTH, "{} bytes", reply.body.len());
     assert_eq!(process.ended().await, Some(0));
 }
