--- a/crates/citron-stand/src/bench/control/fleet.rs
+++ b/crates/citron-stand/src/bench/control/fleet.rs
@@ -1,46 +1,32 @@
-//! Agents as separate processes, started and stopped by the bench.
+//! Agents before one platform.
 
-use std::{
-    env,
-    io::{BufRead, BufReader},
-    process::{Child, Command, Stdio},
-    time::Duration,
-};
+use std::time::Duration;
 
-use citron_platform::{Host, Hosts, Role, State};
-use eyre::{bail, eyre};
-use serde_json::Value;
+use citron_platform::Hosts;
+use eyre::bail;
 use tokio::time::{Instant, sleep};
 
-use crate::platform::Platform;
+use crate::{bench::child::Agent, platform::Platform};
 
 /// The number of failure domains.
 const DOMAINS: usize = 11;
 /// How long agents may take to join.
 const JOIN_LIMIT: Duration = Duration::from_secs(60);
 
-/// Agents before one platform.
+/// Agents as separate processes.
 #[derive(Debug)]
 pub(super) struct Fleet {
-    agents: Vec<Agent>,
+    /// The agents.
+    pub(super) agents: Vec<Agent>,
     started: usize,
 }
 
-/// One agent.
-#[derive(Debug)]
-pub(super) struct Agent {
-    child: Child,
-    name: String,
-    domain: String,
-    ready: Value,
-}
-
 impl Fleet {
     /// Starts `size` agents and publishes them in the platform's host list.
     ///
     /// # Errors
     /// Fails if a process cannot be started.
-    pub(super) async fn spawn(platform: &Platform, size: usize) -> eyre::Result<Self> {
+    pub(super) fn spawn(platform: &Platform, size: usize) -> eyre::Result<Self> {
         let mut fleet = Self { agents: Vec::new(), started: 0 };
         for _ in 0..size {
             let agent = fleet.start(&platform.url(), "")?;
@@ -54,10 +40,9 @@
     ///
     /// # Errors
     /// Fails if a process cannot be started.
-    pub(super) async fn replace(&mut self, platform: &Platform) -> eyre::Result<()> {
+    pub(super) fn replace(&mut self, platform: &Platform) -> eyre::Result<()> {
         let index = self.started % self.agents.len();
-        let agent = self.start(&platform.url(), "")?;
-        self.agents[index] = agent;
+        self.agents[index] = self.start(&platform.url(), "")?;
         self.publish(platform);
         Ok(())
     }
@@ -70,38 +55,7 @@
         self.started += 1;
         let (name, domain) =
             (format!("entry-{}", self.started), format!("domain-{}", self.started % DOMAINS));
-        let mut args = vec![
-            "agent",
-            "--host",
-            &name,
-            "--domain",
-            &domain,
-            "--platform",
-            platform,
-            "--log",
-            "off",
-        ];
-        args.extend([
-            "--listen",
-            "127.0.0.1:0",
-            "--control",
-            "127.0.0.1:0",
-            "--gossip",
-            "127.0.0.1:0",
-        ]);
-        args.extend(["--seeds", seeds]);
-        let mut child =
-            Command::new(env::current_exe()?).args(&args).stdout(Stdio::piped()).spawn()?;
-        let stdout = child.stdout.take().ok_or_else(|| eyre!("the agent has no output"))?;
-        let mut line = String::new();
-        BufReader::new(stdout).read_line(&mut line)?;
-        let ready = serde_json::from_str(&line)?;
-        Ok(Agent { child, name, domain, ready })
-    }
-
-    /// Returns the agents.
-    pub(super) fn agents(&self) -> &[Agent] {
-        &self.agents
+        Agent::spawn(&name, &domain, platform, seeds)
     }
 
     /// Waits until every agent sees all others.
@@ -121,61 +75,12 @@
         Ok(())
     }
 
-    /// Stops all agents.
-    ///
-    /// # Errors
-    /// Fails if an agent cannot be waited for.
-    pub(super) fn stop(&mut self) -> eyre::Result<()> {
-        self.agents.clear();
-        Ok(())
-    }
-
     fn publish(&self, platform: &Platform) {
         let hosts = self.agents.iter().map(Agent::host).collect();
         platform.set_hosts(Hosts { hosts, ..Hosts::default() });
     }
 }
 
-impl Agent {
-    /// Returns the process id.
-    pub(super) fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Returns the address of the HTTP service.
-    pub(super) fn listen(&self) -> &str {
-        self.ready["listen"].as_str().unwrap_or_default()
-    }
-
-    /// Returns the gossip address.
-    pub(super) fn gossip(&self) -> &str {
-        self.ready["gossip"].as_str().unwrap_or_default()
-    }
-
-    fn host(&self) -> Host {
-        Host {
-            name: self.name.clone(),
-            role: Role::Entry,
-            domain: self.domain.clone(),
-            state: State::Live,
-            gossip: Some(self.gossip().to_owned()),
-            control: self.ready["control"].as_str().map(str::to_owned),
-            address: None,
-            service: None,
-            slots: None,
-            connections: None,
-        }
-    }
-}
-
-impl Drop for Agent {
-    fn drop(&mut self) {
-        // An agent that has ended already needs no kill.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 async fn members(listen: &str) -> eyre::Result<usize> {
     let text = reqwest::get(format!("http://{listen}/metrics")).await?.text().await?;
     let line = text.lines().find(|line| line.starts_with("citron_agent_members "));
--- a/crates/citron-stand/src/bench/control/mod.rs
+++ b/crates/citron-stand/src/bench/control/mod.rs
@@ -96,7 +96,7 @@
     let platform = platform::bind("127.0.0.1:0".parse()?, Hosts::default()).await?;
     let mut lists = policy::Lists::demo(1000);
     lists.publish(&platform.url()).await?;
-    let mut fleet = Fleet::spawn(&platform, size).await?;
+    let mut fleet = Fleet::spawn(&platform, size)?;
     fleet.wait_joined().await?;
     // Messages of the start have died down after a few protocol periods.
     sleep(WINDOW / 2).await;
@@ -115,13 +115,13 @@
             change += CHANGE_EVERY;
         }
         if Instant::now() >= replace {
-            fleet.replace(&platform).await?;
+            fleet.replace(&platform)?;
             replace += REPLACE_EVERY;
         }
         sleep(Duration::from_millis(50)).await;
     }
     let busy = Sample::take(&fleet, &platform).await?.since(&before);
-    fleet.stop()?;
+    drop(fleet);
     platform.stop().await;
     Ok((steady, busy))
 }
--- a/crates/citron-stand/src/bench/control/sample.rs
+++ b/crates/citron-stand/src/bench/control/sample.rs
@@ -46,8 +46,9 @@
     /// Fails if an agent has ended.
     pub(super) async fn take(fleet: &Fleet, platform: &Platform) -> eyre::Result<Self> {
         let mut nodes = BTreeMap::new();
-        for agent in fleet.agents() {
-            nodes.insert(agent.pid(), Node::read(agent.pid(), agent.listen()).await?);
+        for agent in &fleet.agents {
+            let pid = agent.child.pid();
+            nodes.insert(pid, Node::read(pid, agent.listen()).await?);
         }
         let calls = platform.calls();
         Ok(Self { at: Instant::now(), nodes, calls: calls.total(), waiting: calls.waiting_watches })
--- a/crates/citron-stand/src/bench/control/size.rs
+++ b/crates/citron-stand/src/bench/control/size.rs
@@ -2,17 +2,21 @@
 
 use std::time::Duration;
 
-use citron_platform::{Host, Hosts, Role, State};
+use citron_platform::{Host, Hosts};
 use eyre::bail;
 use tokio::time::{Instant, sleep};
 
 use super::{
-    fleet::{Agent, Fleet},
+    fleet::Fleet,
     sample::Node,
     slope::{Figure, push_lines},
 };
 use crate::{
-    bench::{Summary, policy::Lists},
+    bench::{
+        Summary,
+        child::{Agent, target},
+        policy::Lists,
+    },
     platform::{self, Mode},
 };
 
@@ -70,10 +74,10 @@
     let platform = platform::bind("127.0.0.1:0".parse()?, Hosts::default()).await?;
     let mut lists = Lists::sized(customers, SERVICES, ROUTES);
     lists.publish(&platform.url()).await?;
-    let mut fleet = Fleet::spawn(&platform, 1).await?;
+    let mut fleet = Fleet::spawn(&platform, 1)?;
     platform.set_hosts(Hosts { hosts: targets(), ..Hosts::default() });
-    let first = fleet.agents()[0].gossip().to_owned();
-    wait_known(&fleet.agents()[0], lists.revision()).await?;
+    let first = fleet.agents[0].gossip().to_owned();
+    wait_known(&fleet.agents[0], lists.revision()).await?;
 
     // The second agent has the first one only: the platform is away for it.
     let away = platform::bind("127.0.0.1:0".parse()?, Hosts::default()).await?;
@@ -83,14 +87,14 @@
     wait_known(&second, lists.revision()).await?;
     let start_ms = started.elapsed().as_secs_f64() * 1e3;
     sleep(Duration::from_secs(2)).await;
-    let before = Node::read(second.pid(), second.listen()).await?;
+    let before = Node::read(second.child.pid(), second.listen()).await?;
 
     lists.change();
     lists.publish(&platform.url()).await?;
     let published = Instant::now();
     wait_known(&second, lists.revision()).await?;
     let change_ms = published.elapsed().as_secs_f64() * 1e3;
-    let after = Node::read(second.pid(), second.listen()).await?;
+    let after = Node::read(second.child.pid(), second.listen()).await?;
     let row = Row {
         rss_mb: after.rss_mb,
         start_ms,
@@ -100,7 +104,7 @@
         change_bytes: after.peer - before.peer,
     };
     drop(second);
-    fleet.stop()?;
+    drop(fleet);
     away.stop().await;
     platform.stop().await;
     Ok(row)
@@ -123,22 +127,12 @@
 
 fn targets() -> Vec<Host> {
     (0..TARGETS)
-        .map(|index| Host {
-            name: format!("target-{index:05}"),
-            role: Role::Target,
-            domain: format!("domain-{}", index % 11),
-            state: State::Live,
-            address: Some(format!(
-                "127.{}.{}.{}:9000",
-                1 + index / 62_500,
-                index / 250 % 250,
-                index % 250
-            )),
-            service: Some(format!("service-{}", index % SERVICES)),
-            slots: Some(3),
-            connections: Some(400),
-            gossip: None,
-            control: None,
+        .map(|index| {
+            let address =
+                format!("127.{}.{}.{}:9000", 1 + index / 62_500, index / 250 % 250, index % 250);
+            let (service, domain) =
+                (format!("service-{}", index % SERVICES), format!("domain-{}", index % 11));
+            target(&format!("target-{index:05}"), &service, &address, &domain)
         })
         .collect()
 }
--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,7 +1,10 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod change;
+mod child;
 mod choice;
 mod control;
+mod latency;
 mod policy;
 
 use std::fmt::{self, Display, Formatter};
@@ -38,7 +41,12 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[("choice", choice::run), ("control", control::run)];
+pub const BENCHES: &[(&str, Bench)] = &[
+    ("change", change::run),
+    ("choice", choice::run),
+    ("control", control::run),
+    ("latency", latency::run),
+];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
 fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
--- a/crates/citron-stand/src/bench/policy.rs
+++ b/crates/citron-stand/src/bench/policy.rs
@@ -26,6 +26,17 @@
         Self::sized(customers, 4, 16)
     }
 
+    /// Returns lists whose allowances no load of one machine reaches.
+    pub(super) fn unlimited() -> Self {
+        let mut lists = Self::demo(1);
+        for plan in lists.policy.grants.plans.values_mut() {
+            plan.uses
+                .values_mut()
+                .for_each(|allowance| *allowance = Allowance { rate: 1e6, burst: 1e6 });
+        }
+        lists
+    }
+
     /// Returns lists of the given size.
     pub(super) fn sized(customers: usize, services: usize, routes: usize) -> Self {
         let mut policy = Policy::default();
--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -3,12 +3,13 @@
 mod agent;
 mod load;
 mod platform;
+mod proxy;
 mod relay;
 mod target;
 
 pub use self::{
     agent::run as run_agent, load::run as run_load, platform::run as run_platform,
-    relay::run as run_relay, target::run as run_target,
+    proxy::run as run_proxy, relay::run as run_relay, target::run as run_target,
 };
 
 use std::{env, ffi::OsString, future::Future};
--- a/crates/citron-stand/src/main.rs
+++ b/crates/citron-stand/src/main.rs
@@ -13,6 +13,7 @@
     ("relay", command::run_relay),
     ("load", command::run_load),
     ("agent", command::run_agent),
+    ("proxy", command::run_proxy),
     ("bench", bench),
 ];
 
