Prove the relay's cuts and shards under a foreign digest

The digest check could be taken out of Shard::decode without a failing test, since the tests only cut shards short and JSON caught that. They now also send a whole shard under another's digest. A close now passes the direction of a relay that is open; before, one cut direction held back both.

--- a/crates/citron-stand/src/relay/cut.rs
+++ b/crates/citron-stand/src/relay/cut.rs
@@ -107,9 +107,4 @@
         }
         cut
     }
-
-    /// Returns true if either direction is cut.
-    pub(super) fn is_silent(&self) -> bool {
-        self.is_cut(Direction::ToServer) || self.is_cut(Direction::ToClient)
-    }
 }
--- a/crates/citron-stand/src/relay/tcp.rs
+++ b/crates/citron-stand/src/relay/tcp.rs
@@ -51,7 +51,7 @@
     );
 }
 
-/// Passes one direction on until it ends; a close does not pass a cut either.
+/// Passes one direction on until it ends; a close does not pass a cut of its direction.
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
@@ -59,7 +59,7 @@
     flow: &Flow,
 ) -> io::Result<()> {
     let ended = pass_bytes(&mut from, &mut to, direction, flow).await;
-    if flow.is_silent() {
+    if flow.is_cut(direction) {
         // Keeps both halves open.
         return future::pending().await;
     }
--- a/crates/citron-stand/tests/policy/race.rs
+++ b/crates/citron-stand/tests/policy/race.rs
@@ -328,7 +328,9 @@
         let Some(digest) = wanted else { return };
         let mut bytes = self.shards[&digest].clone();
         if self.random.random_bool(0.05) {
-            bytes.pop();
+            // Another shard arrives under this digest.
+            let other = self.random.random_range(0..self.shards.len());
+            bytes = self.shards.values().nth(other).expect("the index is in range").clone();
         }
         // A shard that is not needed or corrupt is refused, which the copy's own tests cover.
         let _ = self.nodes[node].on_shard(&digest, &bytes);
--- a/crates/citron/tests/policy_copy.rs
+++ b/crates/citron/tests/policy_copy.rs
@@ -135,9 +135,12 @@
     let mut copy = Copy::default();
     copy.on_head(&first.head).unwrap();
     let (digest, bytes) = first.shards.first_key_value().unwrap();
-    let short = &bytes[..bytes.len() - 1];
-    assert_matches!(copy.on_shard(digest, short), Err(Refusal::Corrupt { .. }));
-    assert!(copy.missing().contains(digest));
+    let (_, other) = first.shards.last_key_value().unwrap();
+    // Cut short, and a whole shard under another's digest.
+    for corrupt in [&bytes[..bytes.len() - 1], other] {
+        assert_matches!(copy.on_shard(digest, corrupt), Err(Refusal::Corrupt { .. }));
+        assert!(copy.missing().contains(digest));
+    }
 });
 
 case!(foreign_shard_is_not_needed, |first, second| {
