--- a/crates/citron-stand/src/main.rs
+++ b/crates/citron-stand/src/main.rs
@@ -12,6 +12,7 @@
     ("target", command::run_target),
     ("relay", command::run_relay),
     ("load", command::run_load),
+    ("agent", command::run_agent),
     ("bench", bench),
 ];
 
