--- a/crates/citronctl/src/command/host.rs
+++ b/crates/citronctl/src/command/host.rs
@@ -7,7 +7,11 @@
 use serde_json::{Value, json};
 
 use super::Report;
-use crate::{Code, Settings, fleet::Fleet, timeline};
+use crate::{
+    Code, Settings,
+    fleet::{Fleet, Survey},
+    timeline,
+};
 
 /// The program that takes a drain command.
 const AGENT: &str = "citron-agent";
@@ -21,16 +25,7 @@
         .iter()
         .find(|(_, process)| process.host == host && process.program == AGENT);
     let Some((addr, _)) = agent else {
-        let hosts: Vec<&str> =
-            survey.processes.values().map(|process| process.host.as_str()).collect();
-        let problems = survey.problems.join("; ");
-        return Err(Report::fail(
-            Code::Unreachable,
-            format!(
-                "no agent of host {host:?} is known; known hosts: {}; give the address of its agent with --admin. {problems}",
-                hosts.join(", ")
-            ),
-        ));
+        return Err(Report::fail(Code::Unreachable, describe_unknown(host, &survey)));
     };
     let _: Value = fleet
         .call(Method::POST, *addr, "/drain")
@@ -67,6 +62,20 @@
     Ok(report)
 }
 
+fn describe_unknown(host: &str, survey: &Survey) -> String {
+    let known: BTreeSet<&str> =
+        survey.processes.values().map(|process| process.host.as_str()).collect();
+    let known: Vec<&str> = known.into_iter().collect();
+    let mut text = format!(
+        "no agent of host {host:?} is known, only of {}; give the address of its agent with --admin",
+        known.join(", ")
+    );
+    if !survey.problems.is_empty() {
+        text += &format!(" (no answer: {})", survey.problems.join("; "));
+    }
+    text
+}
+
 fn open(settings: &Settings) -> Result<Fleet, Report> {
     Fleet::open(settings.timeout).map_err(|error| Report::fail(Code::Failed, error))
 }
--- a/crates/citronctl/tests/cli.rs
+++ b/crates/citronctl/tests/cli.rs
@@ -1,77 +1,24 @@
 //! The program `citronctl`: settings, output and exit codes.
 
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    path::Path,
-    process::{Command, Output},
-};
+mod support;
 
-use citron_platform::Hosts;
-use citron_stand::platform::{Call, Mode, Platform, bind};
-use serde_json::Value;
-use tempfile::TempDir;
+use std::net::SocketAddr;
 
-const CUSTOMERS: &str = "[[customer]]\nname = \"izmir-roasters\"\nplan = \"roaster\"\n";
-const GRANTS: &str = r#"
-    service = [{ name = "lot-desk", profile = "careful", class = "live", floor = 0.7, deadline_ms = 5000 }]
-    plan = [{ name = "roaster", use = [{ service = "lot-desk", rate = 5.0, burst = 10.0 }] }]
-    route = [{ prefix = "/lots/", service = "lot-desk" }]
-"#;
-
-/// A platform and a folder with both lists.
-struct Bench {
-    platform: Platform,
-    folder: TempDir,
-}
-
-impl Bench {
-    async fn open() -> Self {
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let platform = bind(addr, Hosts::default()).await.unwrap();
-        let bench = Self { platform, folder: TempDir::new().unwrap() };
-        bench.write(CUSTOMERS, GRANTS);
-        bench
-    }
-
-    fn write(&self, customers: &str, grants: &str) {
-        std::fs::write(self.folder.path().join("customers.toml"), customers).unwrap();
-        std::fs::write(self.folder.path().join("grants.toml"), grants).unwrap();
-    }
-
-    /// Runs a command line in the folder of the lists, against the platform.
-    fn run(&self, line: &str) -> (i32, String, String) {
-        run(line, Some(self.folder.path()), &[("CITRON_PLATFORM", &self.platform.url())])
-    }
-
-    /// Runs a command line that must end with `code` and returns its output as JSON.
-    #[track_caller]
-    fn json(&self, code: i32, line: &str) -> Value {
-        let (got, out, err) = self.run(&format!("{line} --output json"));
-        assert_eq!(got, code, "{line}: {out}{err}");
-        serde_json::from_str(&out).unwrap()
-    }
-}
+use citron::event::Kind;
+use citron_daemon::{Admin, Clock, Recorder, bind_admin};
+use citron_stand::platform::{Call, Mode};
+use serde_json::json;
+use support::{Bench, CUSTOMERS, GRANTS, LOCAL, run};
 
 const APPLY: &str = "apply customers.toml grants.toml --as anadolu";
 
-fn run(line: &str, folder: Option<&Path>, variables: &[(&str, &str)]) -> (i32, String, String) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_citronctl"));
-    command.args(line.split_whitespace()).env_clear().envs(variables.iter().copied());
-    if let Some(folder) = folder {
-        command.current_dir(folder);
-    }
-    let Output { status, stdout, stderr } = command.output().unwrap();
-    let text = |bytes| String::from_utf8(bytes).unwrap();
-    (status.code().unwrap(), text(stdout), text(stderr))
-}
-
 /// Names a case of a command line that is refused before anything is sent; its message must
 /// contain each word.
 macro_rules! usage {
     ($name:ident, $line:expr, [$($variable:expr),*], [$($word:expr),+]) => {
         #[test]
         fn $name() {
-            let (code, out, err) = run($line, None, &[$($variable),*]);
+            let (code, out, err) = run($line, &[$($variable),*]);
             assert_eq!((code, out.as_str()), (2, ""), "{err}");
             $(assert!(err.contains($word), "{err} lacks {}", $word);)+
         }
@@ -129,13 +76,13 @@
 
 #[test]
 fn help_names_every_command_and_variable() {
-    let (code, out, _) = run("--help", None, &[]);
+    let (code, out, _) = run("--help", &[]);
     assert_eq!(code, 0);
     for word in ["check", "diff", "apply", "handover", "sweep", "status", "drain", "timeline"] {
         assert!(out.contains(word), "{word}");
     }
     assert!(out.contains("CITRON_PLATFORM") && out.contains("Exit codes"));
-    assert_eq!(run("--version", None, &[]).0, 0);
+    assert_eq!(run("--version", &[]).0, 0);
 }
 
 /// Names a case with a platform of its own.
@@ -281,3 +228,61 @@
     assert_eq!(code, 5);
     assert!(err.contains("entry-1") && err.contains("127.0.0.1:1"), "{err}");
 });
+
+/// Serves the status and events of a process; `members` are the agents that it knows.
+async fn serve(host: &str, members: &[SocketAddr]) -> (Admin, Recorder) {
+    let clock = Clock::start();
+    let recorder = Recorder::open(host, "citron-agent", clock);
+    let members: Vec<_> =
+        members.iter().map(|addr| json!({"admin": addr.to_string(), "state": "alive"})).collect();
+    let status = json!({"host": host, "program": "citron-agent", "members": members});
+    let drain = rocket::routes![drain];
+    let registry = prometheus::Registry::new();
+    let admin = bind_admin(
+        LOCAL.into(),
+        registry,
+        recorder.clone(),
+        move || status.clone(),
+        |rocket| rocket.mount("/", drain),
+    );
+    (admin.await.unwrap(), recorder)
+}
+
+#[rocket::post("/drain")]
+fn drain(recorder: &rocket::State<Recorder>) -> rocket::serde::json::Json<bool> {
+    recorder.record(Kind::Leaving, "drain", &[]);
+    rocket::serde::json::Json(true)
+}
+
+case!(timeline_orders_events_of_all_known_agents_by_cause, |bench| {
+    let (second, late) = serve("entry-2", &[]).await;
+    let (first, early) = serve("entry-1", &[second.addr()]).await;
+    // The second agent's clock lags behind the message that it has received.
+    early.observe(citron::hlc::Stamp { wall_ms: u64::MAX / 2, logical: 0 });
+    early.record(Kind::PolicyApplied, "1", &[("from", "platform")]);
+    late.observe(early.stamp());
+    late.record(Kind::PolicyApplied, "1", &[("from", "entry-1")]);
+    let events = bench.json(0, &format!("timeline --admin {}", first.addr()));
+    let hosts: Vec<_> = events.as_array().unwrap().iter().map(|event| &event["host"]).collect();
+    assert_eq!(hosts, ["entry-1", "entry-2"]);
+    let (code, out, err) = bench.run(&format!("timeline --admin {},127.0.0.1:1", first.addr()));
+    assert_eq!(code, 0);
+    assert!(out.contains("policy-applied") && out.contains("from=entry-1"), "{out}");
+    assert!(err.contains("127.0.0.1:1"), "{err}");
+});
+
+case!(drain_reaches_the_agent_of_the_host, |bench| {
+    let (second, drained) = serve("entry-2", &[]).await;
+    let (first, _) = serve("entry-1", &[second.addr()]).await;
+    bench.json(0, &format!("drain entry-2 --admin {}", first.addr()));
+    assert_eq!(drained.since(Default::default()).len(), 1);
+    let (code, _, err) = bench.run(&format!("drain entry-9 --admin {}", first.addr()));
+    assert_eq!(code, 5);
+    assert!(err.contains("entry-1, entry-2"), "{err}");
+});
+
+case!(status_shows_the_revision_at_each_process, |bench| {
+    let (first, _) = serve("entry-1", &[]).await;
+    let status = bench.json(0, &format!("status --admin {}", first.addr()));
+    assert_eq!(status["processes"][0]["host"], "entry-1");
+});
--- /dev/null
+++ b/crates/citronctl/tests/support/mod.rs
@@ -0,0 +1,96 @@
+//! A platform, a folder with both lists, and the program under test.
+
+#![allow(dead_code)] // Each test file uses a part.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    process::{Command, Output},
+    time::Duration,
+};
+
+use citron_platform::Hosts;
+use citron_stand::platform::{Platform, bind};
+use serde_json::Value;
+use tempfile::TempDir;
+
+pub const LOCAL: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
+
+/// How long a condition may take to come true.
+const LIMIT: Duration = Duration::from_secs(60);
+
+pub const CUSTOMERS: &str = "[[customer]]\nname = \"izmir-roasters\"\nplan = \"roaster\"\n";
+pub const GRANTS: &str = r#"
+    service = [{ name = "lot-desk", profile = "careful", class = "live", floor = 0.7, deadline_ms = 5000 }]
+    plan = [{ name = "roaster", use = [{ service = "lot-desk", rate = 5.0, burst = 10.0 }] }]
+    route = [{ prefix = "/lots/", service = "lot-desk" }]
+"#;
+
+/// A platform and a folder with both lists.
+pub struct Bench {
+    pub platform: Platform,
+    folder: TempDir,
+}
+
+impl Bench {
+    pub async fn open() -> Self {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = bind(addr, Hosts::default()).await.unwrap();
+        let bench = Self { platform, folder: TempDir::new().unwrap() };
+        bench.write(CUSTOMERS, GRANTS);
+        bench
+    }
+
+    pub fn write(&self, customers: &str, grants: &str) {
+        std::fs::write(self.folder.path().join("customers.toml"), customers).unwrap();
+        std::fs::write(self.folder.path().join("grants.toml"), grants).unwrap();
+    }
+
+    /// Runs a command line in the folder of the lists, against the platform.
+    pub fn run(&self, line: &str) -> (i32, String, String) {
+        output(self.command(line))
+    }
+
+    /// Returns the command of a command line.
+    pub fn command(&self, line: &str) -> Command {
+        command(line, Some(self.folder.path()), &[("CITRON_PLATFORM", &self.platform.url())])
+    }
+
+    /// Runs a command line that must end with `code` and returns its output as JSON.
+    #[track_caller]
+    pub fn json(&self, code: i32, line: &str) -> Value {
+        let (got, out, err) = self.run(&format!("{line} --output json"));
+        assert_eq!(got, code, "{line}: {out}{err}");
+        serde_json::from_str(&out).unwrap()
+    }
+}
+
+/// Runs a command line with just these environment variables.
+pub fn run(line: &str, variables: &[(&str, &str)]) -> (i32, String, String) {
+    output(command(line, None, variables))
+}
+
+fn command(line: &str, folder: Option<&Path>, variables: &[(&str, &str)]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_citronctl"));
+    command.args(line.split_whitespace()).env_clear().envs(variables.iter().copied());
+    if let Some(folder) = folder {
+        command.current_dir(folder);
+    }
+    command
+}
+
+fn output(mut command: Command) -> (i32, String, String) {
+    let Output { status, stdout, stderr } = command.output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (status.code().unwrap(), text(stdout), text(stderr))
+}
+
+/// Polls a condition that another process brings about.
+pub async fn until(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, wait).await.expect("the condition must come true");
+}
