--- a/crates/citron-agent/src/claims.rs
+++ b/crates/citron-agent/src/claims.rs
@@ -1,14 +1,250 @@
-//! Decides claims of idempotency keys.
+//! Decides claims of idempotency keys with the platform, at the key's home or here.
 
-use citron_wire::{Claim, ClaimResult};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
-/// Decides claims; until they can be kept on the platform none is granted.
-#[derive(Debug, Default)]
-pub struct Claims;
+use citron::{
+    claim::{self, Bucket, Read, Request, Verdict, Write},
+    home::{self, Host},
+    member::State,
+};
+use citron_platform::{Client, Error, Expect, Version};
+use citron_wire::{Claim, ClaimRequest, ClaimResult};
+use futures::future::join_all;
+use parking_lot::Mutex;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{core::Core, peer::Peers};
+
+/// The kind of the objects that hold claims.
+pub const KIND: &str = "claims";
+/// How long the home of a key may take until the claim is decided here.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The time between two looks at a bucket's timers.
+const TICK: Duration = Duration::from_millis(20);
+/// How long the task of an idle bucket is kept.
+const IDLE: Duration = Duration::from_secs(60);
+/// Claims that wait for a bucket's task.
+const CLAIM_CAPACITY: usize = 1024;
+
+/// Decides claims.
+#[derive(Debug)]
+pub struct Claims {
+    core: Arc<Core>,
+    client: Client,
+    peers: Arc<Peers>,
+    buckets: Mutex<BTreeMap<String, mpsc::Sender<Ask>>>,
+}
+
+/// A claim and where to answer it.
+#[derive(Debug)]
+struct Ask {
+    claim: Claim,
+    answer: oneshot::Sender<Verdict>,
+}
 
 impl Claims {
-    /// Returns one result per claim, in order.
-    pub async fn decide(&self, claims: Vec<Claim>) -> Vec<ClaimResult> {
-        claims.iter().map(|_| ClaimResult::Undecided).collect()
+    /// Opens the claims of this agent.
+    pub fn open(core: Arc<Core>, client: Client, peers: Arc<Peers>) -> Self {
+        Self { core, client, peers, buckets: Mutex::default() }
+    }
+
+    /// Returns one result per claim, in order; claims that were forwarded are decided here.
+    pub async fn decide(&self, claims: Vec<Claim>, forwarded: bool) -> Vec<ClaimResult> {
+        let decided = claims.into_iter().map(|claim| self.decide_one(claim, forwarded));
+        join_all(decided).await
+    }
+
+    async fn decide_one(&self, claim: Claim, forwarded: bool) -> ClaimResult {
+        let bucket = claim::bucket_of(&claim.digest);
+        let home = if forwarded { None } else { self.home(&bucket) };
+        let remote = match home {
+            Some(control) => self.forward(&control, claim.clone()).await,
+            None => None,
+        };
+        let result = match remote {
+            Some(result) => result,
+            None => self.decide_here(bucket, claim).await,
+        };
+        let label = match result {
+            ClaimResult::Granted => "granted",
+            ClaimResult::Taken => "taken",
+            ClaimResult::Undecided | ClaimResult::Unspecified => "undecided",
+        };
+        self.core.metrics.claims.with_label_values(&[label]).inc();
+        result
+    }
+
+    /// Returns the control address of the bucket's home, or `None` if that is this host.
+    ///
+    /// The home only makes batches larger; any member decides as correctly.
+    fn home(&self, bucket: &str) -> Option<String> {
+        self.core.with_members(|members| {
+            let alive = members.others().filter(|member| member.record.state == State::Alive);
+            let mut hosts: Vec<Host<'_>> = alive
+                .map(|member| Host { name: &member.record.host, domain: &member.record.domain })
+                .collect();
+            let me = members.me();
+            hosts.push(Host { name: &me.host, domain: &me.domain });
+            let first = *home::rank(&["claims", bucket], &hosts).first()?;
+            members.get(first).map(|member| member.record.addresses.control.clone())
+        })
+    }
+
+    /// Returns the home's result, or `None` if it gave none.
+    async fn forward(&self, control: &str, claim: Claim) -> Option<ClaimResult> {
+        let mut client = self.peers.client(control)?;
+        self.core.metrics.peer_calls.with_label_values(&["claim"]).inc();
+        let request = ClaimRequest { stamp: None, claims: vec![claim], forwarded: true };
+        let reply = time::timeout(FORWARD_TIMEOUT, client.claim(request)).await;
+        let Ok(Ok(reply)) = reply else {
+            self.peers.forget(control);
+            return None;
+        };
+        let result = *reply.into_inner().results.first()?;
+        ClaimResult::try_from(result).ok().filter(|result| *result != ClaimResult::Unspecified)
+    }
+
+    async fn decide_here(&self, bucket: String, claim: Claim) -> ClaimResult {
+        let (answer, verdict) = oneshot::channel();
+        let ask = Ask { claim, answer };
+        // A task that just ended takes nothing more; the claim then has no verdict.
+        if self.task(bucket).send(ask).await.is_err() {
+            return ClaimResult::Undecided;
+        }
+        match verdict.await {
+            Ok(Verdict::Granted) => ClaimResult::Granted,
+            Ok(Verdict::Taken) => ClaimResult::Taken,
+            Ok(Verdict::Undecided) | Err(_) => ClaimResult::Undecided,
+        }
+    }
+
+    /// Returns the queue of the bucket's task, which is started if there is none.
+    fn task(&self, bucket: String) -> mpsc::Sender<Ask> {
+        let mut buckets = self.buckets.lock();
+        buckets.retain(|_, queue| !queue.is_closed());
+        let queue = buckets.entry(bucket.clone()).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(CLAIM_CAPACITY);
+            let task = Task {
+                core: self.core.clone(),
+                client: self.client.clone(),
+                name: bucket,
+                bucket: Bucket::new(),
+                tickets: HashMap::new(),
+                last_ticket: 0,
+                results: mpsc::channel(1),
+            };
+            tokio::spawn(task.run(receiver));
+            sender
+        });
+        queue.clone()
+    }
+}
+
+/// The result of a call to the platform.
+#[derive(Debug)]
+enum Done {
+    Read(Read),
+    Written(Write),
+}
+
+/// Carries out what one bucket asks for.
+struct Task {
+    core: Arc<Core>,
+    client: Client,
+    name: String,
+    bucket: Bucket,
+    tickets: HashMap<u64, oneshot::Sender<Verdict>>,
+    last_ticket: u64,
+    results: (mpsc::Sender<Done>, mpsc::Receiver<Done>),
+}
+
+impl Task {
+    async fn run(mut self, mut asks: mpsc::Receiver<Ask>) {
+        let mut idle_since = self.core.now();
+        loop {
+            let requests = tokio::select! {
+                ask = asks.recv() => match ask {
+                    Some(ask) => self.take(ask),
+                    None => return,
+                },
+                Some(done) = self.results.1.recv() => self.finish(done),
+                () = time::sleep(TICK), if !self.bucket.is_idle() => {
+                    self.bucket.tick(self.core.now(), self.core.recorder.clock().wall_ms())
+                }
+                () = time::sleep(IDLE), if self.bucket.is_idle() => {
+                    if self.core.now().saturating_sub(idle_since) >= IDLE {
+                        asks.close();
+                    }
+                    Vec::new()
+                }
+            };
+            if !requests.is_empty() {
+                idle_since = self.core.now();
+            }
+            for request in requests {
+                self.carry_out(request);
+            }
+        }
+    }
+
+    fn take(&mut self, ask: Ask) -> Vec<Request> {
+        self.last_ticket += 1;
+        self.tickets.insert(self.last_ticket, ask.answer);
+        let (now, wall_ms) = (self.core.now(), self.core.recorder.clock().wall_ms());
+        let Claim { digest, owner } = &ask.claim;
+        self.bucket.claim(self.last_ticket, digest, owner, now, wall_ms)
+    }
+
+    fn finish(&mut self, done: Done) -> Vec<Request> {
+        let (now, wall_ms) = (self.core.now(), self.core.recorder.clock().wall_ms());
+        match done {
+            Done::Read(read) => self.bucket.read(read, now, wall_ms),
+            Done::Written(write) => self.bucket.written(write, now, wall_ms),
+        }
+    }
+
+    fn carry_out(&mut self, request: Request) {
+        let (client, name, sender) =
+            (self.client.clone(), self.name.clone(), self.results.0.clone());
+        let calls = &self.core.metrics.platform_calls;
+        match request {
+            Request::Answer { ticket, verdict } => {
+                if let Some(answer) = self.tickets.remove(&ticket) {
+                    // The claimant may have gone away.
+                    let _ = answer.send(verdict);
+                }
+            }
+            Request::Read => {
+                calls.with_label_values(&["claims-read"]).inc();
+                tokio::spawn(async move {
+                    let read = match client.get(KIND, &name).await {
+                        Ok(Some(object)) => Read::Found(object.version.0, object.value),
+                        Ok(None) => Read::Absent,
+                        Err(_) => Read::Failed,
+                    };
+                    let _ = sender.send(Done::Read(read)).await;
+                });
+            }
+            Request::Write { value, expect } => {
+                calls.with_label_values(&["claims-write"]).inc();
+                tokio::spawn(async move {
+                    let expect = expect.map_or(Expect::Absent, |v| Expect::Version(Version(v)));
+                    let written = match client.put(KIND, &name, &value, expect).await {
+                        Ok(version) => Write::Done(version.0),
+                        Err(Error::Conflict { .. }) => Write::Conflict,
+                        Err(Error::Unknown { .. }) => Write::Unknown,
+                        Err(_) => Write::Failed,
+                    };
+                    let _ = sender.send(Done::Written(written)).await;
+                });
+            }
+        }
     }
 }
--- a/crates/citron-agent/src/control.rs
+++ b/crates/citron-agent/src/control.rs
@@ -69,7 +69,8 @@
     }
 
     async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
-        let results = self.claims.decide(request.into_inner().claims).await;
+        let request = request.into_inner();
+        let results = self.claims.decide(request.claims, request.forwarded).await;
         Ok(Response::new(ClaimReply { results: results.into_iter().map(i32::from).collect() }))
     }
 
--- a/crates/citron-agent/src/lib.rs
+++ b/crates/citron-agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod shelf;
 mod spread;
+mod sweep;
 
 pub use self::{
     core::{Core, Hint, Lists, Notice},
@@ -87,7 +88,7 @@
             .map_err(|error| eyre::eyre!("--platform cannot be used: {error}"))?;
 
         let (peers, socket) = (Arc::new(Peers::default()), Arc::new(socket));
-        let claims = Arc::new(Claims);
+        let claims = Arc::new(Claims::open(core.clone(), client.clone(), peers.clone()));
         let mut tasks = JoinSet::new();
         tasks.spawn(gossip::tick(core.clone()));
         tasks.spawn(gossip::send(core.clone(), socket.clone(), queues.datagrams));
@@ -95,6 +96,7 @@
         tasks.spawn(spread::follow(core.clone(), peers.clone(), queues.hints));
         tasks.spawn(spread::start(core.clone(), peers.clone()));
         tasks.spawn(spread::compare(core.clone(), peers));
+        tasks.spawn(sweep::run(core.clone(), client.clone()));
         let reader = Reader::open(core.clone(), client);
         tasks.spawn(reader.clone().follow_policy());
         tasks.spawn(reader.follow_hosts());
--- /dev/null
+++ b/crates/citron-agent/src/sweep.rs
@@ -0,0 +1,135 @@
+//! Removes expired claims from the platform, under a lease so that one agent does it at a time.
+
+use std::{sync::Arc, time::Duration};
+
+use citron::{
+    claim::Table,
+    event::Kind,
+    lease::{Answer, Lease, Permit, Record, Request},
+};
+use citron_platform::{Client, Error, Expect, Version};
+use tokio::time;
+
+use crate::{claims::KIND, core::Core};
+
+/// The lease's object.
+const LEASE: (&str, &str) = ("leases", "claims-sweep");
+/// The time between two looks at the lease's timers.
+const TICK: Duration = Duration::from_millis(500);
+/// The time between two sweeps by the holder.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+/// The time between two looks at the lease by agents that are not watchers.
+const IDLE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Takes part in the lease and sweeps while it is held, for good.
+pub async fn run(core: Arc<Core>, client: Client) {
+    let mut sweep = Sweep { lease: Lease::open(&core.settings.host), core, client, next: None };
+    loop {
+        time::sleep(TICK).await;
+        // The watchers of the platform take turns; so the calls grow with the failure domains.
+        if sweep.lease.permit(sweep.core.now()).is_none() && !sweep.core.is_watcher() {
+            time::sleep(IDLE_INTERVAL).await;
+            continue;
+        }
+        sweep.advance().await;
+    }
+}
+
+struct Sweep {
+    core: Arc<Core>,
+    client: Client,
+    lease: Lease,
+    /// When the next sweep is due, while the lease is held.
+    next: Option<Duration>,
+}
+
+impl Sweep {
+    async fn advance(&mut self) {
+        let held = self.lease.permit(self.core.now());
+        if let Some(request) = self.lease.tick(self.core.now()) {
+            let answer = self.call(request).await;
+            self.lease.take(answer, self.core.now());
+        }
+        let holds = self.lease.permit(self.core.now());
+        self.record(held, holds);
+        let Some(permit) = holds else {
+            self.next = None;
+            return;
+        };
+        let now = self.core.now();
+        if now >= *self.next.get_or_insert(now + SWEEP_INTERVAL) {
+            self.next = Some(now + SWEEP_INTERVAL);
+            if let Err(error) = self.sweep(permit).await {
+                log::debug!("a sweep of claims ended early: {error}");
+            }
+        }
+    }
+
+    fn record(&self, before: Option<Permit>, after: Option<Permit>) {
+        match (before, after) {
+            (None, Some(permit)) => {
+                let term = permit.term.to_string();
+                self.core.recorder.record(Kind::LeaseTaken, LEASE.1, &[("term", &term)]);
+            }
+            (Some(permit), None) => {
+                let term = permit.term.to_string();
+                self.core.recorder.record(Kind::LeaseLost, LEASE.1, &[("term", &term)]);
+            }
+            _ => {}
+        }
+    }
+
+    async fn call(&self, request: Request) -> Answer {
+        let calls = &self.core.metrics.platform_calls;
+        match request {
+            Request::Read => {
+                calls.with_label_values(&["lease-read"]).inc();
+                match self.client.get(LEASE.0, LEASE.1).await {
+                    Ok(Some(object)) => match serde_json::from_slice::<Record>(&object.value) {
+                        Ok(record) => Answer::Read(Some((object.version.0, record))),
+                        Err(_) => Answer::Failed,
+                    },
+                    Ok(None) => Answer::Read(None),
+                    Err(_) => Answer::Failed,
+                }
+            }
+            Request::Write { record, expect } => {
+                calls.with_label_values(&["lease-write"]).inc();
+                let Ok(value) = serde_json::to_vec(&record) else { return Answer::Failed };
+                let expect = expect.map_or(Expect::Absent, |v| Expect::Version(Version(v)));
+                match self.client.put(LEASE.0, LEASE.1, &value, expect).await {
+                    Ok(version) => Answer::Written(version.0),
+                    Err(_) => Answer::Failed,
+                }
+            }
+        }
+    }
+
+    /// Removes expired claims from every bucket, as long as the permit lasts.
+    async fn sweep(&self, permit: Permit) -> Result<(), Error> {
+        let calls = &self.core.metrics.platform_calls;
+        calls.with_label_values(&["claims-list"]).inc();
+        for entry in self.client.list(KIND).await? {
+            if self.core.now() >= permit.until {
+                return Ok(());
+            }
+            calls.with_label_values(&["claims-read"]).inc();
+            let Some(object) = self.client.get(KIND, &entry.name).await? else { continue };
+            let Some(mut table) = Table::decode(&object.value) else { continue };
+            // A higher term means that another holder has swept since.
+            let wall_ms = self.core.recorder.clock().wall_ms();
+            if table.term > permit.term || !table.expire(wall_ms) {
+                continue;
+            }
+            table.term = permit.term;
+            calls.with_label_values(&["claims-write"]).inc();
+            // The condition makes the write vain if anybody wrote the bucket since it was read.
+            let expect = Expect::Version(object.version);
+            match self.client.put(KIND, &entry.name, &table.encode(), expect).await {
+                Ok(_) | Err(Error::Conflict { .. }) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/citron-agent/tests/support/mod.rs
+++ b/crates/citron-agent/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A fleet of agents in this process, with the stand-in of the platform.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use citron::policy::{Head, Policy, Shard, ShardRef};
--- a/crates/citron-wire/src/generated.rs
+++ b/crates/citron-wire/src/generated.rs
@@ -279,6 +279,9 @@
     pub stamp: ::core::option::Option<Stamp>,
     #[prost(message, repeated, tag = "2")]
     pub claims: ::prost::alloc::vec::Vec<Claim>,
+    /// True when the caller passes claims on; the receiver then decides them itself.
+    #[prost(bool, tag = "3")]
+    pub forwarded: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Claim {
--- a/crates/citron/tests/member.rs
+++ b/crates/citron/tests/member.rs
@@ -88,6 +88,16 @@
     assert_eq!(net.node(3).dead, Vec::<String>::new());
     assert!(net.is_whole());
 });
+case!(a_pause_is_not_counted_against_a_suspect, 9, |net| {
+    net.node(5).paused = true;
+    net.run_until(SOON, "suspected", |net| net.sees(3, 5) == Some(State::Suspect));
+    net.node(5).paused = false;
+    net.node(3).paused = true;
+    net.run(secs(60));
+    net.node(3).paused = false;
+    net.run(secs(30));
+    assert_eq!(net.node(3).dead, Vec::<String>::new());
+});
 case!(a_host_that_nobody_reaches_doubts_itself, 9, |net| {
     net.split(|host| host == 4);
     net.run(secs(20));
@@ -130,6 +140,9 @@
     let now = net.now;
     let actions = net.node(0).members.list(&listed, now);
     net.carry_out(&name(0), actions);
+    for host in 1..5 {
+        assert_eq!(net.sees(0, host), Some(State::Alive), "the list must not kill");
+    }
     let unheard = net.node(0).members.get("host-900").unwrap().clone();
     assert!(unheard.listed && unheard.record.state == State::Dead);
     net.run(secs(60));
