--- /dev/null
+++ b/crates/citron/tests/hosts.rs
@@ -0,0 +1,116 @@
+//! The host list's copies and the buffers of news.
+
+use std::{collections::BTreeMap, env};
+
+use citron::{
+    hosts::Table,
+    rumor::{self, Buffer},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+type List = BTreeMap<String, u32>;
+
+/// Returns the list that follows `list`.
+fn edit(list: &List, rng: &mut ChaCha8Rng) -> List {
+    let mut list = list.clone();
+    for _ in 0..rng.random_range(1..4) {
+        let name = format!("target-{}", rng.random_range(0..12));
+        if rng.random_bool(0.4) {
+            list.remove(&name);
+        } else {
+            list.insert(name, rng.random_range(0..3));
+        }
+    }
+    list
+}
+
+fn content(table: &Table<u32>) -> List {
+    table.iter().map(|(name, value)| (name.to_owned(), *value)).collect()
+}
+
+fn setting(variable: &str, default: u64) -> u64 {
+    env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn random_copies_equal_the_list_of_their_version() {
+    for seed in 0..setting("CITRON_SEEDS", 20) {
+        println!(
+            "CITRON_SEEDS={} cargo test -p citron --test hosts random (seed {seed})",
+            seed + 1
+        );
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut history = vec![List::new()];
+        let mut copies = vec![Table::new(); 5];
+        // What a listener has that started from a copy and followed its changes.
+        let mut followers = vec![List::new(); 5];
+        for _ in 0..setting("CITRON_STEPS", 400) {
+            if rng.random_bool(0.3) {
+                let next = edit(&history[history.len() - 1], &mut rng);
+                history.push(next);
+            }
+            let index = rng.random_range(0..5);
+            let before = copies[index].version();
+            let changes = if rng.random_bool(0.2) {
+                // The platform's list lags, and may be older than what a copy has.
+                let version = rng.random_range(0..history.len());
+                copies[index].install(version as u64, &history[version])
+            } else {
+                let other = rng.random_range(0..5);
+                let given = copies[other].since(before);
+                copies[index].apply(&given)
+            };
+            assert!(copies[index].version() >= before, "a version went back");
+            followers[index].extend(changes.entries.iter().cloned());
+            followers[index].retain(|name, _| !changes.removed.contains(name));
+            let expected = &history[copies[index].version() as usize];
+            assert_eq!(&content(&copies[index]), expected, "seed {seed}");
+            assert_eq!(&followers[index], expected, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn changes_are_small_between_versions_that_a_copy_held() {
+    let mut list: List = (0..100).map(|i| (format!("target-{i}"), 0)).collect();
+    let mut table = Table::new();
+    table.install(1, &list);
+    list.insert("target-7".to_owned(), 1);
+    table.install(2, &list);
+    let changes = table.since(1);
+    assert!(!changes.full);
+    assert_eq!(changes.entries, [("target-7".to_owned(), 1)]);
+    assert!(table.since(0).full);
+}
+
+#[test]
+fn news_is_sent_the_same_number_of_times_within_the_budget() {
+    let mut buffer = Buffer::new(100);
+    (0..20).for_each(|i| buffer.put(&format!("key-{i}"), i, 100));
+    let mut sent = [0; 20];
+    while !buffer.is_empty() {
+        let taken = buffer.fill(350, 6);
+        assert!(taken.len() <= 3);
+        taken.into_iter().for_each(|i: usize| sent[i] += 1);
+    }
+    assert_eq!(sent, [6; 20]);
+}
+
+#[test]
+fn newer_news_replaces_older_and_a_full_buffer_drops_what_was_sent_most() {
+    let mut buffer = Buffer::new(2);
+    buffer.put("a", 1, 10);
+    buffer.put("a", 2, 10);
+    assert_eq!(buffer.fill(100, 5), [2]);
+    buffer.put("b", 3, 10);
+    buffer.put("c", 4, 10);
+    assert_eq!(buffer.len(), 2);
+    assert_eq!(buffer.fill(100, 5), [3, 4]);
+}
+
+#[test]
+fn transmissions_grow_with_the_logarithm_of_the_members() {
+    assert!(rumor::transmissions(2900) <= 2 * rumor::transmissions(54));
+    assert!(rumor::transmissions(4) < rumor::transmissions(54));
+}
