--- a/crates/citron-agent/src/control.rs
+++ b/crates/citron-agent/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, pin::Pin, sync::Arc};
 
+use citron::policy::{Applied, Digest};
 use citron_wire::{
     self as wire, ClaimReply, ClaimRequest, HeadRequest, Report, ShardRequest, TablesRequest,
     Update, agent_server::Agent, report, update,
@@ -61,7 +62,7 @@
         request: Request<ShardRequest>,
     ) -> Result<Response<wire::Shard>, Status> {
         let digest = request.into_inner().digest;
-        let json = self.core.with_policy(|copy| copy.shards.get(&digest).cloned());
+        let json = self.core.with_policy(|copy| copy.shard(&Digest::from_hex(&*digest)));
         match json {
             Some(json) => Ok(Response::new(wire::Shard { digest, json: json.to_vec() })),
             None => Err(Status::not_found("the policy in force here has no such shard")),
@@ -103,11 +104,14 @@
     }
 }
 
+/// Returns the head in force; revision 0 says that there is none.
 fn head(core: &Core) -> wire::Head {
-    core.with_policy(|copy| wire::Head {
-        revision: copy.head.revision,
-        json: copy.head_json.to_vec(),
-    })
+    core.with_policy(|copy| copy.applied().map_or_else(wire::Head::default, encode))
+}
+
+fn encode(applied: &Applied) -> wire::Head {
+    let json = serde_json::to_vec(&applied.head).expect("a head has only string keys");
+    wire::Head { revision: applied.head.revision, json }
 }
 
 /// Takes what the attached proxy reports until it goes away.
@@ -147,7 +151,7 @@
     core: Arc<Core>,
     sender: mpsc::Sender<Update>,
     /// Digests of the shards that were sent with the last policy.
-    sent: BTreeSet<String>,
+    sent: BTreeSet<Digest>,
     /// The revision that was sent last.
     revision: u64,
 }
@@ -214,18 +218,19 @@
     }
 
     async fn send_policy(&mut self) -> Option<()> {
-        let (policy, digests) = self.core.with_policy(|copy| {
-            let fresh = copy.shards.iter().filter(|(digest, _)| !self.sent.contains(*digest));
-            let shards = fresh
-                .map(|(digest, json)| wire::Shard { digest: digest.clone(), json: json.to_vec() });
-            let head = wire::Head { revision: copy.head.revision, json: copy.head_json.to_vec() };
-            let policy = wire::Policy { head: Some(head), shards: shards.collect() };
-            (policy, copy.shards.keys().cloned().collect())
+        let policy = self.core.with_policy(|copy| {
+            let applied = copy.applied().filter(|applied| applied.head.revision > self.revision)?;
+            let digests = applied.head.shards.values().map(|shard| shard.digest.clone());
+            let digests: BTreeSet<Digest> = digests.collect();
+            let fresh = digests.difference(&self.sent);
+            let shards = fresh.filter_map(|digest| {
+                let json = copy.shard(digest)?.to_vec();
+                Some(wire::Shard { digest: digest.to_string(), json })
+            });
+            let policy = wire::Policy { head: Some(encode(applied)), shards: shards.collect() };
+            Some((policy, applied.head.revision, digests))
         });
-        let revision = policy.head.as_ref().map_or(0, |head| head.revision);
-        if revision <= self.revision {
-            return Some(());
-        }
+        let Some((policy, revision, digests)) = policy else { return Some(()) };
         self.revision = revision;
         self.sent = digests;
         self.send(update::Body::Policy(policy)).await
--- /dev/null
+++ b/crates/citron-agent/src/core/members.rs
@@ -0,0 +1,215 @@
+//! The membership: what goes in, and what it asks for.
+
+use std::collections::BTreeSet;
+
+use citron::{
+    event::Kind,
+    home::Host,
+    member::{Action, Membership, Message, Record, State},
+    rumor,
+};
+use citron_wire as wire;
+use prost::Message as _;
+
+use super::{Core, NUDGE_MEMBERS, Notice, VERDICT_BUDGET_BYTES};
+use crate::convert;
+
+impl Core {
+    /// Advances the membership.
+    pub fn tick(&self) {
+        // The clock is read under the lock, so that time does not go back between two users.
+        let mut members = self.members.lock();
+        let actions = members.tick(self.now());
+        self.metrics.members.set(members.live_count() as i64);
+        drop(members);
+        self.carry_out(actions);
+    }
+
+    /// Takes in a datagram.
+    pub fn receive(&self, gossip: wire::Gossip) {
+        if let Some(stamp) = gossip.stamp {
+            let stamp = citron::hlc::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical };
+            self.recorder.observe(stamp);
+        }
+        let message = convert::message(&gossip);
+        let mut members = self.members.lock();
+        let actions = members.receive(&message, self.now());
+        drop(members);
+        self.carry_out(actions);
+        self.take_verdicts(gossip.verdicts);
+        for batch in gossip.evidence {
+            self.take_evidence(batch);
+        }
+        self.take_hint(&gossip.from, gossip.revision, gossip.hosts_version);
+    }
+
+    /// Takes in the member table of a peer.
+    pub fn absorb(&self, table: wire::MemberTable) {
+        let records: Vec<Record> = table.members.into_iter().filter_map(convert::record).collect();
+        let actions = self.members.lock().absorb(&records, self.now());
+        self.carry_out(actions);
+    }
+
+    /// Says to the members where this host's proxy is reached; empty when it is not.
+    pub fn set_proxy(&self, proxy: &str, loans: &str) {
+        let mut members = self.members.lock();
+        members.set_addresses(proxy, loans);
+        let actions = members.nudge(NUDGE_MEMBERS);
+        let host = members.me().host.clone();
+        drop(members);
+        self.carry_out(actions);
+        self.notify(Notice::Members(vec![host]));
+    }
+
+    /// Says to the members which policy revision is in force at this host's proxy.
+    pub fn set_progress(&self, revision: u64) {
+        self.members.lock().set_revision(revision);
+    }
+
+    /// Begins to leave.
+    pub fn leave(&self) {
+        let mut members = self.members.lock();
+        let fresh = members.me().state != State::Leaving;
+        let actions = members.leave();
+        let host = members.me().host.clone();
+        drop(members);
+        self.carry_out(actions);
+        if fresh {
+            self.recorder.record(Kind::Leaving, &host, &[]);
+            self.notify(Notice::Members(vec![host]));
+        }
+    }
+
+    /// Asks this host's proxy to leave as well.
+    pub fn drain(&self) {
+        self.leave();
+        self.notify(Notice::Leave);
+    }
+
+    /// Calls `read` with the membership.
+    pub fn with_members<T>(&self, read: impl FnOnce(&Membership) -> T) -> T {
+        read(&self.members.lock())
+    }
+
+    /// Returns the messages of all members, this one included.
+    pub fn member_table(&self) -> wire::MemberTable {
+        let listed = self.listed();
+        let members = self.members.lock();
+        let me = convert::member(members.me(), listed.contains(&members.me().host));
+        let others = members.others().map(|member| convert::member(&member.record, member.listed));
+        wire::MemberTable {
+            full: true,
+            members: std::iter::once(me).chain(others).collect(),
+            removed: Vec::new(),
+        }
+    }
+
+    /// Returns the messages of some members, and which of them are gone.
+    pub fn member_changes(&self, hosts: &[String]) -> wire::MemberTable {
+        let listed = self.listed();
+        let members = self.members.lock();
+        let mut table = wire::MemberTable::default();
+        for host in hosts {
+            if *host == members.me().host {
+                table.members.push(convert::member(members.me(), listed.contains(host)));
+            } else if let Some(member) = members.get(host) {
+                table.members.push(convert::member(&member.record, member.listed));
+            } else {
+                table.removed.push(host.clone());
+            }
+        }
+        table
+    }
+
+    /// Returns the control addresses of up to `count` random live members, one of another failure
+    /// domain first.
+    pub fn pick_controls(&self, count: usize) -> Vec<String> {
+        let mut members = self.members.lock();
+        let hosts = members.pick(count, None);
+        hosts
+            .iter()
+            .filter_map(|host| members.get(host))
+            .map(|member| member.record.addresses.control.clone())
+            .filter(|control| !control.is_empty())
+            .collect()
+    }
+
+    /// Returns true if this agent is to watch the platform.
+    pub fn is_watcher(&self) -> bool {
+        let members = self.members.lock();
+        let live: Vec<Host<'_>> = members
+            .others()
+            .map(|member| &member.record)
+            .filter(|record| record.state == State::Alive)
+            .map(|record| Host { name: &record.host, domain: &record.domain })
+            .collect();
+        citron::watcher::is_watcher(&self.settings.host, &self.settings.domain, &live)
+    }
+
+    pub(super) fn carry_out(&self, actions: Vec<Action>) {
+        let mut changed = BTreeSet::new();
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(&to, message),
+                Action::Changed { host, before, after } => {
+                    self.record_change(&host, before, after);
+                    changed.insert(host);
+                }
+                Action::Path { host, path } => {
+                    log::info!("path to {host}: hears {} heard {}", path.hears, path.heard);
+                    if path.is_one_way() {
+                        let fields = [
+                            ("hears", if path.hears { "true" } else { "false" }),
+                            ("heard", if path.heard { "true" } else { "false" }),
+                        ];
+                        self.recorder.record(Kind::PathOneWay, &host, &fields);
+                    }
+                }
+                Action::Forgotten { host } => {
+                    self.holders.lock().remove(&host);
+                    changed.insert(host);
+                }
+            }
+        }
+        if !changed.is_empty() {
+            self.notify(Notice::Members(changed.into_iter().collect()));
+        }
+    }
+
+    fn record_change(&self, host: &str, before: Option<State>, after: State) {
+        let kind = match (before, after) {
+            (_, State::Suspect) => Kind::MemberSuspected,
+            (_, State::Dead) => Kind::MemberDead,
+            (_, State::Leaving) => Kind::MemberLeaving,
+            (None, State::Alive) => Kind::MemberJoined,
+            (Some(_), State::Alive) => Kind::MemberRecovered,
+        };
+        self.recorder.record(kind, host, &[]);
+    }
+
+    fn send(&self, to: &str, message: Message) {
+        let limit = rumor::transmissions(self.metrics.members.get() as usize);
+        let stamp = self.recorder.stamp();
+        let gossip = wire::Gossip {
+            stamp: Some(wire::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical }),
+            revision: self.revision(),
+            hosts_version: self.lists.lock().targets.version(),
+            verdicts: self.verdict_news.lock().fill(VERDICT_BUDGET_BYTES, limit),
+            ..convert::datagram(message)
+        };
+        self.post(to, &gossip);
+    }
+
+    /// Sends a datagram; one that does not fit in the queue is lost like any other.
+    pub fn post(&self, to: &str, gossip: &wire::Gossip) {
+        let bytes = gossip.encode_to_vec();
+        if self.datagrams.try_send((to.to_owned(), bytes)).is_err() {
+            log::warn!("the queue of datagrams is full");
+        }
+    }
+
+    pub(super) fn nudge(&self) {
+        let actions = self.members.lock().nudge(NUDGE_MEMBERS);
+        self.carry_out(actions);
+    }
+}
--- /dev/null
+++ b/crates/citron-agent/src/core/policy.rs
@@ -0,0 +1,103 @@
+//! The policy in force and what other members have that is newer.
+
+use std::sync::Arc;
+
+use citron::{
+    event::Kind,
+    member::State,
+    policy::{Copy, Digest, Head, Policy, Refusal},
+};
+use rand::seq::SliceRandom;
+
+use super::{Core, Hint, Notice};
+
+impl Core {
+    /// Calls `read` with the copy of the policy.
+    pub fn with_policy<T>(&self, read: impl FnOnce(&Copy) -> T) -> T {
+        read(&self.policy.lock())
+    }
+
+    /// Returns the revision in force, 0 before the first one.
+    pub fn revision(&self) -> u64 {
+        self.with_policy(Copy::revision)
+    }
+
+    /// Returns the lists in force, empty before the first one.
+    pub fn policy(&self) -> Arc<Policy> {
+        self.with_policy(|copy| copy.applied().map(|applied| applied.policy.clone()))
+            .unwrap_or_default()
+    }
+
+    /// Takes in a head as stored, and returns the digests of the shards that it still needs.
+    ///
+    /// # Errors
+    /// Fails if it cannot be read or contradicts what is known.
+    pub fn take_head(&self, json: &[u8], source: &str) -> Result<Vec<Digest>, String> {
+        let head: Head =
+            serde_json::from_slice(json).map_err(|error| format!("no policy head: {error}"))?;
+        let mut copy = self.policy.lock();
+        let applied = copy.on_head(&head).map_err(|refusal| refusal.to_string())?;
+        let missing = copy.missing().into_iter().cloned().collect();
+        drop(copy);
+        if applied {
+            self.announce_policy(source);
+        }
+        Ok(missing)
+    }
+
+    /// Takes in a shard as stored.
+    ///
+    /// # Errors
+    /// Fails if it is corrupt or the lists do not pass their checks.
+    pub fn take_shard(&self, digest: &Digest, bytes: &[u8], source: &str) -> Result<(), String> {
+        let applied = match self.policy.lock().on_shard(digest, bytes) {
+            Ok(applied) => applied,
+            // Another source was faster.
+            Err(Refusal::NotNeeded) => false,
+            Err(refusal) => return Err(refusal.to_string()),
+        };
+        if applied {
+            self.announce_policy(source);
+        }
+        Ok(())
+    }
+
+    fn announce_policy(&self, source: &str) {
+        let revision = self.revision();
+        self.metrics.revision.set(revision as i64);
+        self.recorder.record(Kind::PolicyApplied, &revision.to_string(), &[("source", source)]);
+        self.notify(Notice::Policy);
+        self.nudge();
+    }
+
+    pub(super) fn take_hint(&self, from: &str, revision: u64, hosts_version: u64) {
+        let hint = Hint { revision, hosts_version };
+        self.holders.lock().insert(from.to_owned(), hint);
+        let newer =
+            revision > self.revision() || hosts_version > self.lists.lock().targets.version();
+        if newer {
+            // A full queue already leads to a pull.
+            let _ = self.hints.try_send(hint);
+        }
+    }
+
+    /// Returns control addresses of members for which `has` holds, of the own failure domain first.
+    pub fn holders(&self, has: impl Fn(&Hint) -> bool) -> Vec<String> {
+        let holders = self.holders.lock();
+        let members = self.members.lock();
+        let mut found: Vec<(bool, String)> = holders
+            .iter()
+            .filter(|(_, hint)| has(hint))
+            .filter_map(|(host, _)| members.get(host))
+            .filter(|member| member.record.state != State::Dead)
+            .map(|member| &member.record)
+            .map(|record| (record.domain != self.settings.domain, record.addresses.control.clone()))
+            .filter(|(_, control)| !control.is_empty())
+            .collect();
+        drop(members);
+        drop(holders);
+        self.draw(|rng| found.shuffle(rng));
+        found.sort_by_key(|(away, _)| *away);
+        found.into_iter().map(|(_, control)| control).collect()
+    }
+}
--- a/crates/citron-agent/src/http.rs
+++ b/crates/citron-agent/src/http.rs
@@ -48,10 +48,10 @@
         let hint = "name the customer, as in /locate/SERVICE?customer=NAME";
         return Err(refuse(Status::BadRequest, hint));
     };
-    if core.with_policy(|copy| copy.head.revision) == 0 {
+    if core.revision() == 0 {
         return Err(refuse(Status::ServiceUnavailable, "no policy is known here yet; ask again"));
     }
-    if !core.grants().services.contains_key(service) {
+    if !core.policy().grants.services.contains_key(service) {
         return Err(refuse(Status::NotFound, "the policy names no such service"));
     }
     let addresses = locate(core, customer, service);
@@ -115,8 +115,10 @@
 
 /// Returns the body of `/status`.
 pub fn status(core: &Core) -> Value {
-    let (revision, term, holder) =
-        core.with_policy(|copy| (copy.head.revision, copy.head.term, copy.head.holder.clone()));
+    let (revision, term, holder) = core.with_policy(|copy| {
+        let head = copy.applied().map(|applied| applied.head.clone()).unwrap_or_default();
+        (head.revision, head.term, head.holder)
+    });
     let (hosts_version, targets) =
         core.with_lists(|lists| (lists.targets.version(), lists.targets.len()));
     let listed = core.listed();
--- a/crates/citron-agent/src/lib.rs
+++ b/crates/citron-agent/src/lib.rs
@@ -10,7 +10,6 @@
 mod peer;
 mod reader;
 mod settings;
-mod shelf;
 mod spread;
 mod sweep;
 
@@ -19,7 +18,6 @@
     http::locate,
     metrics::Metrics,
     settings::{SPECS, Settings},
-    shelf::{Copy, Refusal},
 };
 
 use std::{sync::Arc, time::Duration};
--- a/crates/citron-agent/src/reader.rs
+++ b/crates/citron-agent/src/reader.rs
@@ -1,12 +1,12 @@
 //! Reads policy and host list from the platform.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use citron::{event::Kind, watcher::Fallback};
 use citron_platform::{Client, Error, Version};
 use tokio::time;
 
-use crate::{core::Core, shelf::Copy};
+use crate::core::Core;
 
 /// How long a watch waits at the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -135,22 +135,24 @@
         let Some(head) = self.client.get(HEAD.0, HEAD.1).await? else {
             return Ok(Version::default());
         };
-        let Some(read) = Copy::read_head(&head.value) else {
-            log::error!("the platform's policy head cannot be read; it is left as it is");
-            return Ok(head.version);
+        let source = "platform";
+        let missing = match self.core.take_head(&head.value, source) {
+            Ok(missing) => missing,
+            Err(reason) => {
+                log::error!("the platform's policy head was not taken: {reason}");
+                return Ok(head.version);
+            }
         };
-        if read.revision <= self.core.with_policy(|copy| copy.head.revision) {
-            return Ok(head.version);
-        }
-        let mut fresh = BTreeMap::new();
-        for digest in self.core.with_policy(|copy| copy.missing(&read)) {
+        for digest in missing {
             self.count("shard");
-            if let Some(shard) = self.client.get(SHARDS, &digest).await? {
-                fresh.insert(digest, shard.value);
+            let Some(shard) = self.client.get(SHARDS, digest.as_str()).await? else {
+                log::error!("the platform has no shard {digest}, which the policy head names");
+                break;
+            };
+            if let Err(reason) = self.core.take_shard(&digest, &shard.value, source) {
+                log::error!("a shard from the platform was not taken: {reason}");
             }
         }
-        // A policy that is not newer any more, or not valid, is left.
-        let _ = self.core.install(&head.value, &fresh, "platform");
         Ok(head.version)
     }
 
--- a/crates/citron-agent/src/spread.rs
+++ b/crates/citron-agent/src/spread.rs
@@ -1,6 +1,6 @@
 //! Pulls policy and host lists from other agents.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use citron::hosts::Changes;
 use citron_wire::{self as wire, HeadRequest, ShardRequest, TablesRequest};
@@ -12,7 +12,6 @@
 use crate::{
     core::{Core, Hint},
     peer::Peers,
-    shelf::Copy,
 };
 
 /// Peers that are asked for one newer policy or list before the next hint is waited for.
@@ -29,7 +28,7 @@
 /// Pulls whenever another member is known to have something newer, for good.
 pub async fn follow(core: Arc<Core>, peers: Arc<Peers>, mut hints: mpsc::Receiver<Hint>) {
     while let Some(hint) = hints.recv().await {
-        if hint.revision > core.with_policy(|copy| copy.head.revision) {
+        if hint.revision > core.revision() {
             pull_policy(&core, &peers, hint.revision).await;
         }
         if hint.hosts_version > core.hosts_version() {
@@ -47,7 +46,7 @@
             answered |= take_tables(&core, &peers, &control, true).await;
             take_policy(&core, &peers, &control).await;
         }
-        if answered && core.with_policy(|copy| copy.head.revision) > 0 {
+        if answered && core.revision() > 0 {
             core.set_synced();
             return;
         }
@@ -85,7 +84,7 @@
 async fn pull_policy(core: &Core, peers: &Peers, revision: u64) {
     for control in core.holders(|hint| hint.revision >= revision).iter().take(ATTEMPTS) {
         take_policy(core, peers, control).await;
-        if core.with_policy(|copy| copy.head.revision) >= revision {
+        if core.revision() >= revision {
             return;
         }
     }
@@ -118,22 +117,18 @@
     };
     core.metrics.peer_calls.with_label_values(&["head"]).inc();
     let head = client.fetch_head(HeadRequest {}).await?.into_inner();
-    if head.revision <= core.with_policy(|copy| copy.head.revision) {
+    if head.revision <= core.revision() {
         return Ok(());
     }
     core.metrics.peer_bytes.inc_by(head.json.len() as u64);
-    let Some(read) = Copy::read_head(&head.json) else {
-        return Err(tonic::Status::data_loss("the head cannot be read"));
-    };
-    let mut fresh = BTreeMap::new();
-    for digest in core.with_policy(|copy| copy.missing(&read)) {
+    let refused = |reason: String| tonic::Status::data_loss(reason);
+    for digest in core.take_head(&head.json, control).map_err(refused)? {
         core.metrics.peer_calls.with_label_values(&["shard"]).inc();
-        let shard = client.fetch_shard(ShardRequest { digest }).await?.into_inner();
+        let request = ShardRequest { digest: digest.to_string() };
+        let shard = client.fetch_shard(request).await?.into_inner();
         core.metrics.peer_bytes.inc_by(shard.json.len() as u64);
-        fresh.insert(shard.digest, shard.json);
+        core.take_shard(&digest, &shard.json, control).map_err(refused)?;
     }
-    // A policy that is not newer any more, or not valid, is left.
-    let _ = core.install(&head.json, &fresh, control);
     Ok(())
 }
 
--- a/crates/citron-agent/tests/support/mod.rs
+++ b/crates/citron-agent/tests/support/mod.rs
@@ -161,7 +161,7 @@
 
 /// Returns the revision that an agent knows.
 pub fn revision(agent: &Agent) -> u64 {
-    agent.core().with_policy(|copy| copy.head.revision)
+    agent.core().revision()
 }
 
 /// Returns the names of an agent's live members, sorted, without itself.
--- a/crates/citron/tests/net/mod.rs
+++ b/crates/citron/tests/net/mod.rs
@@ -124,7 +124,6 @@
         let end = self.now + time;
         while self.now < end {
             self.now += TICK;
-            self.deliver();
             let hosts: Vec<String> = self.nodes.keys().cloned().collect();
             for host in hosts {
                 let now = self.now;
@@ -134,6 +133,8 @@
                     self.carry_out(&host, actions);
                 }
             }
+            // After the ticks, so that a member that wakes sees its late timers first.
+            self.deliver();
         }
     }
 
