--- a/crates/citron-stand/src/bench/limits/fleet.rs
+++ b/crates/citron-stand/src/bench/limits/fleet.rs
@@ -232,7 +232,8 @@
 
     fn deliver(&mut self, now: Duration) {
         while let Some(letter) = self.network.receive(now) {
-            if self.paused.contains_key(&letter.to) {
+            if let Some(&until) = self.paused.get(&letter.to) {
+                self.network.keep(letter, until);
                 continue;
             }
             if let Some(proxy) = self.proxies.get_mut(&letter.to) {
--- a/crates/citron-stand/src/bench/limits/network.rs
+++ b/crates/citron-stand/src/bench/limits/network.rs
@@ -49,11 +49,16 @@
             let late = faults.repeats && rng.random_bool(0.1);
             let delay_us = if late { rng.random_range(0..4_000_000) } else { 600 };
             let at = now + Duration::from_micros(delay_us);
-            self.due.push(Reverse((at, self.letters.len())));
-            self.letters.push(letter.clone());
+            self.keep(letter.clone(), at);
         }
     }
 
+    /// Keeps a message until a time.
+    pub fn keep(&mut self, letter: Letter, until: Duration) {
+        self.due.push(Reverse((until, self.letters.len())));
+        self.letters.push(letter);
+    }
+
     pub fn receive(&mut self, now: Duration) -> Option<Letter> {
         let Reverse((at, index)) = *self.due.peek()?;
         if at > now {
--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
 mod choice;
+mod fairness;
 pub mod limits;
 
 use std::fmt::{self, Display, Formatter};
@@ -37,7 +38,8 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[("choice", choice::run), ("limits", limits::run)];
+pub const BENCHES: &[(&str, Bench)] =
+    &[("choice", choice::run), ("limits", limits::run), ("fairness", fairness::run)];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
 fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod hlc;
 pub mod limit;
 pub mod policy;
+pub mod queue;
--- /dev/null
+++ b/crates/citron/src/queue/mod.rs
@@ -0,0 +1,11 @@
+//! Orders the requests that wait for a free slot of a service, fairly among customers.
+//!
+//! Weighted fair queueing by virtual finish times (Demers, Keshav and Shenker, 1989): each
+//! customer that waits gets slots in proportion to its weight, whatever the others send. Live
+//! requests go before archive requests. A request that most likely cannot be served within its
+//! deadline is refused at once, so that its caller can turn elsewhere.
+
+mod fair;
+mod pace;
+
+pub use self::fair::{Limits, Queue, Refusal, Ticket, Wait};
