--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,8 +1,10 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
 mod choice;
+mod control;
 mod fairness;
 pub mod limits;
+mod policy;
 
 use std::fmt::{self, Display, Formatter};
 
@@ -38,8 +40,12 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] =
-    &[("choice", choice::run), ("limits", limits::run), ("fairness", fairness::run)];
+pub const BENCHES: &[(&str, Bench)] = &[
+    ("choice", choice::run),
+    ("control", control::run),
+    ("fairness", fairness::run),
+    ("limits", limits::run),
+];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
 fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -4,9 +4,19 @@
 //! [`std::time::Duration`] since an origin that the caller chooses once per process; randomness
 //! comes from a generator that the caller seeds. Equal inputs give equal outputs.
 
+pub mod attempt;
 pub mod choice;
+pub mod claim;
 pub mod event;
+pub mod health;
 pub mod hlc;
+pub mod home;
+pub mod hosts;
+pub mod lease;
+pub mod leave;
 pub mod limit;
+pub mod member;
 pub mod policy;
 pub mod queue;
+pub mod rumor;
+pub mod watcher;
