--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -4,7 +4,9 @@
 mod child;
 mod choice;
 mod control;
+mod fairness;
 mod latency;
+pub mod limits;
 mod policy;
 
 use std::fmt::{self, Display, Formatter};
@@ -45,7 +47,9 @@
     ("change", change::run),
     ("choice", choice::run),
     ("control", control::run),
+    ("fairness", fairness::run),
     ("latency", latency::run),
+    ("limits", limits::run),
 ];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod limit;
 pub mod member;
 pub mod policy;
+pub mod queue;
 pub mod rumor;
 pub mod watcher;
