--- a/crates/citron-proxy/src/link.rs
+++ b/crates/citron-proxy/src/link.rs
@@ -61,7 +61,11 @@
     pub async fn claim(&self, stamp: hlc::Stamp, digest: &str, owner: &str) -> Claim {
         for _ in 0..CLAIM_TRIES {
             let claim = wire::Claim { digest: digest.to_owned(), owner: owner.to_owned() };
-            let request = wire::ClaimRequest { stamp: Some(to_wire(stamp)), claims: vec![claim] };
+            let request = wire::ClaimRequest {
+                stamp: Some(to_wire(stamp)),
+                claims: vec![claim],
+                forwarded: false,
+            };
             let mut client = self.client();
             let reply = time::timeout(CLAIM_TIMEOUT, client.claim(request)).await;
             let Ok(Ok(reply)) = reply else { continue };
