--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,7 +1,12 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod change;
+mod child;
 mod choice;
 mod control;
+mod fairness;
+mod latency;
+pub mod limits;
 mod policy;
 
 use std::fmt::{self, Display, Formatter};
@@ -38,7 +43,14 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[("choice", choice::run), ("control", control::run)];
+pub const BENCHES: &[(&str, Bench)] = &[
+    ("change", change::run),
+    ("choice", choice::run),
+    ("control", control::run),
+    ("fairness", fairness::run),
+    ("latency", latency::run),
+    ("limits", limits::run),
+];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
 fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
