--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,5 +1,7 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod detection;
+
 use std::fmt::{self, Display, Formatter};
 
 /// What a bench measured, in the order in which it is printed.
@@ -34,4 +36,4 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[];
+pub const BENCHES: &[(&str, Bench)] = &[("detection", detection::run)];
