--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,6 +1,14 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod change;
+mod child;
+mod choice;
+mod control;
 mod detection;
+mod fairness;
+mod latency;
+pub mod limits;
+mod policy;
 
 use std::fmt::{self, Display, Formatter};
 
@@ -36,4 +44,19 @@
 pub type Bench = fn(&[String]) -> eyre::Result<Summary>;
 
 /// The benches by name.
-pub const BENCHES: &[(&str, Bench)] = &[("detection", detection::run)];
+pub const BENCHES: &[(&str, Bench)] = &[
+    ("change", change::run),
+    ("choice", choice::run),
+    ("control", control::run),
+    ("detection", detection::run),
+    ("fairness", fairness::run),
+    ("latency", latency::run),
+    ("limits", limits::run),
+];
+
+/// Returns the whole number that follows a flag, or `default` if the flag is not given.
+fn number(words: &[String], flag: &str, default: u64) -> eyre::Result<u64> {
+    let Some(place) = words.iter().position(|word| word == flag) else { return Ok(default) };
+    let text = words.get(place + 1).map_or("", String::as_str);
+    text.parse().map_err(|_| eyre::eyre!("{flag} {text:?} is not valid; use a whole number"))
+}
