--- a/crates/citron-proxy/src/admit.rs
+++ b/crates/citron-proxy/src/admit.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use citron::{attempt::Rules, policy::Policy};
+use citron::{
+    attempt::Rules,
+    policy::{Allowance, Class, Policy},
+};
 use parking_lot::Mutex;
 use reqwest::Method;
 
@@ -24,6 +27,10 @@
     pub service: Arc<Service>,
     /// What limits its attempts.
     pub rules: Rules,
+    /// What the customer's plan allows.
+    pub allowance: Allowance,
+    /// Whether it waits behind live requests.
+    pub class: Class,
 }
 
 /// Finds the route, checks the plan and sets the limits of a request that arrived at `now`.
@@ -36,9 +43,8 @@
         return Err(Reason::CustomerUnknown);
     }
     let route = policy.route(&intake.path).ok_or(Reason::NoRoute)?;
-    if policy.allowance(&intake.customer, &route.service).is_none() {
-        return Err(Reason::ServiceNotInPlan);
-    }
+    let allowance =
+        policy.allowance(&intake.customer, &route.service).ok_or(Reason::ServiceNotInPlan)?;
     let service = view.services.get(&route.service).ok_or(Reason::NoRoute)?;
     let limits = policy.grants.services.get(&route.service).ok_or(Reason::NoRoute)?;
     let longest = Duration::from_millis(limits.deadline_ms);
@@ -48,7 +54,12 @@
         deadline: now + intake.time_left.map_or(longest, |left| left.min(longest)),
         attempts: ATTEMPT_LIMIT,
     };
-    Ok(Admission { service: Arc::clone(service), rules })
+    Ok(Admission {
+        service: Arc::clone(service),
+        rules,
+        allowance: *allowance,
+        class: limits.class,
+    })
 }
 
 fn is_idempotent(method: &Method) -> bool {
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -14,7 +14,7 @@
     admit::Admission,
     body::Body,
     intake::Intake,
-    pick,
+    place,
     refusal::Refusal,
     send::{self, Attempt},
     service::{Service, Slot},
@@ -80,11 +80,19 @@
                     if !tried.is_empty() {
                         self.shared.metrics.retries.with_label_values(&[&service.name]).inc();
                     }
-                    let Some(slot) = pick::pick(service, &self.shared.settings.domain, &tried)
-                    else {
+                    let start = self.shared.clock.now();
+                    let slot = tokio::select! {
+                        slot = self.place(&tried) => slot,
+                        () = &mut gone => None,
+                    };
+                    let Some(slot) = slot else {
                         series.unplaced();
                         continue;
                     };
+                    // The time in the queue is not the attempt's.
+                    let queued = self.shared.clock.now() - start;
+                    self.waited += queued;
+                    let until = (until + queued).min(self.admission.rules.deadline);
                     tried.push(slot.target.name.clone());
                     tokio::select! {
                         result = self.attempt(&slot, until, fresh) => {
@@ -103,6 +111,23 @@
         }
     }
 
+    /// Waits for a place at a target.
+    async fn place(&self, tried: &[String]) -> Option<Slot> {
+        let Admission { service, rules, allowance, class } = self.admission;
+        let ask = place::Ask {
+            service: &service.name,
+            customer: &self.intake.customer,
+            weight: allowance.rate,
+            class: *class,
+            deadline: rules.deadline,
+            tried,
+            idempotent: rules.idempotent,
+        };
+        let place = self.shared.places.take(ask).await?;
+        let view = self.shared.view.load();
+        Slot::new(view.services.get(&service.name)?, place)
+    }
+
     async fn claim(&self) -> attempt::Claim {
         let key = self.intake.key.as_deref().expect("only a request with a key claims it");
         let digest = attempt::key_digest(&self.intake.customer, self.service_name(), key);
@@ -125,7 +150,7 @@
         let attempt = Attempt {
             intake: self.intake,
             body: self.body,
-            target: &slot.target,
+            slot,
             id: &id,
             until,
             deadline: self.admission.rules.deadline,
--- a/crates/citron-proxy/src/door.rs
+++ b/crates/citron-proxy/src/door.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     admit::{self, Admission},
+    allowance,
     answer::{self, Holds},
     body,
     carry::{self, Carriage},
@@ -106,6 +107,8 @@
         }
         let admission = admit::admit(&shared.view.load(), &intake, start)?;
         let place = shared.crowd.enter(&intake.customer).ok_or(Reason::CustomerBusy)?;
+        let service = &admission.service.name;
+        allowance::admit(shared, &intake.customer, service, &admission.allowance).await?;
         let deadline = admission.rules.deadline;
         let taken = body::take(&intake, data, shared.settings.body_limit);
         let (body, mut pump) = time::timeout_at(shared.clock.instant(deadline), taken)
--- a/crates/citron-proxy/src/header.rs
+++ b/crates/citron-proxy/src/header.rs
@@ -30,6 +30,11 @@
 /// The header by which a target says that it did not run a request.
 pub const TARGET_OUTCOME: &str = "citron-target-outcome";
 
+/// The header by which a target reports its busy slots, `BUSY/SLOTS`.
+pub const TARGET_LOAD: &str = "citron-target-load";
+/// The header by which a target says whether it is ready, cold or draining.
+pub const TARGET_STATE: &str = "citron-target-state";
+
 /// The header names that a `connection` header lists.
 pub type Listed = SmallVec<[String; 2]>;
 
--- a/crates/citron-proxy/src/lib.rs
+++ b/crates/citron-proxy/src/lib.rs
@@ -1,10 +1,11 @@
 //! The request path of the citronlanding proxy fleet.
 //!
 //! A request passes through these stages, one file each: `intake` reads it, `admit` holds it
-//! against the customer's plan, `pick` chooses a target, `send` makes one attempt, `carry`
-//! repeats attempts as `citron::attempt` decides, `answer` passes the answer on.
+//! against the customer's plan, `allowance` counts it, `place` gives it a target, `send` makes one
+//! attempt, `carry` repeats attempts as `citron::attempt` decides, `answer` passes the answer on.
 
 mod admit;
+mod allowance;
 mod answer;
 mod body;
 mod carry;
@@ -13,8 +14,9 @@
 mod intake;
 mod leaving;
 mod link;
+mod loan;
 mod metrics;
-mod pick;
+mod place;
 mod proxy;
 mod refusal;
 mod send;
--- a/crates/citron-proxy/src/link.rs
+++ b/crates/citron-proxy/src/link.rs
@@ -1,8 +1,8 @@
 //! The connection to the agent of this host.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::{attempt::Claim, event::Kind, hlc};
+use citron::{attempt::Claim, choice, event::Kind, hlc};
 use citron_wire as wire;
 use tokio::{sync::mpsc, time};
 use tokio_stream::{StreamExt, wrappers::ReceiverStream};
@@ -151,13 +151,36 @@
     use wire::update::Body;
     match update.body {
         Some(Body::Policy(message)) => apply_policy(shared, assembly, &message),
-        Some(Body::Members(table)) => change(shared, |view| view.with_members(&table)),
-        Some(Body::Targets(table)) => change(shared, |view| view.with_targets(&table)),
+        Some(Body::Members(table)) => {
+            change(shared, |view| view.with_members(&table));
+            let members = &shared.view.load().members;
+            shared.allowances.set_members(members, shared.clock.now());
+            shared.places.set_proxies(&serving(members));
+        }
+        Some(Body::Targets(table)) => {
+            change(shared, |view| view.with_targets(&table));
+            shared.places.set_targets(&shared.view.load().services);
+        }
         Some(Body::Leave(_)) => leaving::begin(shared),
         Some(Body::Verdicts(_) | Body::Synced(_)) | None => {}
     }
 }
 
+/// Returns the proxies that take new requests.
+fn serving(members: &BTreeMap<String, wire::Member>) -> Vec<choice::Proxy> {
+    members
+        .values()
+        .filter(|member| {
+            [wire::MemberState::Alive as i32, wire::MemberState::Suspect as i32]
+                .contains(&member.state)
+        })
+        .map(|member| choice::Proxy {
+            domain: member.domain.as_str().into(),
+            host: member.host.as_str().into(),
+        })
+        .collect()
+}
+
 fn apply_policy(shared: &Shared, assembly: &mut Assembly, message: &wire::Policy) {
     let Some((revision, policy)) = assembly.take(message, shared.view.load().revision) else {
         return;
--- /dev/null
+++ b/crates/citron-proxy/src/loan.rs
@@ -0,0 +1,65 @@
+//! Loan messages as they are sent between proxies.
+
+use citron::{
+    hlc,
+    limit::{Grant, Message, Request, Share, TERM},
+};
+use citron_wire::{self as wire, loan::Body};
+
+/// Returns the datagram's message.
+pub fn write(from: &str, stamp: hlc::Stamp, revision: u64, message: &Message) -> wire::Loan {
+    let body = match message {
+        Message::Request(request) => Body::Request(wire::LoanRequest {
+            id: request.id,
+            customer: request.customer.to_string(),
+            service: request.service.to_string(),
+            rate: request.want.rate,
+            burst: request.want.burst,
+            revision,
+        }),
+        Message::Grant(grant) => Body::Grant(wire::LoanGrant {
+            id: grant.id,
+            customer: grant.customer.to_string(),
+            service: grant.service.to_string(),
+            rate: grant.lent.rate,
+            burst: grant.lent.burst,
+            term_ms: TERM.as_millis() as u64,
+            revision,
+        }),
+    };
+    let stamp = wire::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical };
+    wire::Loan { from: from.to_owned(), stamp: Some(stamp), body: Some(body) }
+}
+
+/// Returns what a datagram's message says, or `None` if it is not valid. A grant of another term
+/// comes from a proxy that keeps its books in another way, so that it must not be used.
+pub fn read(loan: &wire::Loan) -> Option<Message> {
+    match loan.body.as_ref()? {
+        Body::Request(request) => Some(Message::Request(Request {
+            id: request.id,
+            customer: request.customer.as_str().into(),
+            service: request.service.as_str().into(),
+            want: share(request.rate, request.burst)?,
+        })),
+        Body::Grant(grant) => Some(Message::Grant(Grant {
+            id: grant.id,
+            customer: grant.customer.as_str().into(),
+            service: grant.service.as_str().into(),
+            lent: share(grant.rate, grant.burst)
+                .filter(|_| u128::from(grant.term_ms) == TERM.as_millis())?,
+        })),
+    }
+}
+
+/// Returns the customer and the service that a message is about.
+pub fn subject(message: &Message) -> (&str, &str) {
+    match message {
+        Message::Request(request) => (&request.customer, &request.service),
+        Message::Grant(grant) => (&grant.customer, &grant.service),
+    }
+}
+
+fn share(rate: f64, burst: f64) -> Option<Share> {
+    let valid = |number: f64| number.is_finite() && number >= 0.0;
+    (valid(rate) && valid(burst)).then_some(Share { rate, burst })
+}
--- a/crates/citron-proxy/src/proxy.rs
+++ b/crates/citron-proxy/src/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::{net::UdpSocket, task::JoinHandle};
 
 use crate::{
-    door,
+    allowance, door,
     leaving::{self, Leaver},
     link::{self, Link},
     metrics::Metrics,
@@ -27,6 +27,7 @@
     addr: SocketAddr,
     admin: Admin,
     link: JoinHandle<()>,
+    helpers: [JoinHandle<()>; 2],
     serving: JoinHandle<()>,
 }
 
@@ -71,9 +72,13 @@
         let admin = bind_admin(&shared, recorder).await?;
         let addr = server.addr();
         shared.recorder.record(Kind::Started, &shared.settings.host, &[]);
+        let helpers = [
+            tokio::spawn(allowance::run(Arc::clone(&shared))),
+            tokio::spawn(Arc::clone(&shared.places).run()),
+        ];
         let link = tokio::spawn(link::run(Arc::clone(&shared), addr));
         let serving = tokio::spawn(leaving::run(Arc::clone(&shared), addr, server));
-        Ok(Self { shared, addr, admin, link, serving })
+        Ok(Self { shared, addr, admin, link, helpers, serving })
     }
 
     /// Returns the address that callers connect to.
@@ -111,6 +116,7 @@
             log::error!("the server ended badly: {error}");
         }
         self.link.abort();
+        self.helpers.iter().for_each(JoinHandle::abort);
         self.admin.stop().await;
     }
 }
--- a/crates/citron-proxy/src/refusal.rs
+++ b/crates/citron-proxy/src/refusal.rs
@@ -52,6 +52,8 @@
     FormMethodAmbiguous,
     /// No policy has arrived yet.
     PolicyMissing,
+    /// The hosts among which allowances are shared are not known yet.
+    HostsMissing,
 }
 
 impl Reason {
@@ -73,7 +75,7 @@
             | Self::PathNotCarried
             | Self::HeaderNotCarried
             | Self::FormMethodAmbiguous => 501,
-            Self::PolicyMissing => 503,
+            Self::PolicyMissing | Self::HostsMissing => 503,
         }
     }
 }
--- a/crates/citron-proxy/src/send.rs
+++ b/crates/citron-proxy/src/send.rs
@@ -2,15 +2,18 @@
 
 use std::time::Duration;
 
-use citron::attempt::Ending;
-use reqwest::{Client, Response, Url, header::HeaderValue};
+use citron::{attempt::Ending, choice};
+use reqwest::{
+    Client, Response, Url,
+    header::{HeaderMap, HeaderValue},
+};
 use tokio::time;
 
 use crate::{
     body::{Body, Upload},
-    header::{DEADLINE, REQUEST_ID, TARGET_OUTCOME},
+    header::{DEADLINE, REQUEST_ID, TARGET_LOAD, TARGET_OUTCOME, TARGET_STATE},
     intake::Intake,
-    service::Target,
+    service::Slot,
     shared::Shared,
 };
 
@@ -60,8 +63,8 @@
     pub intake: &'a Intake,
     /// Its body.
     pub body: &'a Body,
-    /// The target.
-    pub target: &'a Target,
+    /// The slot at the target.
+    pub slot: &'a Slot,
     /// The id that the target must return.
     pub id: &'a str,
     /// When the attempt is given up, since the process origin.
@@ -101,12 +104,22 @@
     }
     let shed = response.status() == 503
         && response.headers().get(TARGET_OUTCOME).is_some_and(|value| value == "not-run");
+    attempt.slot.place.hear(report(response.headers()), shed);
     if shed { Err(Ending::Shed) } else { Ok(response) }
 }
 
+/// Returns what a target says about itself.
+fn report(headers: &HeaderMap) -> choice::Answer {
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    choice::Answer {
+        load: text(TARGET_LOAD).and_then(|text| text.parse().ok()),
+        state: text(TARGET_STATE).and_then(|text| text.parse().ok()).unwrap_or_default(),
+    }
+}
+
 fn request(shared: &Shared, attempt: &Attempt<'_>) -> Option<reqwest::Request> {
     let intake = attempt.intake;
-    let url = url(&attempt.target.address.to_string(), &intake.path_and_query)?;
+    let url = url(&attempt.slot.target.address.to_string(), &intake.path_and_query)?;
     let mut request = reqwest::Request::new(intake.method.clone(), url);
     let headers = request.headers_mut();
     *headers = intake.headers.clone();
--- a/crates/citron-proxy/src/service.rs
+++ b/crates/citron-proxy/src/service.rs
@@ -8,9 +8,11 @@
     },
 };
 
-use citron::attempt::Budget;
+use citron::{attempt::Budget, choice};
 use citron_wire as wire;
 
+use crate::place::Place;
+
 /// The most repetitions that a service can save up.
 const RETRY_LIMIT: u32 = 20;
 
@@ -50,6 +52,8 @@
     pub domain: String,
     /// Requests it runs at a time.
     pub slots: u32,
+    /// Connections it accepts from all proxies together.
+    pub connections: u32,
     /// True if it gets no new work.
     pub leaving: bool,
     /// Requests of this proxy that it has now.
@@ -69,6 +73,7 @@
             address,
             domain: entry.domain.clone(),
             slots: entry.slots.max(1),
+            connections: entry.connections.max(1),
             leaving: entry.leaving,
             busy,
         }))
@@ -79,14 +84,17 @@
         self.busy.load(Ordering::Relaxed)
     }
 
-    /// Takes one slot, or returns `None` if this proxy already uses all.
-    pub fn take_slot(self: &Arc<Self>) -> Option<Slot> {
-        self.busy
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |busy| {
-                (busy < self.slots).then_some(busy + 1)
-            })
-            .ok()
-            .map(|_| Slot { target: Arc::clone(self) })
+    /// Returns the target as `citron::choice` wants it.
+    pub fn choice(&self) -> choice::Target {
+        choice::Target {
+            name: self.name.as_str().into(),
+            service: self.service.as_str().into(),
+            address: self.address.to_string().into(),
+            domain: self.domain.as_str().into(),
+            slots: self.slots,
+            connections: self.connections,
+            leaving: self.leaving,
+        }
     }
 }
 
@@ -95,6 +103,18 @@
 pub struct Slot {
     /// The target that has it.
     pub target: Arc<Target>,
+    /// Its place in the choice of targets.
+    pub place: Place,
+}
+
+impl Slot {
+    /// Counts a request in at the target that `place` names, or returns `None` if the target is
+    /// no longer listed.
+    pub fn new(service: &Service, place: Place) -> Option<Self> {
+        let target = service.targets.iter().find(|target| *target.name == *place.target)?;
+        target.busy.fetch_add(1, Ordering::Relaxed);
+        Some(Self { target: Arc::clone(target), place })
+    }
 }
 
 impl Drop for Slot {
--- a/crates/citron-proxy/src/settings.rs
+++ b/crates/citron-proxy/src/settings.rs
@@ -92,6 +92,13 @@
         help: "least level of log lines",
         valid: "off, error, warn, info, debug or trace",
     },
+    Spec {
+        flag: "handover-ms",
+        variable: "CITRON_HANDOVER_MS",
+        default: Some("5000"),
+        help: "how long a new share of an allowance waits, milliseconds; the same at every proxy",
+        valid: "a whole number from 0 to 600000, at least 5000 but for a single proxy",
+    },
 ];
 
 /// The longest name of a host or failure domain, in bytes.
@@ -116,6 +123,8 @@
     pub platform: Option<String>,
     /// How long it goes on accepting after it began to leave.
     pub leave: Duration,
+    /// How long after a change of the host list a share of an allowance that grew is used.
+    pub handover: Duration,
     /// The longest request body, bytes.
     pub body_limit: u64,
     /// The longest request headers and path together, bytes.
@@ -165,6 +174,9 @@
             leave: Duration::from_millis(
                 values.get_with("leave-ms", |text| number(text, 0, 600_000))?,
             ),
+            handover: Duration::from_millis(
+                values.get_with("handover-ms", |text| number(text, 0, 600_000))?,
+            ),
             body_limit: values.get_with("body-limit-bytes", |text| number(text, 0, 1 << 40))?,
             header_limit: values
                 .get_with("header-limit-bytes", |text| number(text, 1024, 262_144))?
--- a/crates/citron-proxy/src/shared.rs
+++ b/crates/citron-proxy/src/shared.rs
@@ -12,7 +12,8 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    admit::Crowd, link::Link, metrics::Metrics, send::Clients, settings::Settings, view::View,
+    admit::Crowd, allowance::Allowances, link::Link, metrics::Metrics, place::Places,
+    send::Clients, settings::Settings, view::View,
 };
 
 /// The state that the tasks of one proxy share.
@@ -31,6 +32,10 @@
     pub clients: Clients,
     /// The connection to the agent.
     pub link: Link,
+    /// The customers' allowances.
+    pub allowances: Allowances,
+    /// The targets and those who wait for one.
+    pub places: Arc<Places>,
     /// Requests per customer.
     pub crowd: Crowd,
     /// The socket for loans between proxies.
@@ -63,6 +68,8 @@
     pub fn new(settings: Settings, parts: Parts) -> Arc<Self> {
         let clock = parts.recorder.clock();
         Arc::new(Self {
+            allowances: Allowances::open(&settings.host, settings.handover, clock.now()),
+            places: Places::new(&settings.host, &settings.domain, clock),
             crowd: Crowd::new(settings.customer_limit),
             departure: Mutex::new(Departure::new(settings.leave)),
             clock,
--- a/crates/citron-proxy/tests/support/agent.rs
+++ b/crates/citron-proxy/tests/support/agent.rs
@@ -67,6 +67,22 @@
         self.send(Body::Policy(policy_message(revision, &policy)));
     }
 
+    /// Sends the entry hosts of the platform's list with the addresses of their loan sockets.
+    pub fn send_hosts(&self, hosts: &[(&str, &str)]) {
+        let members = hosts
+            .iter()
+            .map(|(host, loans)| wire::Member {
+                host: (*host).to_owned(),
+                domain: "a".to_owned(),
+                state: wire::MemberState::Alive as i32,
+                loans: (*loans).to_owned(),
+                listed: true,
+                ..wire::Member::default()
+            })
+            .collect();
+        self.send(Body::Members(wire::MemberTable { full: true, members, removed: vec![] }));
+    }
+
     /// Sends targets `t0`, `t1`, ... of lot-desk.
     pub fn send_targets(&self, addrs: &[SocketAddr]) {
         let targets = addrs.iter().enumerate().map(|(i, addr)| target_entry(i, *addr)).collect();
--- a/crates/citron-proxy/tests/support/mod.rs
+++ b/crates/citron-proxy/tests/support/mod.rs
@@ -71,6 +71,7 @@
             targets.push(Target::spawn(script).await);
         }
         let agent = Agent::spawn().await;
+        agent.send_hosts(&[("h1", "")]);
         agent.send_policy(1, CUSTOMERS, GRANTS);
         agent.send_targets(&targets.iter().map(|target| target.addr).collect::<Vec<_>>());
         let proxy = spawn_proxy(&agent, flags).await;
@@ -109,6 +110,10 @@
     let mut words = vec!["--host", "h1", "--domain", "a", "--agent", &addr];
     words.extend(["--listen", "127.0.0.1:0", "--loans", "127.0.0.1:0", "--admin", "127.0.0.1:0"]);
     words.extend(flags);
+    if !flags.contains(&"--handover-ms") {
+        // A single proxy has nobody whose share it could take over.
+        words.extend(["--handover-ms", "0"]);
+    }
     let args = words.into_iter().map(Into::into);
     let Ok(Command::Run(settings)) = Settings::read(args, |_| None) else {
         panic!("the settings must be valid");
--- a/crates/citron-stand/src/bench/fairness/simulation.rs
+++ b/crates/citron-stand/src/bench/fairness/simulation.rs
@@ -70,7 +70,7 @@
 
 /// Runs one setup.
 pub fn simulate(setup: &Setup) -> Outcome {
-    let mut gate = Gate::open("proxy", 0, Duration::ZERO);
+    let mut gate = Gate::open("proxy", 0, HANDOVER, Duration::ZERO);
     gate.set_homes(Arc::new(|_, _| [Arc::from("proxy")].into_iter().collect()), Duration::ZERO);
     let mut simulation = Simulation {
         setup,
--- a/crates/citron-stand/src/bench/limits/proxy.rs
+++ b/crates/citron-stand/src/bench/limits/proxy.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citron::{
-    limit::{Gate, HomeFinder, Message, Outgoing, Verdict},
+    limit::{Gate, HANDOVER, HomeFinder, Message, Outgoing, Verdict},
     policy::Allowance,
 };
 use strum::Display;
@@ -50,7 +50,7 @@
         let (rate, burst) = (allowance.rate * part, (allowance.burst * part).max(1.0));
         Self {
             host: Arc::clone(host),
-            gate: (method == Method::Loans).then(|| Gate::open(host, first_id, now)),
+            gate: (method == Method::Loans).then(|| Gate::open(host, first_id, HANDOVER, now)),
             bucket: Bucket { rate, burst, level: 0.0, at: now },
             allowance,
         }
--- a/crates/citron-wire/src/generated.rs
+++ b/crates/citron-wire/src/generated.rs
@@ -354,6 +354,9 @@
     /// Policy revision under which the borrower computed the shares.
     #[prost(uint64, tag = "5")]
     pub revision: u64,
+    /// Requests admitted at once asked for.
+    #[prost(double, tag = "6")]
+    pub burst: f64,
 }
 /// Grants part of a share; the lender has already debited itself.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -372,6 +375,9 @@
     pub term_ms: u64,
     #[prost(uint64, tag = "6")]
     pub revision: u64,
+    /// Requests admitted at once lent; rate and burst are zero if there was nothing to spare.
+    #[prost(double, tag = "7")]
+    pub burst: f64,
 }
 /// A gossip message between two agents, one per UDP datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/citron/src/choice/pool.rs
+++ b/crates/citron/src/choice/pool.rs
@@ -333,9 +333,9 @@
         entry.set_state(answer.state, now)
     }
 
-    /// Returns the earliest time at which a target that shed is tried again.
-    pub fn next_ready(&self, now: Duration) -> Duration {
-        now + (self.answer_time / 12).clamp(SHED_HOLD_MIN, SHED_HOLD_MAX)
+    pub fn answer_time(&self, idempotent: bool) -> Option<Duration> {
+        let mut open = self.open.iter().map(|&index| &self.entries[index]);
+        open.any(|entry| idempotent || !entry.trial).then_some(self.answer_time)
     }
 
     fn remember(&mut self, index: usize) {
--- a/crates/citron/src/choice/table.rs
+++ b/crates/citron/src/choice/table.rs
@@ -84,9 +84,10 @@
         self.pools.get_mut(ask.service)?.pick(ask, now, rng)
     }
 
-    /// Returns when to choose again after a choice that found no target and no answer since.
-    pub fn next_ready(&self, service: &str, now: Duration) -> Option<Duration> {
-        self.pools.get(service).map(|pool| pool.next_ready(now))
+    /// Returns the mean time until a service's answers begin, or `None` if no target is listed that
+    /// could ever take such a request.
+    pub fn answer_time(&self, service: &str, idempotent: bool) -> Option<Duration> {
+        self.pools.get(service)?.answer_time(idempotent)
     }
 
     /// Takes in that a request was sent to a target; [`Table::on_end`] follows exactly once.
--- a/crates/citron/src/limit/gate.rs
+++ b/crates/citron/src/limit/gate.rs
@@ -9,7 +9,7 @@
 
 use smallvec::SmallVec;
 
-use super::{HANDOVER, Message, PAUSE_LIMIT, Request, Share, account::Account, loan::Credit};
+use super::{Message, PAUSE_LIMIT, Request, Share, account::Account, loan::Credit};
 use crate::policy::Allowance;
 
 /// How long an answer to a loan request is awaited.
@@ -58,6 +58,7 @@
 pub struct Gate {
     host: Arc<str>,
     finders: Finders,
+    handover: Duration,
     quiet_until: Duration,
     /// Shares that are not in memory have been in use since then.
     settled_at: Duration,
@@ -82,13 +83,15 @@
 }
 
 impl Gate {
-    /// Opens the gate of a process that has just started; `first_id` must be random.
-    pub fn open(host: &str, first_id: u64, now: Duration) -> Self {
+    /// Opens the gate of a process that has just started; `first_id` must be random. `handover` is
+    /// [`HANDOVER`] or longer, but for a fleet of one proxy.
+    pub fn open(host: &str, first_id: u64, handover: Duration, now: Duration) -> Self {
         Self {
             host: host.into(),
             finders: Finders { current: None, earlier: Vec::new(), epoch: 0 },
-            quiet_until: now + HANDOVER,
-            settled_at: now + HANDOVER,
+            handover,
+            quiet_until: now + handover,
+            settled_at: now + handover,
             seen: now,
             next_id: first_id,
             accounts: HashMap::new(),
@@ -96,11 +99,11 @@
         }
     }
 
-    /// Puts a new host list in force; shares that grow by it are used after [`HANDOVER`].
+    /// Puts a new host list in force; shares that grow by it are used after the handover term.
     pub fn set_homes(&mut self, finder: HomeFinder, now: Duration) {
         self.observe(now);
         if let Some(before) = self.finders.current.replace(finder) {
-            self.finders.earlier.push((before, now + HANDOVER));
+            self.finders.earlier.push((before, now + self.handover));
         }
         self.finders.epoch += 1;
         let keys: Vec<_> = self.accounts.keys().cloned().collect();
@@ -182,7 +185,7 @@
         let paused = now > self.seen + PAUSE_LIMIT;
         self.seen = self.seen.max(now);
         if paused {
-            self.quiet_until = now + HANDOVER;
+            self.quiet_until = now + self.handover;
             self.settled_at = self.quiet_until;
             for entry in self.accounts.values_mut() {
                 entry.account.stop(self.quiet_until, now);
@@ -256,7 +259,7 @@
         }
         let share = share_of(&self.host, &homes, &entry.allowance);
         entry.homes = homes;
-        entry.account.grow(share, (now + HANDOVER).max(quiet_until), now);
+        entry.account.grow(share, (now + self.handover).max(quiet_until), now);
     }
 
     /// Recomputes the share of an account after a change of its allowance.
--- a/crates/citron/tests/limit.rs
+++ b/crates/citron/tests/limit.rs
@@ -18,7 +18,7 @@
 
 /// Opens a gate that has been running until [`OPEN`].
 fn gate(host: &str, names: &'static [&'static str]) -> Gate {
-    let mut gate = Gate::open(host, 1000, Duration::ZERO);
+    let mut gate = Gate::open(host, 1000, HANDOVER, Duration::ZERO);
     gate.set_homes(homes(names), Duration::ZERO);
     run_until(&mut gate, Duration::ZERO, OPEN);
     gate
@@ -99,7 +99,7 @@
         assert_eq!(admit_for(&mut gate, OPEN, 1000), 0);
     }
     a_new_process_waits_out_the_handover_and_starts_empty {
-        let mut gate = Gate::open("a", 1, OPEN);
+        let mut gate = Gate::open("a", 1, HANDOVER, OPEN);
         gate.set_homes(homes(&["a"]), OPEN);
         assert_eq!(admit_for(&mut gate, OPEN, HANDOVER.as_millis() as u64), 0);
         assert_eq!(admit_all(&mut gate, OPEN + HANDOVER), 0);
