--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,8 +1,11 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod change;
+mod child;
 mod choice;
 mod control;
 mod fairness;
+mod latency;
 pub mod limits;
 mod policy;
 
@@ -41,9 +44,11 @@
 
 /// The benches by name.
 pub const BENCHES: &[(&str, Bench)] = &[
+    ("change", change::run),
     ("choice", choice::run),
     ("control", control::run),
     ("fairness", fairness::run),
+    ("latency", latency::run),
     ("limits", limits::run),
 ];
 
