Wire observers, stewards and floors into the proxy and the agent

Cause: detection was decided in the library only.

Every attempt of the proxy is watched from its start to its end; evidence goes to the agent every 200 ms, is split by service and sent as datagrams to the agent that runs the service's steward, chosen by rendezvous hashing over the live members; verdicts spread by gossip and on the streams to the proxies, whose floor settles the weights that the choice of targets uses. The sequence of batches begins at the wall time, so that a restarted proxy is heard at once.

--- a/crates/citron-agent/src/core/members.rs
+++ b/crates/citron-agent/src/core/members.rs
@@ -134,6 +134,17 @@
             .collect()
     }
 
+    /// Returns the host of the agent that runs the steward of a service, among the live members.
+    pub fn steward_of(&self, service: &str) -> Option<String> {
+        let members = self.members.lock();
+        let live: Vec<Host<'_>> = std::iter::once(members.me())
+            .chain(members.others().map(|member| &member.record))
+            .filter(|record| record.state == State::Alive)
+            .map(|record| Host { name: &record.host, domain: &record.domain })
+            .collect();
+        citron::home::pool(service, &live, 1).first().map(|host| (*host).to_owned())
+    }
+
     /// Returns true if this agent is to watch the platform.
     pub fn is_watcher(&self) -> bool {
         let members = self.members.lock();
--- a/crates/citron-agent/src/lib.rs
+++ b/crates/citron-agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod reader;
 mod settings;
 mod spread;
+mod steward;
 mod sweep;
 
 pub use self::{
@@ -95,6 +96,7 @@
         tasks.spawn(spread::start(core.clone(), peers.clone()));
         tasks.spawn(spread::compare(core.clone(), peers));
         tasks.spawn(sweep::run(core.clone(), client.clone()));
+        tasks.spawn(steward::run(core.clone()));
         let reader = Reader::open(core.clone(), client);
         tasks.spawn(reader.clone().follow_policy());
         tasks.spawn(reader.follow_hosts());
--- /dev/null
+++ b/crates/citron-agent/src/steward.rs
@@ -0,0 +1,178 @@
+//! The stewards that this agent runs, and the way of evidence to those of other agents.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use citron::{
+    health::{Batch, Steward, Target},
+    policy::Service,
+};
+use citron_wire as wire;
+use tokio::{
+    sync::broadcast::error::RecvError,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::core::{Core, Notice};
+
+/// How often stewards decide.
+const DECIDE_INTERVAL: Duration = Duration::from_millis(100);
+/// Targets whose evidence fits in one datagram.
+const DATAGRAM_TARGETS: usize = 12;
+/// Datagrams that one batch may be split into.
+const BATCH_DATAGRAMS: u64 = 1 << 8;
+
+/// The stewards of the services that fall to this agent.
+struct Stewards {
+    core: Arc<Core>,
+    running: BTreeMap<String, Steward>,
+    stale: bool,
+}
+
+/// Runs the stewards of this agent and passes evidence on, for good.
+pub async fn run(core: Arc<Core>) {
+    let mut evidence = core.evidence();
+    let mut notices = core.notices();
+    let mut ticks = time::interval(DECIDE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut stewards = Stewards { core, running: BTreeMap::new(), stale: true };
+    loop {
+        tokio::select! {
+            batch = evidence.recv() => match batch {
+                Ok(batch) => stewards.take(batch),
+                // Evidence that was missed is not repeated.
+                Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            },
+            notice = notices.recv() => match notice {
+                Ok(notice) => stewards.follow(&notice),
+                Err(RecvError::Lagged(_)) => stewards.stale = true,
+                Err(RecvError::Closed) => return,
+            },
+            _ = ticks.tick() => stewards.decide(),
+        }
+    }
+}
+
+impl Stewards {
+    /// Takes the evidence of this host's proxy or what another agent sent to this steward.
+    fn take(&mut self, batch: wire::EvidenceBatch) {
+        if batch.host != self.core.settings.host {
+            return self.weigh(batch);
+        }
+        for (steward, batch) in self.split(batch) {
+            if steward == self.core.settings.host {
+                self.weigh(batch);
+            } else {
+                self.core.post_evidence(&steward, batch);
+            }
+        }
+    }
+
+    fn weigh(&mut self, batch: wire::EvidenceBatch) {
+        let batch = Batch::from(batch);
+        let services: BTreeSet<&str> =
+            batch.evidence.iter().map(|evidence| evidence.service.as_str()).collect();
+        let now = self.core.now();
+        for service in services {
+            if let Some(steward) = self.running.get_mut(service) {
+                steward.take(&batch, now);
+            }
+        }
+    }
+
+    /// Splits a batch into datagrams for the services' stewards.
+    fn split(&self, batch: wire::EvidenceBatch) -> Vec<(String, wire::EvidenceBatch)> {
+        let mut by_service: BTreeMap<String, Vec<wire::Evidence>> = BTreeMap::new();
+        for evidence in batch.evidence {
+            by_service.entry(evidence.service.clone()).or_default().push(evidence);
+        }
+        let mut parts = Vec::new();
+        for (service, evidence) in by_service {
+            let Some(steward) = self.core.steward_of(&service) else { continue };
+            for (index, part) in evidence.chunks(DATAGRAM_TARGETS).enumerate() {
+                let index = (index as u64).min(BATCH_DATAGRAMS - 1);
+                parts.push((
+                    steward.clone(),
+                    wire::EvidenceBatch {
+                        host: batch.host.clone(),
+                        domain: batch.domain.clone(),
+                        // Every part needs a higher number than the parts before it.
+                        sequence: batch.sequence * BATCH_DATAGRAMS + index,
+                        evidence: part.to_vec(),
+                    },
+                ));
+            }
+        }
+        parts
+    }
+
+    fn follow(&mut self, notice: &Notice) {
+        match notice {
+            Notice::Verdicts(verdicts) => {
+                let now = self.core.now();
+                for verdict in verdicts.iter() {
+                    if let Some(steward) = self.running.get_mut(&verdict.service) {
+                        steward.adopt(&verdict.clone().into(), now);
+                    }
+                }
+            }
+            Notice::Policy | Notice::Members(_) | Notice::Targets(_) => self.stale = true,
+            Notice::Leave => {}
+        }
+    }
+
+    fn decide(&mut self) {
+        if std::mem::take(&mut self.stale) {
+            self.refresh();
+        }
+        let now = self.core.now();
+        let verdicts: Vec<_> = self.running.values_mut().flat_map(|one| one.tick(now)).collect();
+        for verdict in verdicts.iter().filter(|verdict| verdict.ejected) {
+            log::info!("steward: {} of {} is {}", verdict.target, verdict.service, verdict.reason);
+        }
+        if !verdicts.is_empty() {
+            self.core.take_verdicts(verdicts.into_iter().map(Into::into).collect());
+        }
+    }
+
+    /// Starts and ends stewards, and tells the running ones of targets and policy.
+    fn refresh(&mut self) {
+        let policy = self.core.policy();
+        let mut targets: BTreeMap<String, Vec<Target>> = BTreeMap::new();
+        for target in self.core.target_table().targets {
+            targets.entry(target.service).or_default().push(Target {
+                name: target.name,
+                domain: target.domain,
+                leaving: target.leaving,
+            });
+        }
+        let mine = |service: &str| {
+            self.core.steward_of(service).is_some_and(|host| host == self.core.settings.host)
+        };
+        let services: Vec<(&String, &Service)> =
+            policy.grants.services.iter().filter(|(name, _)| mine(name)).collect();
+        self.running.retain(|name, _| services.iter().any(|(known, _)| *known == name));
+        for (name, service) in services {
+            self.keep(name, service, targets.get(name).map_or(&[], Vec::as_slice));
+        }
+    }
+
+    fn keep(&mut self, name: &str, service: &Service, targets: &[Target]) {
+        let now = self.core.now();
+        let core = &self.core;
+        let steward = self.running.entry(name.to_owned()).or_insert_with(|| {
+            let host = &core.settings.host;
+            let mut steward = Steward::open(host, name, service.profile, service.floor, now);
+            for verdict in core.verdict_table().verdicts {
+                steward.adopt(&verdict.into(), now);
+            }
+            steward
+        });
+        steward.set_policy(service.profile, service.floor);
+        steward.list(targets, now);
+    }
+}
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -13,6 +13,7 @@
 use crate::{
     admit::Admission,
     body::Body,
+    health::Watched,
     intake::Intake,
     place,
     refusal::Refusal,
@@ -156,9 +157,12 @@
             deadline: self.admission.rules.deadline,
             fresh,
         };
+        let watched = Watched::begin(shared, self.service_name(), &slot.target.name);
         let result = send::send(shared, attempt).await;
         self.waited += shared.clock.now() - start;
         let ending = result.as_ref().err().copied().unwrap_or(Ending::Answered);
+        let failed = result.as_ref().is_ok_and(|response| response.status().is_server_error());
+        watched.end(ending, failed);
         shared.metrics.count_attempt(self.service_name(), ending);
         if ending == Ending::Foreign {
             let fields = [("service", self.service_name()), ("id", &id)];
--- a/crates/citron-proxy/src/lib.rs
+++ b/crates/citron-proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod carry;
 mod door;
 mod header;
+mod health;
 mod intake;
 mod leaving;
 mod link;
--- a/crates/citron-proxy/src/link.rs
+++ b/crates/citron-proxy/src/link.rs
@@ -25,6 +25,8 @@
 const CLAIM_TRIES: u32 = 2;
 /// How often progress is reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// How often evidence about targets is reported.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(200);
 /// The first wait after a lost connection.
 const BACKOFF_MIN: Duration = Duration::from_millis(50);
 /// The longest wait after a lost connection.
@@ -118,6 +120,9 @@
     shared.metrics.attached.set(1);
     let mut leaving = shared.leaving.subscribe();
     let mut ticks = time::interval(REPORT_INTERVAL);
+    let mut evidence = time::interval(EVIDENCE_INTERVAL);
+    // What was seen while no agent listened is too old to judge by.
+    let _ = shared.health.report();
     loop {
         tokio::select! {
             update = updates.next() => match update {
@@ -125,6 +130,12 @@
                 None => return Ok(()),
             },
             _ = ticks.tick() => {}
+            _ = evidence.tick() => {
+                if let Some(batch) = shared.health.report() {
+                    report(shared, &sender, wire::report::Body::Evidence(batch.into()));
+                }
+                continue;
+            }
             Ok(()) = leaving.changed() => {}
         }
         report(shared, &sender, wire::report::Body::Progress(progress(shared)));
@@ -164,9 +175,15 @@
         Some(Body::Targets(table)) => {
             change(shared, |view| view.with_targets(&table));
             shared.places.set_targets(&shared.view.load().services);
+            shared.health.follow(&shared.view.load());
         }
         Some(Body::Leave(_)) => leaving::begin(shared),
-        Some(Body::Verdicts(_) | Body::Synced(_)) | None => {}
+        Some(Body::Verdicts(table)) => {
+            for verdict in table.verdicts {
+                shared.health.take(&verdict.into());
+            }
+        }
+        Some(Body::Synced(_)) | None => {}
     }
 }
 
@@ -190,6 +207,7 @@
         return;
     };
     change(shared, |view| view.with_policy(revision, policy));
+    shared.health.follow(&shared.view.load());
     shared.metrics.revision.set(revision as i64);
     shared.recorder.record(Kind::PolicyApplied, &revision.to_string(), &[]);
 }
--- a/crates/citron-proxy/src/place.rs
+++ b/crates/citron-proxy/src/place.rs
@@ -104,7 +104,6 @@
 
     /// Sets how much of its fair part a target gets, from 0 to 1; a target on trial gets
     /// idempotent requests only.
-    #[allow(dead_code, reason = "the standings of targets are wired in next")]
     pub fn set_weight(&self, service: &str, target: &str, weight: f64, trial: bool) {
         self.part(service).lock().table.set_weight(target, weight, trial);
     }
--- a/crates/citron-proxy/src/proxy.rs
+++ b/crates/citron-proxy/src/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::{net::UdpSocket, task::JoinHandle};
 
 use crate::{
-    allowance, door,
+    allowance, door, health,
     leaving::{self, Leaver},
     link::{self, Link},
     metrics::Metrics,
@@ -27,7 +27,7 @@
     addr: SocketAddr,
     admin: Admin,
     link: JoinHandle<()>,
-    helpers: [JoinHandle<()>; 2],
+    helpers: [JoinHandle<()>; 3],
     serving: JoinHandle<()>,
 }
 
@@ -75,6 +75,7 @@
         let helpers = [
             tokio::spawn(allowance::run(Arc::clone(&shared))),
             tokio::spawn(Arc::clone(&shared.places).run()),
+            tokio::spawn(health::run(Arc::clone(&shared))),
         ];
         let link = tokio::spawn(link::run(Arc::clone(&shared), addr));
         let serving = tokio::spawn(leaving::run(Arc::clone(&shared), addr, server));
@@ -139,12 +140,12 @@
         .services
         .iter()
         .map(|(name, service)| {
-            let usable = service.targets.iter().filter(|target| !target.leaving).count();
+            let (usable, ejected) = shared.health.summary(service);
             let busy: u32 = service.targets.iter().map(|target| target.busy()).sum();
             let state = json!({
                 "listed": service.targets.len(),
                 "usable": usable,
-                "ejected": Vec::<String>::new(),
+                "ejected": ejected,
                 "busy": busy,
             });
             (name.clone(), state)
--- a/crates/citron-proxy/src/shared.rs
+++ b/crates/citron-proxy/src/shared.rs
@@ -12,8 +12,8 @@
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
-    admit::Crowd, allowance::Allowances, link::Link, metrics::Metrics, place::Places,
-    send::Clients, settings::Settings, view::View,
+    admit::Crowd, allowance::Allowances, health::Health, link::Link, metrics::Metrics,
+    place::Places, send::Clients, settings::Settings, view::View,
 };
 
 /// The state that the tasks of one proxy share.
@@ -36,6 +36,8 @@
     pub allowances: Allowances,
     /// The targets and those who wait for one.
     pub places: Arc<Places>,
+    /// The health of targets.
+    pub health: Health,
     /// Requests per customer.
     pub crowd: Crowd,
     /// The socket for loans between proxies.
@@ -70,6 +72,7 @@
         Arc::new(Self {
             allowances: Allowances::open(&settings.host, settings.handover, clock.now()),
             places: Places::new(&settings.host, &settings.domain, clock),
+            health: Health::new(&settings.host, &settings.domain, clock),
             crowd: Crowd::new(settings.customer_limit),
             departure: Mutex::new(Departure::new(settings.leave)),
             clock,
--- a/crates/citron-stand/src/bench/detection/detector.rs
+++ b/crates/citron-stand/src/bench/detection/detector.rs
@@ -29,9 +29,9 @@
     /// See [`Method::Shared`].
     Shared(Box<Fleet>),
     /// See [`Method::Consecutive`].
-    Consecutive(Consecutive),
+    Consecutive(Box<Consecutive>),
     /// See [`Method::Outlier`].
-    Outlier(Outlier),
+    Outlier(Box<Outlier>),
 }
 
 impl Detector {
@@ -39,8 +39,8 @@
     pub fn open(method: Method, setup: &Setup) -> Self {
         match method {
             Method::Shared => Self::Shared(Box::new(Fleet::open(setup))),
-            Method::Consecutive => Self::Consecutive(Consecutive::open(setup)),
-            Method::Outlier => Self::Outlier(Outlier::open(setup)),
+            Method::Consecutive => Self::Consecutive(Box::new(Consecutive::open(setup))),
+            Method::Outlier => Self::Outlier(Box::new(Outlier::open(setup))),
         }
     }
 
--- a/crates/citron-stand/src/bench/detection/fleet.rs
+++ b/crates/citron-stand/src/bench/detection/fleet.rs
@@ -132,7 +132,7 @@
 }
 
 fn open_proxy(setup: &Setup, targets: &[Target], index: usize) -> (Observer, Floor) {
-    let mut observer = Observer::new(format!("h{index}"), format!("d{}", index % DOMAINS));
+    let mut observer = Observer::new(format!("h{index}"), format!("d{}", index % DOMAINS), 0);
     observer.set_profile(setup.name, setup.profile, Duration::ZERO);
     observer.list(setup.name, targets, Duration::ZERO);
     let mut floor = Floor::new();
--- a/crates/citron/src/health/observer.rs
+++ b/crates/citron/src/health/observer.rs
@@ -37,11 +37,14 @@
 
 impl Observer {
     /// Creates an observer for the proxy on `host` in the failure domain `domain`.
-    pub fn new(host: impl Into<String>, domain: impl Into<String>) -> Self {
+    ///
+    /// Batches are counted from `first` on, which must grow from one run of the proxy to the next,
+    /// such as milliseconds since the Unix epoch.
+    pub fn new(host: impl Into<String>, domain: impl Into<String>, first: u64) -> Self {
         Self {
             host: host.into(),
             domain: domain.into(),
-            sequence: 0,
+            sequence: first,
             next: 0,
             services: BTreeMap::new(),
             doubt: 0.0,
--- a/crates/citron/src/health/observer/watch.rs
+++ b/crates/citron/src/health/observer/watch.rs
@@ -15,6 +15,8 @@
 const FLIGHT_LIMIT: Duration = Duration::from_secs(3600);
 /// The part of the local threshold at which a target begins to look sick.
 const SUSPECT_FROM: f64 = 1.0 / 3.0;
+/// Answer times of one target that are kept for one report.
+const TIMES_LIMIT: usize = 64;
 /// A score is kept up to this multiple of the local threshold.
 const SCORE_LIMIT: f64 = 1.5;
 
@@ -102,7 +104,10 @@
             self.reference.add(time, now);
         }
         if let End::Answered(time) = end {
-            self.track(target, now).times.push(time.as_micros() as u64);
+            let times = &mut self.track(target, now).times;
+            if times.len() < TIMES_LIMIT {
+                times.push(time.as_micros() as u64);
+            }
         }
         self.note(target, counts, now);
     }
--- a/crates/citron/tests/health.rs
+++ b/crates/citron/tests/health.rs
@@ -48,7 +48,7 @@
 
 /// An observer that has seen enough healthy answers to judge times.
 fn observer(now: &mut Duration) -> Observer {
-    let mut observer = Observer::new("h1", "d1");
+    let mut observer = Observer::new("h1", "d1", 0);
     observer.set_profile(SERVICE, Profile::Fast, *now);
     observer.list(SERVICE, &targets(TARGETS, 0), *now);
     for round in 0..20 {
--- a/crates/citron/tests/health_random.rs
+++ b/crates/citron/tests/health_random.rs
@@ -37,7 +37,7 @@
         let count = rng.random_range(1..6);
         let proxies = (0..count)
             .map(|index| {
-                (Observer::new(format!("h{index}"), format!("d{}", index % 3)), Floor::new())
+                (Observer::new(format!("h{index}"), format!("d{}", index % 3), 0), Floor::new())
             })
             .collect();
         let mut fleet = Self {
