--- a/crates/citron-proxy/tests/leaving.rs
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -28,13 +28,14 @@
         use std::io::BufRead;
         let target = Target::spawn(script).await;
         let agent = Agent::spawn().await;
+        agent.send_hosts(&[("h1", "")]);
         agent.send_policy(1, support::CUSTOMERS, support::GRANTS);
         agent.send_targets(&[target.addr]);
         let free = "127.0.0.1:0";
         let mut child = Command::new(env!("CARGO_BIN_EXE_citron-proxy"))
             .args(["--host", "h1", "--domain", "a", "--listen", free, "--loans", free])
             .args(["--admin", free, "--agent", &agent.addr.to_string(), "--log", "warn"])
-            .args(["--leave-ms", leave_ms])
+            .args(["--leave-ms", leave_ms, "--handover-ms", "0"])
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program must start");
@@ -156,7 +157,7 @@
     let leaving = |report: &citron_wire::Report| matches!(&report.body, Some(citron_wire::report::Body::Progress(p)) if p.leaving);
     wait_for(|| async { process.agent.reports().iter().any(leaving) }).await;
     let reply = Caller::new(process.addr).call(GET.as_bytes()).await;
-    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")));
+    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")), "{reply:?}");
     assert!(process.child.try_wait().expect("wait").is_none(), "it must accept for the notice");
     process.child.kill().expect("kill");
 }
