Keep Rocket's launch notes out of the logs and read settings without the program's name

Cause: Rocket reports each launch as a warning, and the stand-in passed its own name as a word, which the agent refuses.

--- a/crates/citron-daemon/src/log.rs
+++ b/crates/citron-daemon/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use log::LevelFilter;
+use log::{Level, LevelFilter};
 use serde_json::json;
 
 use crate::Clock;
@@ -19,12 +19,13 @@
 ) -> Result<(), log::SetLoggerError> {
     let host = host.to_owned();
     fern::Dispatch::new()
-        .level(LevelFilter::Warn)
-        .level_for("citron", level)
-        .filter(move |meta| {
-            meta.level() <= LevelFilter::Warn || meta.target().starts_with("citron")
-        })
         .level(level)
+        .filter(|meta| match meta.target() {
+            target if target.starts_with("citron") => true,
+            // Rocket reports each launch as a warning.
+            target if target.starts_with("rocket") => meta.level() <= Level::Error,
+            _ => meta.level() <= Level::Warn,
+        })
         .format(move |out, message, record| {
             let line = json!({
                 "wall_ms": clock.wall_ms(),
--- a/crates/citron-daemon/src/setting.rs
+++ b/crates/citron-daemon/src/setting.rs
@@ -95,7 +95,7 @@
 
 /// Reads flags, then environment variables, then defaults.
 ///
-/// `--help` and `--version` give a text to print.
+/// `args` come without the program's name. `--help` and `--version` give a text to print.
 ///
 /// # Errors
 /// Fails on an unknown flag or a flag without a value.
--- a/crates/citron-daemon/tests/setting.rs
+++ b/crates/citron-daemon/tests/setting.rs
@@ -23,7 +23,7 @@
 ];
 
 fn values(args: &[&str], variable: Option<(&str, &str)>) -> Result<Values, Error> {
-    let args = ["program"].iter().chain(args).map(OsString::from);
+    let args = args.iter().map(OsString::from);
     let lookup =
         |name: &str| variable.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned());
     match read("program", "about", SPECS, args, lookup)? {
--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -27,7 +27,7 @@
     specs: &'static [Spec],
     words: &[String],
 ) -> eyre::Result<Option<Values>> {
-    let args = std::iter::once(OsString::from(name)).chain(words.iter().map(OsString::from));
+    let args = words.iter().map(OsString::from);
     match setting::read(name, about, specs, args, |variable| env::var(variable).ok())? {
         Request::Print(text) => {
             print!("{text}");
