Lose writes at the platform's stand-in, to tell them from lost answers

With a driver that took each missing answer for success, all tests of citronctl passed: the stand-in could only lose answers of writes that took effect. It can now lose the write itself; the same fault then fails lost_write_of_the_head_is_repeated and the race of processes.

--- a/crates/citron-platform/tests/contract.rs
+++ b/crates/citron-platform/tests/contract.rs
@@ -202,6 +202,14 @@
     assert_eq!(client.get("a", "x").await, Ok(None));
 });
 
+case!(lost_write_is_unknown_and_took_no_effect, |platform, client| {
+    platform.lose_writes(1);
+    assert_eq!(client.get("a", "x").await, Ok(None));
+    assert_matches!(client.put("a", "x", b"1", Expect::Any).await, Err(Error::Unknown { .. }));
+    assert_eq!(client.get("a", "x").await, Ok(None));
+    client.put("a", "x", b"1", Expect::Absent).await.unwrap();
+});
+
 case!(refused_write_keeps_the_lost_answer_for_the_next, |platform, client| {
     client.put("a", "x", b"1", Expect::Absent).await.unwrap();
     platform.lose_answers(1);
--- a/crates/citron-stand/src/platform/admin.rs
+++ b/crates/citron-stand/src/platform/admin.rs
@@ -11,7 +11,7 @@
 type Stand = State<Arc<Shared>>;
 
 pub(super) fn routes() -> Vec<Route> {
-    routes![set_hosts, set_mode, lose_answers, set_lag, calls]
+    routes![set_hosts, set_mode, lose_answers, lose_writes, set_lag, calls]
 }
 
 #[derive(Deserialize)]
@@ -42,6 +42,12 @@
     Status::Ok
 }
 
+#[post("/lose-writes", data = "<count>")]
+fn lose_writes(stand: &Stand, count: Json<Count>) -> Status {
+    *stand.lose_writes.lock() = count.into_inner().count;
+    Status::Ok
+}
+
 #[post("/lag", data = "<lag>")]
 fn set_lag(stand: &Stand, lag: Json<Lag>) -> Status {
     let lag = Duration::from_millis(lag.into_inner().lag_ms);
--- a/crates/citron-stand/src/platform/serve.rs
+++ b/crates/citron-stand/src/platform/serve.rs
@@ -74,7 +74,7 @@
     pub calls: BTreeMap<Call, u64>,
     /// Watches that wait now.
     pub waiting_watches: u64,
-    /// Calls that an outage ended.
+    /// Calls that were ended without effect or answer.
     pub cut: u64,
     /// Writes that took effect and whose answer was lost.
     pub lost_answers: u64,
@@ -112,6 +112,7 @@
         hosts: Mutex::new(HostList::new(hosts)),
         mode: watch::Sender::new(Mode::Up),
         lose_answers: Mutex::new(0),
+        lose_writes: Mutex::new(0),
         calls: Mutex::default(),
         changed: Mutex::default(),
         conns: conns.clone(),
@@ -150,6 +151,11 @@
         *self.shared.lose_answers.lock() = count;
     }
 
+    /// Loses the next `count` writes, which do not take effect, without an answer.
+    pub fn lose_writes(&self, count: u64) {
+        *self.shared.lose_writes.lock() = count;
+    }
+
     /// Replaces the host list, in force after the lag.
     pub fn set_hosts(&self, hosts: Hosts) {
         self.shared.hosts.lock().set(self.shared.clock.now(), hosts);
@@ -185,6 +191,7 @@
     pub(super) hosts: Mutex<HostList>,
     pub(super) mode: watch::Sender<Mode>,
     pub(super) lose_answers: Mutex<u64>,
+    pub(super) lose_writes: Mutex<u64>,
     pub(super) calls: Mutex<Calls>,
     /// The version of the latest change, by kind.
     changed: Mutex<HashMap<String, watch::Sender<Version>>>,
@@ -208,7 +215,8 @@
                 () = self.outage() => {}
             }
         }
-        if *self.mode.borrow() == Mode::Down {
+        let lost = matches!(call, Call::Put | Call::Delete) && take_one(&self.lose_writes);
+        if lost || *self.mode.borrow() == Mode::Down {
             self.cut(conn).await;
             return false;
         }
@@ -230,15 +238,10 @@
 
     /// Loses the answer to a write that took effect if one is to be lost.
     pub(super) async fn may_lose_answer(&self, conn: &Conn) {
-        {
-            let mut left = self.lose_answers.lock();
-            if *left == 0 {
-                return;
-            }
-            *left -= 1;
+        if take_one(&self.lose_answers) {
+            self.calls.lock().lost_answers += 1;
+            conn.cut().await;
         }
-        self.calls.lock().lost_answers += 1;
-        conn.cut().await;
     }
 
     /// Wakes the watches of a kind.
@@ -255,6 +258,14 @@
     }
 }
 
+/// Counts down unless nothing is left; returns whether something was.
+fn take_one(left: &Mutex<u64>) -> bool {
+    let mut left = left.lock();
+    let some = *left > 0;
+    *left -= u64::from(some);
+    some
+}
+
 impl Calls {
     /// Returns the number of calls of all kinds.
     pub fn total(&self) -> u64 {
--- a/crates/citronctl/tests/cli.rs
+++ b/crates/citronctl/tests/cli.rs
@@ -184,6 +184,13 @@
     assert_eq!(bench.json(0, "status")["holder"], "atlas");
 });
 
+case!(lost_write_of_the_head_is_repeated, |bench| {
+    bench.json(0, APPLY);
+    bench.platform.lose_writes(2);
+    assert_eq!(bench.json(0, "handover --as anadolu --to atlas")["revision"], 2);
+    assert_eq!(bench.json(0, "status")["holder"], "atlas");
+});
+
 case!(lost_answers_to_shards_are_written_again, |bench| {
     bench.platform.lose_answers(3);
     assert_eq!(bench.json(0, APPLY)["revision"], 1);
--- a/crates/citronctl/tests/race.rs
+++ b/crates/citronctl/tests/race.rs
@@ -25,6 +25,7 @@
     for round in 0..ROUNDS {
         bench.write("", &GRANTS.replace("rate = 5.0", &format!("rate = {}.0", round + 10)));
         bench.platform.lose_answers(u64::from(round % 3));
+        bench.platform.lose_writes(u64::from(round % 2));
         let lines = [
             "apply customers.toml grants.toml --as a",
             "apply customers.toml grants.toml --as b",
