--- a/crates/citron-agent/tests/support/mod.rs
+++ b/crates/citron-agent/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A fleet of agents in this process, with the stand-in of the platform.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use citron::policy::{Head, Policy, Shard, ShardRef};
@@ -158,7 +161,7 @@
 
 /// Returns the revision that an agent knows.
 pub fn revision(agent: &Agent) -> u64 {
-    agent.core().with_policy(|copy| copy.head.revision)
+    agent.core().revision()
 }
 
 /// Returns the names of an agent's live members, sorted, without itself.
