--- a/crates/citron-platform/tests/contract.rs
+++ b/crates/citron-platform/tests/contract.rs
@@ -255,6 +255,12 @@
     let calls: serde_json::Value =
         http.get(url("calls")).send().await.unwrap().json().await.unwrap();
     assert_eq!((&calls["calls"]["get"], &calls["lost_answers"]), (&2.into(), &1.into()));
+    let page = async |path: &str| {
+        let url = format!("{}/{path}", platform.url());
+        http.get(url).send().await.unwrap().text().await.unwrap()
+    };
+    assert!(page("metrics").await.contains("citron_platform_calls_total{call=\"get\"} 2"));
+    assert!(page("events").await.contains("fault-set"));
 });
 
 /// What a server does with a connection before it closes it.
@@ -327,6 +333,39 @@
 fate!(not_http, Fate::Answer("hello\r\n\r\n"),
     read: Err(Error::Unreachable { .. }), write: Err(Error::Unknown { .. }));
 
+/// Answers the first request of each connection, then reads one more and closes.
+async fn serve_one_a_connection() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(SocketAddr::from(LOCAL)).await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let arrived = Arc::new(AtomicUsize::new(0));
+    let count = arrived.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4096];
+                for answer in ["HTTP/1.1 200 x\r\netag: \"1\"\r\ncontent-length: 0\r\n\r\n", ""] {
+                    if stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                        count.fetch_add(1, Ordering::SeqCst);
+                    }
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    (url, arrived)
+}
+
+#[tokio::test]
+async fn write_on_a_reused_connection_is_not_repeated() {
+    let (url, arrived) = serve_one_a_connection().await;
+    let client = Client::open(&url, TIMEOUT).unwrap();
+    let put = async || client.put("a", "x", b"1", Expect::Any).await;
+    assert_eq!(put().await, Ok(Version(1)));
+    assert_matches!(put().await, Err(Error::Unknown { .. }));
+    assert_eq!(arrived.load(Ordering::SeqCst), 2);
+}
+
 #[tokio::test]
 async fn value_cut_short_is_no_value() {
     let (url, _) =
--- a/crates/citron-stand/src/command/platform.rs
+++ b/crates/citron-stand/src/command/platform.rs
@@ -2,7 +2,10 @@
 
 use std::{fs, net::SocketAddr, process::ExitCode};
 
-use citron_daemon::setting::{self, Spec, Values};
+use citron_daemon::{
+    Clock, init_log,
+    setting::{self, Spec, Values},
+};
 use citron_platform::Hosts;
 use eyre::WrapErr;
 use serde_json::json;
@@ -27,6 +30,13 @@
         help: "file with the first list of hosts",
         valid: "a JSON file as returned by GET /v1/hosts",
     },
+    Spec {
+        flag: "log",
+        variable: "CITRON_STAND_LOG",
+        default: Some("warn"),
+        help: "least level of log lines",
+        valid: "off, error, warn, info, debug or trace",
+    },
 ];
 
 struct Settings {
@@ -46,6 +56,7 @@
         return Ok(ExitCode::SUCCESS);
     };
     let settings = parse(&values)?;
+    init_log(values.get("log")?, "platform", "citron-stand", Clock::start())?;
     block_on(serve(settings))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/citron-stand/src/command/relay.rs
+++ b/crates/citron-stand/src/command/relay.rs
@@ -4,7 +4,7 @@
 
 use citron::event::Kind;
 use citron_daemon::{
-    Clock, Recorder, bind_admin,
+    Clock, Recorder, bind_admin, init_log,
     setting::{self, Spec, Values},
 };
 use eyre::WrapErr;
@@ -39,6 +39,13 @@
         help: "address of the switch, metrics and events",
         valid: "an IP address and port; port 0 picks a free one",
     },
+    Spec {
+        flag: "log",
+        variable: "CITRON_STAND_LOG",
+        default: Some("warn"),
+        help: "least level of log lines",
+        valid: "off, error, warn, info, debug or trace",
+    },
 ];
 
 struct Settings {
@@ -58,6 +65,7 @@
         return Ok(ExitCode::SUCCESS);
     };
     let settings = parse(&values)?;
+    init_log(values.get("log")?, "relay", "citron-stand", Clock::start())?;
     block_on(serve(settings))?;
     Ok(ExitCode::SUCCESS)
 }
@@ -68,8 +76,9 @@
     })?;
     let relay = Arc::new(relay);
     let listen = relay.addr();
-    let recorder = Recorder::open(&listen.to_string(), PROGRAM, Clock::start());
-    let status = move || json!({"listen": listen, "to": settings.to});
+    let recorder =
+        Recorder::open(&format!("relay-{}", listen.port()), "citron-stand", Clock::start());
+    let status = move || json!({"program": "citron-stand", "listen": listen, "to": settings.to});
     let admin = bind_admin(settings.admin, Registry::new(), recorder, status, |rocket| {
         rocket.manage(relay).mount("/", routes![cut])
     })
--- a/crates/citron-stand/src/platform/admin.rs
+++ b/crates/citron-stand/src/platform/admin.rs
@@ -6,7 +6,10 @@
 use rocket::{Route, State, get, http::Status, post, put, routes, serde::json::Json};
 use serde::Deserialize;
 
-use super::serve::{Calls, Mode, Shared};
+use super::{
+    meter::Calls,
+    serve::{Mode, Shared},
+};
 
 type Stand = State<Arc<Shared>>;
 
@@ -32,7 +35,7 @@
 
 #[post("/mode", data = "<mode>")]
 fn set_mode(stand: &Stand, mode: Json<Mode>) -> Status {
-    stand.mode.send_replace(mode.into_inner());
+    stand.set_mode(mode.into_inner());
     Status::Ok
 }
 
@@ -57,5 +60,5 @@
 
 #[get("/calls")]
 fn calls(stand: &Stand) -> Json<Calls> {
-    Json(stand.calls.lock().clone())
+    Json(stand.meter.read())
 }
--- a/crates/citron-stand/src/platform/api.rs
+++ b/crates/citron-stand/src/platform/api.rs
@@ -16,11 +16,7 @@
 use serde::Serialize;
 use tokio::time;
 
-use super::{
-    front::Conn,
-    serve::{Call, Shared},
-    store::Fault,
-};
+use super::{front::Conn, meter::Call, serve::Shared, store::Fault};
 
 /// The longest time a watch may wait.
 const WATCH_LIMIT: Duration = Duration::from_secs(300);
@@ -116,13 +112,13 @@
         return Answer::none();
     }
     let wait = Duration::from_millis(timeout_ms).min(WATCH_LIMIT);
-    stand.calls.lock().waiting_watches += 1;
+    stand.meter.waiting_watches.inc();
     let changes = tokio::select! {
         changes = first_changes(stand, kind, Version(after), wait) => Some(changes),
         () = stand.outage() => None,
         () = conn.closed() => None,
     };
-    stand.calls.lock().waiting_watches -= 1;
+    stand.meter.waiting_watches.dec();
     match changes {
         Some(changes) => Answer::json(&changes),
         None => {
--- a/crates/citron-stand/src/platform/mod.rs
+++ b/crates/citron-stand/src/platform/mod.rs
@@ -4,11 +4,13 @@
 mod api;
 mod front;
 mod host;
+mod meter;
 mod serve;
 mod store;
 
 pub use self::{
     host::HostList,
-    serve::{Call, Calls, Mode, Platform, bind},
+    meter::{Call, Calls},
+    serve::{Error, Mode, Platform, bind},
     store::{Fault, Store},
 };
--- a/crates/citron-stand/src/platform/serve.rs
+++ b/crates/citron-stand/src/platform/serve.rs
@@ -1,23 +1,25 @@
 //! The running stand-in and its switches.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     fmt::{self, Display, Formatter},
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
 
-use citron_daemon::{Clock, Server};
+use citron::event::Kind;
+use citron_daemon::{Admin, Clock, Recorder, bind_admin};
 use citron_platform::{Hosts, Version};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use strum::{Display as StrumDisplay, EnumIter, IntoEnumIterator};
+use serde_json::json;
 use tokio::{sync::watch, time};
 
 use super::{
     HostList, Store, admin, api,
     front::{Conn, Conns, Front},
+    meter::{Call, Calls, Meter},
 };
 
 /// How the object API behaves.
@@ -36,55 +38,11 @@
     },
 }
 
-/// The kinds of calls.
-#[derive(
-    Debug,
-    Copy,
-    Clone,
-    Eq,
-    PartialEq,
-    Ord,
-    PartialOrd,
-    Serialize,
-    Deserialize,
-    StrumDisplay,
-    EnumIter,
-)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum Call {
-    /// Reads an object.
-    Get,
-    /// Writes an object.
-    Put,
-    /// Deletes an object.
-    Delete,
-    /// Lists a kind.
-    List,
-    /// Waits for changes.
-    Watch,
-    /// Reads the host list.
-    Hosts,
-}
-
-/// How often the platform was called.
-#[derive(Debug, Default, Clone, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Calls {
-    /// Calls by kind, those during an outage too.
-    pub calls: BTreeMap<Call, u64>,
-    /// Watches that wait now.
-    pub waiting_watches: u64,
-    /// Calls that were ended without effect or answer.
-    pub cut: u64,
-    /// Writes that took effect and whose answer was lost.
-    pub lost_answers: u64,
-}
-
 /// A running stand-in of the platform; dropping it closes all connections.
 #[derive(Debug)]
 pub struct Platform {
     front: Front,
-    server: Server,
+    server: Admin,
     shared: Arc<Shared>,
 }
 
@@ -105,25 +63,36 @@
 /// # Errors
 /// Fails if the address cannot be bound.
 pub async fn bind(addr: SocketAddr, hosts: Hosts) -> Result<Platform, Error> {
+    let fault = |error: &dyn Display| Error(error.to_string());
     let conns = Conns::default();
+    let clock = Clock::start();
+    let recorder = Recorder::open("platform", "citron-stand", clock);
     let shared = Arc::new(Shared {
-        clock: Clock::start(),
+        clock,
+        recorder: recorder.clone(),
+        meter: Meter::new().map_err(|error| fault(&error))?,
         store: Mutex::default(),
         hosts: Mutex::new(HostList::new(hosts)),
         mode: watch::Sender::new(Mode::Up),
         lose_answers: Mutex::new(0),
         lose_writes: Mutex::new(0),
-        calls: Mutex::default(),
         changed: Mutex::default(),
         conns: conns.clone(),
     });
     let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let rocket = rocket::custom(citron_daemon::config(inner))
-        .manage(shared.clone())
-        .mount("/v1", api::routes())
-        .mount("/admin", admin::routes());
-    let server =
-        citron_daemon::bind(rocket, inner).await.map_err(|error| Error(error.to_string()))?;
+    let registry = shared.meter.registry.clone();
+    let (shown, mounted) = (shared.clone(), shared.clone());
+    let server = bind_admin(
+        inner,
+        registry,
+        recorder,
+        move || shown.status(),
+        |rocket| {
+            rocket.manage(mounted).mount("/v1", api::routes()).mount("/admin", admin::routes())
+        },
+    )
+    .await
+    .map_err(|error| fault(&error))?;
     let front = Front::bind(addr, server.addr(), conns).await.map_err(|error| {
         Error(format!("cannot listen on {addr}: {error}; choose a free address of this host"))
     })?;
@@ -143,7 +112,7 @@
 
     /// Switches how the object API behaves; calls that wait are ended by an outage too.
     pub fn set_mode(&self, mode: Mode) {
-        self.shared.mode.send_replace(mode);
+        self.shared.set_mode(mode);
     }
 
     /// Loses the answers to the next `count` writes, which take effect.
@@ -168,7 +137,7 @@
 
     /// Returns how often it was called.
     pub fn calls(&self) -> Calls {
-        self.shared.calls.lock().clone()
+        self.shared.meter.read()
     }
 
     /// Runs `query` on the stored objects.
@@ -192,13 +161,35 @@
     pub(super) mode: watch::Sender<Mode>,
     pub(super) lose_answers: Mutex<u64>,
     pub(super) lose_writes: Mutex<u64>,
-    pub(super) calls: Mutex<Calls>,
+    pub(super) recorder: Recorder,
+    pub(super) meter: Meter,
     /// The version of the latest change, by kind.
     changed: Mutex<HashMap<String, watch::Sender<Version>>>,
     conns: Conns,
 }
 
 impl Shared {
+    /// Switches how the object API behaves.
+    pub(super) fn set_mode(&self, mode: Mode) {
+        let (name, delay_ms) = match mode {
+            Mode::Up => ("up", 0),
+            Mode::Down => ("down", 0),
+            Mode::Slow { delay_ms } => ("slow", delay_ms),
+        };
+        let fields = [("mode", name), ("delay_ms", &delay_ms.to_string())];
+        self.recorder.record(Kind::FaultSet, "platform", &fields);
+        self.mode.send_replace(mode);
+    }
+
+    fn status(&self) -> serde_json::Value {
+        json!({
+            "program": "citron-stand",
+            "host": self.recorder.host(),
+            "version": self.store.lock().version(),
+            "mode": *self.mode.borrow(),
+        })
+    }
+
     /// Returns the connection that the HTTP server sees from `peer`.
     pub(super) fn conn(&self, peer: SocketAddr) -> Option<Conn> {
         self.conns.lock().get(&peer).cloned()
@@ -207,7 +198,7 @@
     /// Counts a call and applies the mode to it; returns false if it is to end without effect, its
     /// connection being closed already.
     pub(super) async fn enter(&self, call: Call, conn: &Conn) -> bool {
-        *self.calls.lock().calls.entry(call).or_default() += 1;
+        self.meter.count(call);
         let mode = *self.mode.borrow();
         if let Mode::Slow { delay_ms } = mode {
             tokio::select! {
@@ -225,7 +216,7 @@
 
     /// Ends a call by closing its connection.
     pub(super) async fn cut(&self, conn: &Conn) {
-        self.calls.lock().cut += 1;
+        self.meter.cut.inc();
         conn.cut().await;
     }
 
@@ -239,7 +230,7 @@
     /// Loses the answer to a write that took effect if one is to be lost.
     pub(super) async fn may_lose_answer(&self, conn: &Conn) {
         if take_one(&self.lose_answers) {
-            self.calls.lock().lost_answers += 1;
+            self.meter.lost_answers.inc();
             conn.cut().await;
         }
     }
@@ -265,10 +256,3 @@
     *left -= u64::from(some);
     some
 }
-
-impl Calls {
-    /// Returns the number of calls of all kinds.
-    pub fn total(&self) -> u64 {
-        Call::iter().filter_map(|call| self.calls.get(&call)).sum()
-    }
-}
