--- a/crates/citron-platform/tests/contract.rs
+++ b/crates/citron-platform/tests/contract.rs
@@ -14,9 +14,11 @@
     Change, Client, Error, Expect, Host, Hosts, Object, Role, State, VALUE_LIMIT_BYTES, Version,
 };
 use citron_stand::platform::{Call, Mode, Platform, bind};
+use socket2::{Domain, Socket, Type};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
+    time::timeout,
 };
 
 /// Far longer than any call here takes when nothing fails.
@@ -24,6 +26,9 @@
 /// For calls that are meant to time out.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// For connections that are never made; a client gives up connecting after half of it.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
 const LOCAL: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 
 async fn open() -> (Platform, Client) {
@@ -394,6 +399,23 @@
     assert_matches!(written, Err(Error::Unreachable { .. }));
 }
 
+#[tokio::test]
+async fn nothing_is_sent_on_a_connection_that_is_never_made() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(LOCAL).into()).unwrap();
+    socket.listen(0).unwrap();
+    let addr = socket.local_addr().unwrap().as_socket().unwrap();
+    // With its queue full, the system drops further attempts to connect.
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        queued.push(stream);
+    }
+    let client = Client::open(&format!("http://{addr}"), CONNECT_TIMEOUT).unwrap();
+    let written = client.put("a", "x", b"1", Expect::Any).await;
+    assert_matches!(written, Err(Error::Unreachable { .. }));
+    assert_matches!(client.get("a", "x").await, Err(Error::Unreachable { .. }));
+}
+
 #[test]
 fn bad_urls_are_refused() {
     for url in ["", "nowhere", "https://127.0.0.1", "ftp://127.0.0.1", "http://"] {
--- a/crates/citron-stand/src/platform/host.rs
+++ b/crates/citron-stand/src/platform/host.rs
@@ -27,8 +27,7 @@
     pub fn set(&mut self, now: Duration, mut hosts: Hosts) {
         let last = self.pending.back().map_or(&self.shown, |(_, hosts)| hosts);
         hosts.version = last.version + 1;
-        let earliest = self.pending.back().map_or(Duration::ZERO, |(due, _)| *due);
-        self.pending.push_back(((now + self.lag).max(earliest), hosts));
+        self.pending.push_back((now + self.lag, hosts));
     }
 
     /// Returns the list as shown at `now`.
