--- a/crates/citron-agent/src/sweep.rs
+++ b/crates/citron-agent/src/sweep.rs
@@ -23,7 +23,8 @@
 
 /// Takes part in the lease and sweeps while it is held, for good.
 pub async fn run(core: Arc<Core>, client: Client) {
-    let mut sweep = Sweep { lease: Lease::open(&core.settings.host), core, client, next: None };
+    let mut sweep =
+        Sweep { lease: Lease::open(&core.settings.host), core, client, recorded: None, next: None };
     loop {
         time::sleep(TICK).await;
         // The watchers of the platform take turns; so the calls grow with the failure domains.
@@ -39,19 +40,20 @@
     core: Arc<Core>,
     client: Client,
     lease: Lease,
+    /// The permit that was recorded last.
+    recorded: Option<Permit>,
     /// When the next sweep is due, while the lease is held.
     next: Option<Duration>,
 }
 
 impl Sweep {
     async fn advance(&mut self) {
-        let held = self.lease.permit(self.core.now());
         if let Some(request) = self.lease.tick(self.core.now()) {
             let answer = self.call(request).await;
             self.lease.take(answer, self.core.now());
         }
         let holds = self.lease.permit(self.core.now());
-        self.record(held, holds);
+        self.record(holds);
         let Some(permit) = holds else {
             self.next = None;
             return;
@@ -65,17 +67,18 @@
         }
     }
 
-    fn record(&self, before: Option<Permit>, after: Option<Permit>) {
-        match (before, after) {
-            (None, Some(permit)) => {
-                let term = permit.term.to_string();
-                self.core.recorder.record(Kind::LeaseTaken, LEASE.1, &[("term", &term)]);
-            }
-            (Some(permit), None) => {
-                let term = permit.term.to_string();
-                self.core.recorder.record(Kind::LeaseLost, LEASE.1, &[("term", &term)]);
+    /// Records that the lease was taken, or lost, which may have happened during a pause.
+    fn record(&mut self, holds: Option<Permit>) {
+        let before = self.recorded.map(|permit| permit.term);
+        let after = holds.map(|permit| permit.term);
+        self.recorded = holds;
+        if before == after {
+            return;
+        }
+        for (kind, term) in [(Kind::LeaseLost, before), (Kind::LeaseTaken, after)] {
+            if let Some(term) = term {
+                self.core.recorder.record(kind, LEASE.1, &[("term", &term.to_string())]);
             }
-            _ => {}
         }
     }
 
--- a/crates/citron-agent/tests/fleet.rs
+++ b/crates/citron-agent/tests/fleet.rs
@@ -28,6 +28,32 @@
     until("revision 2", || async { agents.iter().all(|agent| revision(agent) == 2) }).await;
 });
 
+case!(a_policy_reaches_a_domain_that_is_cut_off_from_the_platform, async {
+    let platform = platform().await;
+    let mut agents = fleet(&platform.url(), 4).await;
+    // Nothing listens there.
+    for index in [10, 13, 16] {
+        let cut_off = agent("http://127.0.0.1:9", index, 7, &[&agents[0]]).await;
+        agents.push(cut_off);
+    }
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 6) }).await;
+    for version in 1..4 {
+        accept(&platform.url(), version).await;
+        until("in force", || async { agents.iter().all(|agent| revision(agent) == version) }).await;
+    }
+});
+
+case!(few_agents_watch_the_platform, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 12).await;
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 11) }).await;
+    accept(&platform.url(), 1).await;
+    until("two watches for each of three domains", || async {
+        platform.calls().waiting_watches == 6
+    })
+    .await;
+});
+
 case!(an_older_head_on_the_platform_changes_nothing, async {
     let platform = platform().await;
     let agents = fleet(&platform.url(), 3).await;
