Bring a host back with its proxy, bound datagrams, end when an invariant is violated

A proxy restarted alone left its host marked as leaving until the agent ended too; attaching again takes that back unless an operator drained the host. SIGTERM of the agent alone no longer tells the proxy to leave. Datagrams with the longest names could exceed 1,400 bytes: records share one budget and verdicts take what room is left. A panic in a task now ends the agent.

--- a/crates/citron-agent/src/control.rs
+++ b/crates/citron-agent/src/control.rs
@@ -125,14 +125,14 @@
         }
         match report.body {
             Some(report::Body::Hello(hello)) => {
-                core.set_proxy(&hello.listen, &hello.loans);
+                core.attach_proxy(&hello.listen, &hello.loans);
                 address = hello.listen;
             }
             Some(report::Body::Evidence(batch)) => core.take_evidence(batch),
             Some(report::Body::Progress(progress)) => {
                 core.set_progress(progress.revision);
                 if progress.leaving {
-                    core.leave();
+                    core.leave_with_proxy();
                 }
             }
             None => {}
@@ -188,7 +188,11 @@
         self.send_policy().await?;
         self.send(update::Body::Members(self.core.member_table())).await?;
         self.send(update::Body::Targets(self.core.target_table())).await?;
-        self.send(update::Body::Verdicts(self.core.verdict_table())).await
+        self.send(update::Body::Verdicts(self.core.verdict_table())).await?;
+        if self.core.is_drained() {
+            self.send(update::Body::Leave(wire::Leave {})).await?;
+        }
+        Some(())
     }
 
     async fn send_synced(&mut self) -> Option<()> {
--- a/crates/citron-agent/src/core/members.rs
+++ b/crates/citron-agent/src/core/members.rs
@@ -1,6 +1,6 @@
 //! The membership: what goes in, and what it asks for.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::atomic::Ordering};
 
 use citron::{
     event::Kind,
@@ -11,7 +11,7 @@
 use citron_wire as wire;
 use prost::Message as _;
 
-use super::{Core, NUDGE_MEMBERS, Notice, VERDICT_BUDGET_BYTES};
+use super::{Core, DATAGRAM_LIMIT_BYTES, NUDGE_MEMBERS, Notice, VERDICT_BUDGET_BYTES};
 use crate::convert;
 
 impl Core {
@@ -80,12 +80,39 @@
         }
     }
 
-    /// Asks this host's proxy to leave as well.
+    /// Leaves for good and asks this host's proxy to leave as well.
     pub fn drain(&self) {
+        self.drained.store(true, Ordering::Relaxed);
         self.leave();
         self.notify(Notice::Leave);
     }
 
+    /// Returns true if an operator drained this host.
+    pub fn is_drained(&self) -> bool {
+        self.drained.load(Ordering::Relaxed)
+    }
+
+    /// Takes a proxy that attached; one that was started again brings the host back.
+    pub fn attach_proxy(&self, proxy: &str, loans: &str) {
+        self.proxy_leaving.store(false, Ordering::Relaxed);
+        if !self.is_drained() {
+            let actions = self.members.lock().resume();
+            self.carry_out(actions);
+        }
+        self.set_proxy(proxy, loans);
+    }
+
+    /// Takes the attached proxy's word that it leaves.
+    pub fn leave_with_proxy(&self) {
+        self.proxy_leaving.store(true, Ordering::Relaxed);
+        self.leave();
+    }
+
+    /// Returns true if the attached proxy said that it leaves.
+    pub fn is_proxy_leaving(&self) -> bool {
+        self.proxy_leaving.load(Ordering::Relaxed)
+    }
+
     /// Calls `read` with the membership.
     pub fn with_members<T>(&self, read: impl FnOnce(&Membership) -> T) -> T {
         read(&self.members.lock())
@@ -190,13 +217,15 @@
     fn send(&self, to: &str, message: Message) {
         let limit = rumor::transmissions(self.metrics.members.get() as usize);
         let stamp = self.recorder.stamp();
-        let gossip = wire::Gossip {
+        let mut gossip = wire::Gossip {
             stamp: Some(wire::Stamp { wall_ms: stamp.wall_ms, logical: stamp.logical }),
             revision: self.revision(),
-            hosts_version: self.lists.lock().targets.version(),
-            verdicts: self.verdict_news.lock().fill(VERDICT_BUDGET_BYTES, limit),
+            hosts_version: self.hosts_version(),
             ..convert::datagram(message)
         };
+        let room = DATAGRAM_LIMIT_BYTES.saturating_sub(gossip.encoded_len());
+        let budget = room.min(VERDICT_BUDGET_BYTES);
+        gossip.verdicts = self.verdict_news.lock().fill(budget, limit);
         self.post(to, &gossip);
     }
 
--- a/crates/citron-agent/src/core/mod.rs
+++ b/crates/citron-agent/src/core/mod.rs
@@ -5,7 +5,11 @@
 mod members;
 mod policy;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use citron::{
     hosts::{Changes, Table},
@@ -27,6 +31,8 @@
 const SEND_CAPACITY: usize = 4096;
 /// Verdict bytes in one datagram.
 const VERDICT_BUDGET_BYTES: usize = 250;
+/// The largest datagram.
+pub const DATAGRAM_LIMIT_BYTES: usize = 1400;
 /// Verdicts that wait to be sent.
 const VERDICT_CAPACITY: usize = 1024;
 /// Members that are told of a newer policy or host list at once.
@@ -86,6 +92,10 @@
     datagrams: mpsc::Sender<(String, Vec<u8>)>,
     hints: mpsc::Sender<Hint>,
     synced: watch::Sender<bool>,
+    /// An operator drained this host, until the agent ends.
+    drained: AtomicBool,
+    /// The attached proxy said that it leaves.
+    proxy_leaving: AtomicBool,
 }
 
 /// The receiving ends of the queues of a [`Core`].
@@ -124,6 +134,8 @@
             datagrams,
             hints,
             synced: watch::channel(false).0,
+            drained: AtomicBool::new(false),
+            proxy_leaving: AtomicBool::new(false),
         };
         (Arc::new(core), Queues { datagrams: datagrams_end, hints: hints_end })
     }
--- a/crates/citron-agent/src/gossip.rs
+++ b/crates/citron-agent/src/gossip.rs
@@ -9,12 +9,10 @@
     time::{self, MissedTickBehavior},
 };
 
-use crate::core::Core;
+use crate::core::{Core, DATAGRAM_LIMIT_BYTES};
 
 /// The time between two looks at the membership's timers.
 const TICK: Duration = Duration::from_millis(25);
-/// The largest datagram.
-const DATAGRAM_LIMIT_BYTES: usize = 1400;
 
 /// Advances the membership for good.
 pub async fn tick(core: Arc<Core>) {
--- a/crates/citron-agent/src/lib.rs
+++ b/crates/citron-agent/src/lib.rs
@@ -45,10 +45,10 @@
 
 /// How long a call to the platform may take.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
-/// The time between two looks at whether the proxy has gone.
+/// The time between two looks at what the proxy does.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
-/// How long a leaving agent goes on telling others after its proxy has gone.
-const LEAVE_LINGER: Duration = Duration::from_millis(300);
+/// How long a leaving agent goes on telling others and waits for its proxy to leave too.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
 /// The largest call.
 const CALL_LIMIT_BYTES: usize = 64 << 20;
 
@@ -118,22 +118,40 @@
         })
     }
 
-    /// Leaves: tells the others, waits until this host's proxy has gone, and stops.
+    /// Waits until a task of the agent panics because an invariant was violated.
+    pub async fn failed(&mut self) -> String {
+        loop {
+            match self.tasks.join_next().await {
+                Some(Err(error)) => return error.to_string(),
+                // The task that starts from peers has done its work.
+                Some(Ok(())) => {}
+                None => return "all tasks ended".to_owned(),
+            }
+        }
+    }
+
+    /// Leaves: tells the others and stops, after this host's proxy if that leaves as well.
+    ///
+    /// A proxy that stays goes on with the last state it has until an agent is started again.
     pub async fn leave(self) {
-        self.core.drain();
-        let gone = async {
-            while self.core.metrics.attached.get() > 0 {
-                time::sleep(LEAVE_POLL).await;
+        self.core.leave();
+        let with_proxy = time::timeout(LEAVE_NOTICE, self.wait(Core::is_proxy_leaving)).await;
+        if with_proxy.is_ok() {
+            let gone = self.wait(|core| core.metrics.attached.get() == 0);
+            if time::timeout(self.core.settings.grace, gone).await.is_err() {
+                log::warn!("the proxy of this host is still attached; the agent stops without it");
             }
-        };
-        if time::timeout(self.core.settings.grace, gone).await.is_err() {
-            log::warn!("the proxy of this host is still attached; the agent stops without it");
         }
-        time::sleep(LEAVE_LINGER).await;
         self.core.recorder.record(Kind::Stopped, &self.core.settings.host, &[]);
         self.stop().await;
     }
 
+    async fn wait(&self, holds: impl Fn(&Core) -> bool) {
+        while !holds(&self.core) {
+            time::sleep(LEAVE_POLL).await;
+        }
+    }
+
     /// Stops at once, as if the host had failed.
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
--- a/crates/citron-agent/src/main.rs
+++ b/crates/citron-agent/src/main.rs
@@ -49,11 +49,12 @@
     init_log(settings.log, &settings.host, "citron-agent", clock)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let agent = Agent::bind(settings, clock).await?;
+    let mut agent = Agent::bind(settings, clock).await?;
     println!("{}", agent.ready());
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        reason = agent.failed() => eyre::bail!("an invariant was violated: {reason}"),
     }
     agent.leave().await;
     Ok(())
--- a/crates/citron-agent/tests/fleet.rs
+++ b/crates/citron-agent/tests/fleet.rs
@@ -136,6 +136,20 @@
     .await;
 });
 
+case!(a_proxy_that_is_started_again_brings_its_host_back, async {
+    let platform = platform().await;
+    accept(&platform.url(), 1).await;
+    let agents = fleet(&platform.url(), 2).await;
+    let located = || async { locate(agents[0].core(), "izmir", "lot-desk") };
+    let proxy = Proxy::attach(&agents[1], "127.0.0.1:7301").await;
+    until("located", || async { located().await == ["127.0.0.1:7301"] }).await;
+    proxy.say_leaving().await;
+    until("left", || async { located().await.is_empty() }).await;
+    drop(proxy);
+    let _again = Proxy::attach(&agents[1], "127.0.0.1:7302").await;
+    until("located again", || async { located().await == ["127.0.0.1:7302"] }).await;
+});
+
 case!(a_leaving_target_reaches_every_attached_proxy, async {
     let platform = platform().await;
     accept(&platform.url(), 1).await;
--- a/crates/citron-agent/tests/support/mod.rs
+++ b/crates/citron-agent/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use citron_daemon::Clock;
 use citron_platform::{Client, Expect, Host, Hosts, Role, State};
 use citron_stand::platform::{self, Platform};
-use citron_wire::{Hello, Report, Update, agent_client::AgentClient, report, update};
+use citron_wire::{Hello, Progress, Report, Update, agent_client::AgentClient, report, update};
 use log::LevelFilter;
 use tokio::{sync::mpsc, time};
 use tokio_stream::wrappers::ReceiverStream;
@@ -128,8 +128,7 @@
 
 /// A proxy that is attached to an agent, as far as the agent can tell.
 pub struct Proxy {
-    /// Keeps the stream of reports open.
-    _reports: mpsc::Sender<Report>,
+    reports: mpsc::Sender<Report>,
     updates: tonic::Streaming<Update>,
 }
 
@@ -142,7 +141,14 @@
         let report = Report { stamp: None, body: Some(report::Body::Hello(hello)) };
         reports.send(report).await.unwrap();
         let updates = client.attach(ReceiverStream::new(receiver)).await.unwrap().into_inner();
-        Self { _reports: reports, updates }
+        Self { reports, updates }
+    }
+
+    /// Reports that the proxy leaves.
+    pub async fn say_leaving(&self) {
+        let progress = Progress { revision: 1, leaving: true, in_flight: 0 };
+        let body = Some(report::Body::Progress(progress));
+        self.reports.send(Report { stamp: None, body }).await.unwrap();
     }
 
     /// Waits for an update for which `wanted` holds.
--- a/crates/citron/src/member/mod.rs
+++ b/crates/citron/src/member/mod.rs
@@ -57,8 +57,8 @@
     }
 }
 
-/// News bytes in one datagram, which leaves room for the rest under 1,400 bytes.
-const NEWS_BUDGET_BYTES: usize = 700;
+/// Bytes of records in one datagram, which leaves room for the rest under 1,400 bytes.
+const RECORDS_BUDGET_BYTES: usize = 1000;
 /// Records that wait to be sent.
 const NEWS_CAPACITY: usize = 4096;
 /// The worst local health; timeouts grow by this factor at most.
@@ -170,6 +170,17 @@
         self.nudge(self.config.relays)
     }
 
+    /// Takes back that this host leaves, and tells some members at once.
+    pub fn resume(&mut self) -> Vec<Action> {
+        if self.me.state != State::Leaving {
+            return Vec::new();
+        }
+        self.me.state = State::Alive;
+        self.me.incarnation += 1;
+        self.announce();
+        self.nudge(self.config.relays)
+    }
+
     /// Advances time: sends the probes that are due and declares suspects dead.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         assert!(now >= self.last_tick, "time must not go back");
@@ -262,7 +273,8 @@
         let mut updates = vec![self.me.clone()];
         updates.extend(about);
         let limit = rumor::transmissions(self.live_count());
-        for record in self.news.fill(NEWS_BUDGET_BYTES, limit) {
+        let used: usize = updates.iter().map(Record::weight).sum();
+        for record in self.news.fill(RECORDS_BUDGET_BYTES.saturating_sub(used), limit) {
             if !updates.iter().any(|known| known.host == record.host) {
                 updates.push(record);
             }
--- a/crates/citron/tests/member.rs
+++ b/crates/citron/tests/member.rs
@@ -134,6 +134,11 @@
     net.run(secs(60));
     assert!(net.nobody_died());
     assert_eq!(net.sees(0, 4), Some(State::Leaving));
+    let actions = net.node(4).members.resume();
+    net.carry_out(&name(4), actions);
+    net.run_until(secs(5), "alive to all", |net| {
+        net.running().iter().all(|host| *host == 4 || net.sees(*host, 4) == Some(State::Alive))
+    });
 });
 case!(a_list_kills_nobody_and_forgets_only_the_dead, 5, |net| {
     let listed = [record(&name(1), 1, 0), record("host-900", 0, 0)];
