--- a/crates/citron-agent/tests/fleet.rs
+++ b/crates/citron-agent/tests/fleet.rs
@@ -28,6 +28,32 @@
     until("revision 2", || async { agents.iter().all(|agent| revision(agent) == 2) }).await;
 });
 
+case!(a_policy_reaches_a_domain_that_is_cut_off_from_the_platform, async {
+    let platform = platform().await;
+    let mut agents = fleet(&platform.url(), 4).await;
+    // Nothing listens there.
+    for index in [10, 13, 16] {
+        let cut_off = agent("http://127.0.0.1:9", index, 7, &[&agents[0]]).await;
+        agents.push(cut_off);
+    }
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 6) }).await;
+    for version in 1..4 {
+        accept(&platform.url(), version).await;
+        until("in force", || async { agents.iter().all(|agent| revision(agent) == version) }).await;
+    }
+});
+
+case!(few_agents_watch_the_platform, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 12).await;
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 11) }).await;
+    accept(&platform.url(), 1).await;
+    until("two watches for each of three domains", || async {
+        platform.calls().waiting_watches == 6
+    })
+    .await;
+});
+
 case!(an_older_head_on_the_platform_changes_nothing, async {
     let platform = platform().await;
     let agents = fleet(&platform.url(), 3).await;
@@ -110,6 +136,20 @@
     .await;
 });
 
+case!(a_proxy_that_is_started_again_brings_its_host_back, async {
+    let platform = platform().await;
+    accept(&platform.url(), 1).await;
+    let agents = fleet(&platform.url(), 2).await;
+    let located = || async { locate(agents[0].core(), "izmir", "lot-desk") };
+    let proxy = Proxy::attach(&agents[1], "127.0.0.1:7301").await;
+    until("located", || async { located().await == ["127.0.0.1:7301"] }).await;
+    proxy.say_leaving().await;
+    until("left", || async { located().await.is_empty() }).await;
+    drop(proxy);
+    let _again = Proxy::attach(&agents[1], "127.0.0.1:7302").await;
+    until("located again", || async { located().await == ["127.0.0.1:7302"] }).await;
+});
+
 case!(a_leaving_target_reaches_every_attached_proxy, async {
     let platform = platform().await;
     accept(&platform.url(), 1).await;
