--- a/crates/citron-proxy/src/allowance.rs
+++ b/crates/citron-proxy/src/allowance.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns whether all shares under the host list in force are in use.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        self.parts.iter().all(|part| part.gate.lock().is_settled(now))
+    }
+
     fn is_listed(&self) -> bool {
         self.listed.lock().is_some()
     }
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -123,9 +123,7 @@
             tried,
             idempotent: rules.idempotent,
         };
-        let place = self.shared.places.take(ask).await?;
-        let view = self.shared.view.load();
-        Slot::new(view.services.get(&service.name)?, place)
+        self.shared.places.take(ask).await.map(Slot::new)
     }
 
     async fn claim(&self) -> attempt::Claim {
--- a/crates/citron-proxy/src/link.rs
+++ b/crates/citron-proxy/src/link.rs
@@ -156,15 +156,19 @@
     match update.body {
         Some(Body::Policy(message)) => apply_policy(shared, assembly, &message),
         Some(Body::Members(table)) => {
-            change(shared, |view| view.with_members(&table));
-            let members = &shared.view.load().members;
-            shared.allowances.set_members(members, shared.clock.now());
-            shared.places.set_proxies(&serving(members));
-        }
-        Some(Body::Targets(table)) => {
-            change(shared, |view| view.with_targets(&table));
-            shared.places.set_targets(&shared.view.load().services);
+            change(shared, |view| {
+                let view = view.with_members(&table);
+                shared.allowances.set_members(&view.members, shared.clock.now());
+                shared.places.set_proxies(&serving(&view.members));
+                view
+            });
         }
+        Some(Body::Targets(table)) => change(shared, |view| {
+            let view = view.with_targets(&table);
+            // Requests that see a target listed can also be placed there.
+            shared.places.set_targets(&view.services);
+            view
+        }),
         Some(Body::Leave(_)) => leaving::begin(shared),
         Some(Body::Verdicts(_) | Body::Synced(_)) | None => {}
     }
--- a/crates/citron-proxy/src/place.rs
+++ b/crates/citron-proxy/src/place.rs
@@ -20,7 +20,7 @@
 use tokio::{sync::Notify, time};
 
 use self::part::{Entry, Part};
-use crate::service::Service;
+use crate::service::{Service, Target};
 
 /// The number of separately locked parts of the services.
 const PARTS: usize = 16;
@@ -59,8 +59,8 @@
 pub struct Place {
     places: Arc<Places>,
     service: Arc<str>,
-    /// The target's name.
-    pub target: Arc<str>,
+    /// The target.
+    pub target: Arc<Target>,
     started: Duration,
     heard: Mutex<Option<Heard>>,
 }
@@ -85,9 +85,9 @@
 
     /// Replaces the targets by those of `services`.
     pub fn set_targets(&self, services: &BTreeMap<String, Arc<Service>>) {
-        let mut by_part: Vec<Vec<choice::Target>> = vec![Vec::new(); PARTS];
+        let mut by_part: Vec<Vec<Arc<Target>>> = vec![Vec::new(); PARTS];
         for service in services.values() {
-            let targets = service.targets.iter().map(|target| target.choice());
+            let targets = service.targets.iter().map(Arc::clone);
             by_part[self.part_of(&service.name)].extend(targets);
         }
         for (part, targets) in self.parts.iter().zip(by_part) {
@@ -154,7 +154,7 @@
         self.hasher.hash_one(service) as usize % PARTS
     }
 
-    fn place(self: &Arc<Self>, service: Arc<str>, target: Arc<str>, now: Duration) -> Place {
+    fn place(self: &Arc<Self>, service: Arc<str>, target: Arc<Target>, now: Duration) -> Place {
         let places = Arc::clone(self);
         Place { places, service, target, started: now, heard: Mutex::new(None) }
     }
@@ -176,7 +176,7 @@
 
 impl Debug for Place {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Place").field("target", &self.target).finish_non_exhaustive()
+        f.debug_struct("Place").field("target", &self.target.name).finish_non_exhaustive()
     }
 }
 
@@ -187,12 +187,14 @@
         let part = self.places.part(&self.service);
         let lost = {
             let mut part = part.lock();
-            part.table.on_end(&self.target);
+            part.table.on_end(&self.target.name);
             match heard {
-                Some(heard) if heard.shed => part.table.on_shed(&self.target, heard.answer, now),
+                Some(heard) if heard.shed => {
+                    part.table.on_shed(&self.target.name, heard.answer, now);
+                }
                 Some(heard) => {
                     let took = heard.at.saturating_sub(self.started);
-                    part.table.on_answer(&self.target, heard.answer, took, now);
+                    part.table.on_answer(&self.target.name, heard.answer, took, now);
                 }
                 None => {}
             }
--- a/crates/citron-proxy/src/place/part.rs
+++ b/crates/citron-proxy/src/place/part.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use super::{Ask, Place, Places, line::Line};
+use crate::service::Target;
 
 /// What becomes of a request at first.
 pub enum Entry {
@@ -35,7 +36,7 @@
 pub struct Part {
     pub table: Table,
     rng: ChaCha8Rng,
-    known: HashMap<Arc<str>, choice::Target>,
+    known: HashMap<String, Arc<Target>>,
     lines: HashMap<Arc<str>, Line>,
 }
 
@@ -49,23 +50,22 @@
         }
     }
 
-    pub fn set_targets(&mut self, targets: Vec<choice::Target>, now: Duration) {
-        let names: HashSet<Arc<str>> =
-            targets.iter().map(|target| Arc::clone(&target.name)).collect();
+    pub fn set_targets(&mut self, targets: Vec<Arc<Target>>, now: Duration) {
+        let names: HashSet<&str> = targets.iter().map(|target| target.name.as_str()).collect();
         let table = &mut self.table;
         self.known.retain(|name, _| {
-            let kept = names.contains(name);
+            let kept = names.contains(name.as_str());
             if !kept {
                 table.remove(name);
             }
             kept
         });
-        let changed: Vec<choice::Target> = targets
-            .into_iter()
-            .filter(|target| self.known.get(&target.name) != Some(target))
-            .collect();
-        for target in &changed {
-            self.known.insert(Arc::clone(&target.name), target.clone());
+        let mut changed = Vec::new();
+        for target in targets {
+            let before = self.known.insert(target.name.clone(), Arc::clone(&target));
+            if before.is_none_or(|before| before.choice() != target.choice()) {
+                changed.push(target.choice());
+            }
         }
         self.table.upsert(changed, now);
     }
@@ -79,10 +79,10 @@
         let line = self.lines.entry(Arc::clone(&service)).or_insert_with(Line::new);
         line.expire(now);
         if line.queue.is_empty()
-            && let Some(target) =
+            && let Some(name) =
                 pick(&mut self.table, &mut self.rng, &service, ask.tried, ask.idempotent, now)
         {
-            return Entry::Placed(places.place(service, target, now));
+            return Entry::Placed(places.place(service, self.known[&*name].clone(), now));
         }
         let latest = ask.deadline.saturating_sub(answer_time);
         match line.push(ask, latest, now) {
@@ -107,12 +107,13 @@
         while let Some(ticket) = line.queue.peek(now) {
             let waiter = &line.waiters[&ticket];
             let (table, rng) = (&mut self.table, &mut self.rng);
-            let Some(target) = pick(table, rng, &service, &waiter.tried, waiter.idempotent, now)
+            let Some(name) = pick(table, rng, &service, &waiter.tried, waiter.idempotent, now)
             else {
                 break;
             };
             line.queue.pop(now);
             let waiter = line.waiters.remove(&ticket).expect("a ticket has a waiter");
+            let target = Arc::clone(&self.known[&*name]);
             let place = places.place(Arc::clone(&service), target, now);
             lost.extend(waiter.turn.send(place).err());
         }
--- a/crates/citron-proxy/src/proxy.rs
+++ b/crates/citron-proxy/src/proxy.rs
@@ -91,9 +91,14 @@
         self.admin.addr()
     }
 
+    /// Returns the UDP address for loans between proxies, if it is still known.
+    pub fn loans(&self) -> Option<SocketAddr> {
+        self.shared.loans.local_addr().ok()
+    }
+
     /// Returns the line of JSON that tells that everything is bound.
     pub fn ready_line(&self) -> String {
-        let loans = self.shared.loans.local_addr().map(|addr| addr.to_string());
+        let loans = self.loans().map(|addr| addr.to_string());
         json!({
             "ready": true,
             "program": "citron-proxy",
@@ -156,6 +161,7 @@
         "domain": shared.settings.domain,
         "revision": view.revision,
         "attached": shared.metrics.attached.get() == 1,
+        "settled": shared.allowances.is_settled(shared.clock.now()),
         "leaving": shared.is_leaving(),
         "in_flight": shared.in_flight(),
         "members": view.members.len(),
--- a/crates/citron-proxy/src/service.rs
+++ b/crates/citron-proxy/src/service.rs
@@ -108,12 +108,10 @@
 }
 
 impl Slot {
-    /// Counts a request in at the target that `place` names, or returns `None` if the target is
-    /// no longer listed.
-    pub fn new(service: &Service, place: Place) -> Option<Self> {
-        let target = service.targets.iter().find(|target| *target.name == *place.target)?;
-        target.busy.fetch_add(1, Ordering::Relaxed);
-        Some(Self { target: Arc::clone(target), place })
+    /// Counts a request in at the target of its place.
+    pub fn new(place: Place) -> Self {
+        place.target.busy.fetch_add(1, Ordering::Relaxed);
+        Self { target: Arc::clone(&place.target), place }
     }
 }
 
--- a/crates/citron-proxy/tests/leaving.rs
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -28,13 +28,14 @@
         use std::io::BufRead;
         let target = Target::spawn(script).await;
         let agent = Agent::spawn().await;
+        agent.send_members(&[("h1", "", true)]);
         agent.send_policy(1, support::CUSTOMERS, support::GRANTS);
         agent.send_targets(&[target.addr]);
         let free = "127.0.0.1:0";
         let mut child = Command::new(env!("CARGO_BIN_EXE_citron-proxy"))
             .args(["--host", "h1", "--domain", "a", "--listen", free, "--loans", free])
             .args(["--admin", free, "--agent", &agent.addr.to_string(), "--log", "warn"])
-            .args(["--leave-ms", leave_ms])
+            .args(["--leave-ms", leave_ms, "--handover-ms", "0"])
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program must start");
--- a/crates/citron-proxy/tests/support/agent.rs
+++ b/crates/citron-proxy/tests/support/agent.rs
@@ -67,16 +67,16 @@
         self.send(Body::Policy(policy_message(revision, &policy)));
     }
 
-    /// Sends the entry hosts of the platform's list with the addresses of their loan sockets.
-    pub fn send_hosts(&self, hosts: &[(&str, &str)]) {
-        let members = hosts
+    /// Sends members: host, address for loans, and whether the platform lists it.
+    pub fn send_members(&self, members: &[(&str, &str, bool)]) {
+        let members = members
             .iter()
-            .map(|(host, loans)| wire::Member {
+            .map(|(host, loans, listed)| wire::Member {
                 host: (*host).to_owned(),
                 domain: "a".to_owned(),
                 state: wire::MemberState::Alive as i32,
                 loans: (*loans).to_owned(),
-                listed: true,
+                listed: *listed,
                 ..wire::Member::default()
             })
             .collect();
--- a/crates/citron-proxy/tests/support/mod.rs
+++ b/crates/citron-proxy/tests/support/mod.rs
@@ -71,7 +71,7 @@
             targets.push(Target::spawn(script).await);
         }
         let agent = Agent::spawn().await;
-        agent.send_hosts(&[("h1", "")]);
+        agent.send_members(&[("h1", "", true)]);
         agent.send_policy(1, CUSTOMERS, GRANTS);
         agent.send_targets(&targets.iter().map(|target| target.addr).collect::<Vec<_>>());
         let proxy = spawn_proxy(&agent, flags).await;
@@ -106,8 +106,12 @@
 }
 
 pub async fn spawn_proxy(agent: &Agent, flags: &[&str]) -> Proxy {
+    spawn_named("h1", agent, flags).await
+}
+
+pub async fn spawn_named(host: &str, agent: &Agent, flags: &[&str]) -> Proxy {
     let addr = agent.addr.to_string();
-    let mut words = vec!["--host", "h1", "--domain", "a", "--agent", &addr];
+    let mut words = vec!["--host", host, "--domain", "a", "--agent", &addr];
     words.extend(["--listen", "127.0.0.1:0", "--loans", "127.0.0.1:0", "--admin", "127.0.0.1:0"]);
     words.extend(flags);
     if !flags.contains(&"--handover-ms") {
@@ -118,7 +122,7 @@
     let Ok(Command::Run(settings)) = Settings::read(args, |_| None) else {
         panic!("the settings must be valid");
     };
-    let recorder = Recorder::open("h1", "citron-proxy", Clock::start());
+    let recorder = Recorder::open(host, "citron-proxy", Clock::start());
     Proxy::spawn(*settings, recorder).await.expect("the proxy must start")
 }
 
--- a/crates/citron/src/limit/gate.rs
+++ b/crates/citron/src/limit/gate.rs
@@ -170,6 +170,13 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Returns whether all shares under the host list in force are in use.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        self.finders.current.is_some()
+            && now >= self.quiet_until
+            && self.finders.earlier.iter().all(|(_, until)| *until <= now)
+    }
+
     /// Returns the number of accounts in memory.
     pub fn len(&self) -> usize {
         self.accounts.len()
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -346,7 +346,8 @@
             let proxy = host.proxy.text("admin")?;
             let agent = host.agent.text("listen")?;
             wait_until(&format!("{} serving", host.name), START_LIMIT, || async {
-                let ready = self.status(&proxy).await.ok()?["revision"].as_u64()? > 0;
+                let status = self.status(&proxy).await.ok()?;
+                let ready = status["revision"].as_u64()? > 0 && status["settled"] == true;
                 let located = self.locate(&agent, &self.settings.services[0].name).await.ok()?;
                 (ready && located == self.hosts.len()).then_some(())
             })
