--- a/crates/citron-proxy/tests/leaving.rs
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -28,7 +28,7 @@
         use std::io::BufRead;
         let target = Target::spawn(script).await;
         let agent = Agent::spawn().await;
-        agent.send_hosts(&[("h1", "")]);
+        agent.send_members(&[("h1", "", true)]);
         agent.send_policy(1, support::CUSTOMERS, support::GRANTS);
         agent.send_targets(&[target.addr]);
         let free = "127.0.0.1:0";
