--- a/crates/citron-stand/src/command/load.rs
+++ b/crates/citron-stand/src/command/load.rs
@@ -7,7 +7,7 @@
 
 use super::{block_on, read};
 use crate::{
-    load::{self, Audit, Report, Settings, Workload},
+    load::{self, Audit, Report, Settings, Told, Workload},
     target::Ledger,
 };
 
@@ -87,6 +87,7 @@
         "target_errors": total.target_errors,
         "refused": total.refused.values().sum::<u64>(),
         "refused_by_reason": total.refused,
+        "orders_answered": report.orders.values().filter(|told| **told == Told::Ran).count(),
         "unknown": total.unknown,
         "unreached": total.unreached,
         "wrong": total.wrong,
