--- a/crates/citron-agent/src/claims.rs
+++ b/crates/citron-agent/src/claims.rs
@@ -7,7 +7,7 @@
 };
 
 use citron::{
-    claim::{self, Bucket, Read, Request, Verdict, Write},
+    claim::{self, Bucket, Decision, Read, Request, Write},
     home::{self, Host},
     member::State,
 };
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 struct Ask {
     claim: Claim,
-    answer: oneshot::Sender<Verdict>,
+    answer: oneshot::Sender<Decision>,
 }
 
 impl Claims {
@@ -112,16 +112,16 @@
     }
 
     async fn decide_here(&self, bucket: String, claim: Claim) -> ClaimResult {
-        let (answer, verdict) = oneshot::channel();
+        let (answer, decision) = oneshot::channel();
         let ask = Ask { claim, answer };
-        // A task that just ended takes nothing more; the claim then has no verdict.
+        // A task that just ended takes nothing more; the claim then has no decision.
         if self.task(bucket).send(ask).await.is_err() {
             return ClaimResult::Undecided;
         }
-        match verdict.await {
-            Ok(Verdict::Granted) => ClaimResult::Granted,
-            Ok(Verdict::Taken) => ClaimResult::Taken,
-            Ok(Verdict::Undecided) | Err(_) => ClaimResult::Undecided,
+        match decision.await {
+            Ok(Decision::Granted) => ClaimResult::Granted,
+            Ok(Decision::Taken) => ClaimResult::Taken,
+            Ok(Decision::Undecided) | Err(_) => ClaimResult::Undecided,
         }
     }
 
@@ -160,7 +160,7 @@
     client: Client,
     name: String,
     bucket: Bucket,
-    tickets: HashMap<u64, oneshot::Sender<Verdict>>,
+    tickets: HashMap<u64, oneshot::Sender<Decision>>,
     last_ticket: u64,
     results: (mpsc::Sender<Done>, mpsc::Receiver<Done>),
 }
@@ -215,10 +215,10 @@
             (self.client.clone(), self.name.clone(), self.results.0.clone());
         let calls = &self.core.metrics.platform_calls;
         match request {
-            Request::Answer { ticket, verdict } => {
+            Request::Answer { ticket, decision } => {
                 if let Some(answer) = self.tickets.remove(&ticket) {
                     // The claimant may have gone away.
-                    let _ = answer.send(verdict);
+                    let _ = answer.send(decision);
                 }
             }
             Request::Read => {
--- a/crates/citron-agent/tests/claims.rs
+++ b/crates/citron-agent/tests/claims.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use citron::claim::bucket_of;
 use citron_agent::Agent;
 use citron_stand::platform::{Mode, Platform};
 use citron_wire::{Claim, ClaimRequest, ClaimResult, agent_client::AgentClient};
@@ -11,10 +12,15 @@
 
 /// Claims a key for an owner at an agent.
 async fn claim(agent: &Agent, digest: &str, owner: &str) -> ClaimResult {
+    ask(agent, digest, owner, false).await
+}
+
+/// Claims a key at an agent, which decides by itself if the claim was forwarded.
+async fn ask(agent: &Agent, digest: &str, owner: &str, forwarded: bool) -> ClaimResult {
     let url = format!("http://{}", agent.core().settings.control);
     let mut client = AgentClient::connect(url).await.unwrap();
     let claim = Claim { digest: digest.to_owned(), owner: owner.to_owned() };
-    let request = ClaimRequest { claims: vec![claim], ..ClaimRequest::default() };
+    let request = ClaimRequest { stamp: None, claims: vec![claim], forwarded };
     let reply = client.claim(request).await.unwrap().into_inner();
     ClaimResult::try_from(reply.results[0]).unwrap()
 }
@@ -50,6 +56,17 @@
     }
 });
 
+case!(agents_that_decide_the_same_key_at_a_time_grant_one_owner, |_platform, agents| {
+    for key in 0..8 {
+        let key = format!("key-{key}");
+        let owners: Vec<String> = (0..4).map(|owner| format!("owner-{owner}")).collect();
+        let claims = owners.iter().zip(&agents).map(|(owner, agent)| ask(agent, &key, owner, true));
+        let results = join_all(claims).await;
+        let granted = results.iter().filter(|result| **result == ClaimResult::Granted).count();
+        assert_eq!(granted, 1, "{key}: {results:?}");
+    }
+});
+
 case!(the_owner_is_granted_again_through_another_agent, |_platform, agents| {
     assert_eq!(claim(&agents[0], "key", "a").await, ClaimResult::Granted);
     assert_eq!(claim(&agents[3], "key", "a").await, ClaimResult::Granted);
@@ -70,6 +87,16 @@
     assert_eq!(claim(&agents[1], "key", "b").await, ClaimResult::Granted);
 });
 
+case!(nothing_is_granted_by_a_known_bucket_while_the_platform_is_away, |platform, agents| {
+    assert_eq!(claim(&agents[0], "key", "a").await, ClaimResult::Granted);
+    let other = (0..).map(|number| format!("key-{number}"));
+    let same = other.filter(|key| bucket_of(key) == bucket_of("key")).take(1);
+    platform.set_mode(Mode::Down);
+    for key in same {
+        assert_eq!(claim(&agents[0], &key, "a").await, ClaimResult::Undecided);
+    }
+});
+
 case!(claims_are_decided_when_any_one_agent_has_failed, |_platform, agents| {
     agents.pop().unwrap().stop().await;
     // One of these keys had the failed agent as its home, with near certainty.
--- a/crates/citron/src/claim/bucket.rs
+++ b/crates/citron/src/claim/bucket.rs
@@ -15,7 +15,7 @@
 
 /// How a claim was decided.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Hash)]
-pub enum Verdict {
+pub enum Decision {
     /// The owner may run the request.
     Granted,
     /// Another attempt owns the key.
@@ -41,7 +41,7 @@
         /// The claimant's number.
         ticket: u64,
         /// The decision.
-        verdict: Verdict,
+        decision: Decision,
     },
 }
 
@@ -122,7 +122,7 @@
         wall_ms: u64,
     ) -> Vec<Request> {
         if self.waiting.len() >= WAITING_CLAIMS {
-            return vec![Request::Answer { ticket, verdict: Verdict::Undecided }];
+            return vec![Request::Answer { ticket, decision: Decision::Undecided }];
         }
         self.waiting.push(Claim {
             ticket,
@@ -222,7 +222,7 @@
                 false
             }
             Some(_) => {
-                requests.push(answer(claim, Verdict::Taken));
+                requests.push(answer(claim, Decision::Taken));
                 false
             }
         });
@@ -244,7 +244,7 @@
             } else if let Some(owner) = table.owner(&claim.digest) {
                 if owner == claim.owner { batch.push(claim) } else { later.push(claim) }
             } else if table.is_full() {
-                requests.push(answer(&claim, Verdict::Undecided));
+                requests.push(answer(&claim, Decision::Undecided));
             } else {
                 table.insert(&claim.digest, &claim.owner, wall_ms);
                 batch.push(claim);
@@ -260,13 +260,16 @@
             .into_iter()
             .partition::<Vec<Claim>, _>(|claim| claim.until <= now);
         self.waiting = waiting;
-        late.iter().map(|claim| answer(claim, Verdict::Undecided)).collect()
+        late.iter().map(|claim| answer(claim, Decision::Undecided)).collect()
     }
 
     fn give_up(&mut self) -> Vec<Request> {
         // A claim that was written all the same keeps its key until it expires: removing it could
         // hit the same owner's claim that another member has granted.
-        mem::take(&mut self.waiting).iter().map(|claim| answer(claim, Verdict::Undecided)).collect()
+        mem::take(&mut self.waiting)
+            .iter()
+            .map(|claim| answer(claim, Decision::Undecided))
+            .collect()
     }
 }
 
@@ -276,9 +279,9 @@
         Some(claim.owner.as_str()),
         "a claim must not be granted unless the stored table names its owner"
     );
-    answer(claim, Verdict::Granted)
+    answer(claim, Decision::Granted)
 }
 
-fn answer(claim: &Claim, verdict: Verdict) -> Request {
-    Request::Answer { ticket: claim.ticket, verdict }
+fn answer(claim: &Claim, decision: Decision) -> Request {
+    Request::Answer { ticket: claim.ticket, decision }
 }
--- a/crates/citron/src/claim/mod.rs
+++ b/crates/citron/src/claim/mod.rs
@@ -8,7 +8,7 @@
 mod table;
 
 pub use self::{
-    bucket::{Bucket, Read, Request, Verdict, Write},
+    bucket::{Bucket, Decision, Read, Request, Write},
     table::{Entry, Table},
 };
 
--- a/crates/citron/src/member/probe.rs
+++ b/crates/citron/src/member/probe.rs
@@ -136,7 +136,7 @@
     }
 
     /// Pings a host that is dead or was never heard of.
-    pub(super) fn contact(&mut self, host: &str, _now: Duration, actions: &mut Vec<Action>) {
+    pub(super) fn contact(&mut self, host: &str, actions: &mut Vec<Action>) {
         let sequence = self.probes.number();
         actions.extend(self.message_to(host, Some(Body::Ping { sequence, origin: None })));
     }
@@ -163,7 +163,7 @@
             .collect();
         if !silent.is_empty() {
             let index = self.rng.random_range(0..silent.len());
-            self.contact(&silent[index], now, actions);
+            self.contact(&silent[index], actions);
         }
     }
 
--- a/crates/citron/src/member/table.rs
+++ b/crates/citron/src/member/table.rs
@@ -33,7 +33,7 @@
 impl Membership {
     /// Takes the platform's entry host list, which lags: it adds hosts to ask and marks those
     /// that are listed, and never declares a member dead.
-    pub fn list(&mut self, entries: &[Record], now: Duration) -> Vec<Action> {
+    pub fn list(&mut self, entries: &[Record]) -> Vec<Action> {
         let mut actions = Vec::new();
         let names: BTreeSet<&str> = entries.iter().map(|entry| entry.host.as_str()).collect();
         for peer in self.peers.values_mut() {
@@ -52,7 +52,7 @@
             }
         }
         for host in fresh.iter().take(FIRST_CONTACTS) {
-            self.contact(host, now, &mut actions);
+            self.contact(host, &mut actions);
         }
         self.check();
         actions
--- a/crates/citron/tests/claim.rs
+++ b/crates/citron/tests/claim.rs
@@ -7,7 +7,7 @@
 };
 
 use citron::claim::{
-    BUCKET_CLAIMS, Bucket, CLOCK_SKEW, RETENTION, Read, Request, Table, Verdict, Write,
+    BUCKET_CLAIMS, Bucket, CLOCK_SKEW, Decision, RETENTION, Read, Request, Table, Write,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,14 +40,14 @@
     }
 }
 
-/// A bucket whose requests are answered at once, and its claimants' verdicts.
+/// A bucket whose requests are answered at once, and its claimants' decisions.
 #[derive(Default)]
 struct Home {
     bucket: Bucket,
     store: Store,
     now: Duration,
     wall_ms: u64,
-    verdicts: BTreeMap<u64, Verdict>,
+    decisions: BTreeMap<u64, Decision>,
     /// The platform is away.
     away: bool,
     /// Answers to writes that will be lost.
@@ -63,8 +63,8 @@
     fn carry_out(&mut self, requests: Vec<Request>) {
         for request in requests {
             let more = match request {
-                Request::Answer { ticket, verdict } => {
-                    assert_eq!(self.verdicts.insert(ticket, verdict), None, "answered twice");
+                Request::Answer { ticket, decision } => {
+                    assert_eq!(self.decisions.insert(ticket, decision), None, "answered twice");
                     continue;
                 }
                 Request::Read if self.away => {
@@ -97,8 +97,8 @@
         }
     }
 
-    fn verdict(&self, ticket: u64) -> Option<Verdict> {
-        self.verdicts.get(&ticket).copied()
+    fn decision(&self, ticket: u64) -> Option<Decision> {
+        self.decisions.get(&ticket).copied()
     }
 }
 
@@ -115,13 +115,13 @@
 case!(a_free_key_is_granted_once, |home| {
     home.claim(1, "key", "a");
     home.claim(2, "key", "b");
-    assert_eq!(home.verdict(1), Some(Verdict::Granted));
-    assert_eq!(home.verdict(2), Some(Verdict::Taken));
+    assert_eq!(home.decision(1), Some(Decision::Granted));
+    assert_eq!(home.decision(2), Some(Decision::Taken));
 });
 case!(the_same_owner_is_granted_again, |home| {
     home.claim(1, "key", "a");
     home.claim(2, "key", "a");
-    assert_eq!(home.verdict(2), Some(Verdict::Granted));
+    assert_eq!(home.decision(2), Some(Decision::Granted));
 });
 case!(two_owners_in_one_batch, |home| {
     home.claim(1, "other", "z");
@@ -129,29 +129,29 @@
     home.claim(3, "key", "b");
     home.claim(4, "key", "a");
     home.wait(Duration::from_secs(1));
-    assert_eq!(home.verdict(2), Some(Verdict::Granted));
-    assert_eq!(home.verdict(3), Some(Verdict::Taken));
-    assert_eq!(home.verdict(4), Some(Verdict::Granted));
+    assert_eq!(home.decision(2), Some(Decision::Granted));
+    assert_eq!(home.decision(3), Some(Decision::Taken));
+    assert_eq!(home.decision(4), Some(Decision::Granted));
 });
 case!(a_lost_answer_is_decided_by_the_owner_read_back, |home| {
     home.lose = 1;
     home.claim(1, "key", "a");
-    assert_eq!(home.verdict(1), Some(Verdict::Granted));
+    assert_eq!(home.decision(1), Some(Decision::Granted));
     assert_eq!(home.store.writes, 1, "not written again");
 });
 case!(nothing_is_granted_while_the_platform_is_away, |home| {
     home.away = true;
     home.claim(1, "key", "a");
-    assert_eq!(home.verdict(1), Some(Verdict::Undecided));
+    assert_eq!(home.decision(1), Some(Decision::Undecided));
     home.away = false;
     home.claim(2, "key", "b");
-    assert_eq!(home.verdict(2), Some(Verdict::Granted));
+    assert_eq!(home.decision(2), Some(Decision::Granted));
 });
 case!(a_key_known_as_taken_is_refused_while_the_platform_is_away, |home| {
     home.claim(1, "key", "a");
     home.away = true;
     home.claim(2, "key", "b");
-    assert_eq!(home.verdict(2), Some(Verdict::Taken));
+    assert_eq!(home.decision(2), Some(Decision::Taken));
 });
 case!(a_conflict_is_read_and_tried_again, |home| {
     home.claim(1, "first", "a");
@@ -162,26 +162,26 @@
     home.claim(2, "key", "a");
     home.claim(3, "more", "a");
     home.wait(Duration::from_secs(1));
-    assert_eq!(home.verdict(2), Some(Verdict::Taken));
-    assert_eq!(home.verdict(3), Some(Verdict::Granted));
+    assert_eq!(home.decision(2), Some(Decision::Taken));
+    assert_eq!(home.decision(3), Some(Decision::Granted));
 });
 case!(claims_share_writes, |home| {
     for ticket in 0..400 {
         home.claim(ticket, &format!("key-{ticket}"), "a");
     }
     home.wait(Duration::from_secs(1));
-    assert!((0..400).all(|ticket| home.verdict(ticket) == Some(Verdict::Granted)));
+    assert!((0..400).all(|ticket| home.decision(ticket) == Some(Decision::Granted)));
     assert_eq!(home.store.writes, 2);
 });
 case!(an_expired_key_is_free_on_every_clock, |home| {
     home.claim(1, "key", "a");
     home.wall_ms += RETENTION.as_millis() as u64 + CLOCK_SKEW.as_millis() as u64 - 1;
     home.claim(2, "key", "b");
-    assert_eq!(home.verdict(2), Some(Verdict::Taken));
+    assert_eq!(home.decision(2), Some(Decision::Taken));
     home.wall_ms += 1;
     home.claim(3, "key", "b");
     home.wait(Duration::from_secs(1));
-    assert_eq!(home.verdict(3), Some(Verdict::Granted));
+    assert_eq!(home.decision(3), Some(Decision::Granted));
 });
 case!(a_full_bucket_refuses_and_stays_small, |home| {
     let mut table = Table::default();
@@ -191,13 +191,13 @@
     home.store.write(table.encode(), None);
     home.claim(1, "key", "a");
     home.claim(2, &format!("{:064}", 7), "a");
-    assert_eq!(home.verdict(1), Some(Verdict::Undecided));
-    assert_eq!(home.verdict(2), Some(Verdict::Taken));
+    assert_eq!(home.decision(1), Some(Decision::Undecided));
+    assert_eq!(home.decision(2), Some(Decision::Taken));
 });
 case!(an_unreadable_bucket_grants_nothing, |home| {
     home.store.write(b"?".to_vec(), None);
     home.claim(1, "key", "a");
-    assert_eq!(home.verdict(1), Some(Verdict::Undecided));
+    assert_eq!(home.decision(1), Some(Decision::Undecided));
     assert_eq!(home.store.writes, 1, "and is not overwritten");
 });
 
@@ -219,7 +219,7 @@
     claims: Vec<(String, String)>,
     /// The owners that were granted each key.
     granted: BTreeMap<String, BTreeSet<String>>,
-    verdicts: BTreeMap<&'static str, u64>,
+    decisions: BTreeMap<&'static str, u64>,
     up: bool,
     rng: ChaCha8Rng,
 }
@@ -233,7 +233,7 @@
             flights: Vec::new(),
             claims: Vec::new(),
             granted: BTreeMap::new(),
-            verdicts: BTreeMap::new(),
+            decisions: BTreeMap::new(),
             up: true,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -276,7 +276,7 @@
         for request in requests {
             let at = self.later(200);
             match request {
-                Request::Answer { ticket, verdict } => self.take_verdict(ticket, verdict),
+                Request::Answer { ticket, decision } => self.take_decision(ticket, decision),
                 Request::Read => self.flights.push((at, index, Flight::Read)),
                 Request::Write { value, expect } if self.rng.random_bool(0.15) => {
                     // The answer is given up first; the write arrives late or never.
@@ -319,15 +319,15 @@
         }
     }
 
-    fn take_verdict(&mut self, ticket: u64, verdict: Verdict) {
+    fn take_decision(&mut self, ticket: u64, decision: Decision) {
         let (digest, owner) = self.claims[ticket as usize].clone();
-        let name = match verdict {
-            Verdict::Granted => "granted",
-            Verdict::Taken => "taken",
-            Verdict::Undecided => "undecided",
+        let name = match decision {
+            Decision::Granted => "granted",
+            Decision::Taken => "taken",
+            Decision::Undecided => "undecided",
         };
-        *self.verdicts.entry(name).or_default() += 1;
-        if verdict == Verdict::Granted {
+        *self.decisions.entry(name).or_default() += 1;
+        if decision == Decision::Granted {
             let owners = self.granted.entry(digest.clone()).or_default();
             owners.insert(owner);
             assert!(owners.len() == 1, "{digest} was granted to {owners:?}");
@@ -350,7 +350,7 @@
         for _ in 0..setting("CITRON_STEPS", 6000) {
             world.step();
         }
-        println!("{:?}", world.verdicts);
-        assert!(world.verdicts.get("granted").is_some_and(|count| *count > 10));
+        println!("{:?}", world.decisions);
+        assert!(world.decisions.get("granted").is_some_and(|count| *count > 10));
     }
 }
--- a/crates/citron/tests/member.rs
+++ b/crates/citron/tests/member.rs
@@ -142,8 +142,7 @@
 });
 case!(a_list_kills_nobody_and_forgets_only_the_dead, 5, |net| {
     let listed = [record(&name(1), 1, 0), record("host-900", 0, 0)];
-    let now = net.now;
-    let actions = net.node(0).members.list(&listed, now);
+    let actions = net.node(0).members.list(&listed);
     net.carry_out(&name(0), actions);
     for host in 1..5 {
         assert_eq!(net.sees(0, host), Some(State::Alive), "the list must not kill");
@@ -158,8 +157,7 @@
     net.run(secs(700));
     assert_eq!(net.sees(0, 1), Some(State::Dead), "still listed");
     assert_eq!(net.sees(0, 2), None, "neither listed nor answering");
-    let now = net.now;
-    let actions = net.node(0).members.list(&[], now);
+    let actions = net.node(0).members.list(&[]);
     net.carry_out(&name(0), actions);
     net.run(secs(2));
     assert!(net.node(0).members.get("host-900").is_none());
@@ -198,12 +196,11 @@
         6 => net.loss = rng.random_range(0.0..0.3),
         7 => net.split(|host| host % 3 == b % 3),
         _ => {
-            let now = net.now;
             let listed: Vec<_> = (0..count)
                 .filter(|_| rng.random_bool(0.5))
                 .map(|i| record(&name(i), i % 3, 0))
                 .collect();
-            let actions = net.node(b).members.list(&listed, now);
+            let actions = net.node(b).members.list(&listed);
             net.carry_out(&name(b), actions);
         }
     }
