--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -13,13 +13,14 @@
 use crate::{
     admit::Admission,
     body::Body,
+    health::Watched,
     intake::Intake,
-    pick,
+    place,
     refusal::Refusal,
     send::{self, Attempt},
     service::{Service, Slot},
     shared::Shared,
-    socket::Connection,
+    socket::Finder,
 };
 
 /// How long a request waits before its caller's connection is watched.
@@ -47,15 +48,20 @@
     pub waited: Duration,
 }
 
-/// Waits until the caller from `peer` has gone away; forever if its connection is not found.
-pub async fn caller_gone(local: SocketAddr, peer: Option<SocketAddr>) {
+/// Waits until the caller from `peer` has gone away; forever if that cannot be found out.
+pub async fn caller_gone(finder: Arc<Finder>, peer: Option<SocketAddr>) {
     time::sleep(WATCH_AFTER).await;
-    if let Some(connection) = peer.and_then(|peer| Connection::find(local, peer))
-        && connection.closed().await.is_ok()
-    {
-        return;
+    let closed = match peer.map(|peer| finder.find(peer)) {
+        Some(Ok(Some(connection))) => connection.closed().await,
+        // The HTTP server has noticed first and has closed its side.
+        Some(Ok(None)) => Ok(()),
+        Some(Err(error)) => Err(error),
+        None => Err(std::io::ErrorKind::NotConnected.into()),
+    };
+    if let Err(error) = closed {
+        log::debug!("cannot watch a caller's connection: {error}");
+        std::future::pending::<()>().await;
     }
-    std::future::pending::<()>().await;
 }
 
 impl Carriage<'_> {
@@ -80,11 +86,19 @@
                     if !tried.is_empty() {
                         self.shared.metrics.retries.with_label_values(&[&service.name]).inc();
                     }
-                    let Some(slot) = pick::pick(service, &self.shared.settings.domain, &tried)
-                    else {
+                    let start = self.shared.clock.now();
+                    let slot = tokio::select! {
+                        slot = self.place(&tried) => slot,
+                        () = &mut gone => None,
+                    };
+                    let Some(slot) = slot else {
                         series.unplaced();
                         continue;
                     };
+                    // The time in the queue is not the attempt's.
+                    let queued = self.shared.clock.now() - start;
+                    self.waited += queued;
+                    let until = (until + queued).min(self.admission.rules.deadline);
                     tried.push(slot.target.name.clone());
                     tokio::select! {
                         result = self.attempt(&slot, until, fresh) => {
@@ -103,6 +117,21 @@
         }
     }
 
+    /// Waits for a place at a target.
+    async fn place(&self, tried: &[String]) -> Option<Slot> {
+        let Admission { service, rules, allowance, class } = self.admission;
+        let ask = place::Ask {
+            service: &service.name,
+            customer: &self.intake.customer,
+            weight: allowance.rate,
+            class: *class,
+            deadline: rules.deadline,
+            tried,
+            idempotent: rules.idempotent,
+        };
+        self.shared.places.take(ask).await.map(Slot::new)
+    }
+
     async fn claim(&self) -> attempt::Claim {
         let key = self.intake.key.as_deref().expect("only a request with a key claims it");
         let digest = attempt::key_digest(&self.intake.customer, self.service_name(), key);
@@ -125,15 +154,18 @@
         let attempt = Attempt {
             intake: self.intake,
             body: self.body,
-            target: &slot.target,
+            slot,
             id: &id,
             until,
             deadline: self.admission.rules.deadline,
             fresh,
         };
+        let watched = Watched::begin(shared, self.service_name(), &slot.target.name);
         let result = send::send(shared, attempt).await;
         self.waited += shared.clock.now() - start;
         let ending = result.as_ref().err().copied().unwrap_or(Ending::Answered);
+        let failed = result.as_ref().is_ok_and(|response| response.status().is_server_error());
+        watched.end(ending, failed);
         shared.metrics.count_attempt(self.service_name(), ending);
         if ending == Ending::Foreign {
             let fields = [("service", self.service_name()), ("id", &id)];
--- a/crates/citron-proxy/src/proxy.rs
+++ b/crates/citron-proxy/src/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::{net::UdpSocket, task::JoinHandle};
 
 use crate::{
-    door,
+    allowance, door, health,
     leaving::{self, Leaver},
     link::{self, Link},
     metrics::Metrics,
@@ -27,6 +27,7 @@
     addr: SocketAddr,
     admin: Admin,
     link: JoinHandle<()>,
+    helpers: [JoinHandle<()>; 3],
     serving: JoinHandle<()>,
 }
 
@@ -71,9 +72,14 @@
         let admin = bind_admin(&shared, recorder).await?;
         let addr = server.addr();
         shared.recorder.record(Kind::Started, &shared.settings.host, &[]);
+        let helpers = [
+            tokio::spawn(allowance::run(Arc::clone(&shared))),
+            tokio::spawn(Arc::clone(&shared.places).run()),
+            tokio::spawn(health::run(Arc::clone(&shared))),
+        ];
         let link = tokio::spawn(link::run(Arc::clone(&shared), addr));
         let serving = tokio::spawn(leaving::run(Arc::clone(&shared), addr, server));
-        Ok(Self { shared, addr, admin, link, serving })
+        Ok(Self { shared, addr, admin, link, helpers, serving })
     }
 
     /// Returns the address that callers connect to.
@@ -86,9 +92,14 @@
         self.admin.addr()
     }
 
+    /// Returns the UDP address for loans between proxies, if it is still known.
+    pub fn loans(&self) -> Option<SocketAddr> {
+        self.shared.loans.local_addr().ok()
+    }
+
     /// Returns the line of JSON that tells that everything is bound.
     pub fn ready_line(&self) -> String {
-        let loans = self.shared.loans.local_addr().map(|addr| addr.to_string());
+        let loans = self.loans().map(|addr| addr.to_string());
         json!({
             "ready": true,
             "program": "citron-proxy",
@@ -111,6 +122,7 @@
             log::error!("the server ended badly: {error}");
         }
         self.link.abort();
+        self.helpers.iter().for_each(JoinHandle::abort);
         self.admin.stop().await;
     }
 }
@@ -133,12 +145,12 @@
         .services
         .iter()
         .map(|(name, service)| {
-            let usable = service.targets.iter().filter(|target| !target.leaving).count();
+            let (usable, ejected) = shared.health.summary(service);
             let busy: u32 = service.targets.iter().map(|target| target.busy()).sum();
             let state = json!({
                 "listed": service.targets.len(),
                 "usable": usable,
-                "ejected": Vec::<String>::new(),
+                "ejected": ejected,
                 "busy": busy,
             });
             (name.clone(), state)
@@ -150,6 +162,7 @@
         "domain": shared.settings.domain,
         "revision": view.revision,
         "attached": shared.metrics.attached.get() == 1,
+        "settled": shared.allowances.is_settled(shared.clock.now()),
         "leaving": shared.is_leaving(),
         "in_flight": shared.in_flight(),
         "members": view.members.len(),
--- a/crates/citron-proxy/src/socket.rs
+++ b/crates/citron-proxy/src/socket.rs
@@ -1,13 +1,16 @@
 //! Finds the TCP sockets of this process that Rocket does not hand out.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     os::fd::{BorrowedFd, OwnedFd, RawFd},
 };
 
+use parking_lot::Mutex;
 use rustix::{
     fs::{Dir, Mode, OFlags},
+    io::Errno,
     net::{Shutdown, getpeername, getsockname, sockopt},
 };
 use tokio::{io::Interest, net::TcpStream};
@@ -24,17 +27,56 @@
     fd: OwnedFd,
 }
 
-impl Connection {
-    /// Finds the connection from `peer` to the listening address `local`.
-    pub fn find(local: SocketAddr, peer: SocketAddr) -> Option<Self> {
-        find(|fd| {
-            let has_peer =
-                getpeername(fd).ok().flatten().and_then(|addr| addr.try_into().ok()) == Some(peer);
-            has_peer && local_addr(fd).is_some_and(|addr| addr.port() == local.port())
-        })
-        .map(|fd| Self { fd })
+/// Finds callers' connections, and remembers the numbers of the files it has seen.
+///
+/// One scan of the open files serves all connections that are open by then; a remembered number
+/// is checked before it is used, as the file may have been closed and the number reused.
+#[derive(Debug)]
+pub struct Finder {
+    local: SocketAddr,
+    known: Mutex<HashMap<SocketAddr, RawFd>>,
+}
+
+impl Finder {
+    /// Creates a finder of connections to the listening address `local`.
+    pub fn new(local: SocketAddr) -> Self {
+        Self { local, known: Mutex::default() }
     }
 
+    /// Finds the connection from `peer`; there is none once the HTTP server has closed it.
+    ///
+    /// # Errors
+    /// Fails if the open files of this process cannot be listed or duplicated.
+    pub fn find(&self, peer: SocketAddr) -> io::Result<Option<Connection>> {
+        let known = self.known.lock().get(&peer).copied();
+        if let Some(Ok(fd)) = known.map(duplicate)
+            && self.peer_of(&fd) == Some(peer)
+        {
+            return Ok(Some(Connection { fd }));
+        }
+        let mut found = None;
+        let mut seen = HashMap::new();
+        scan(|raw, fd| {
+            if let Some(other) = self.peer_of(&fd) {
+                seen.insert(other, raw);
+                if other == peer {
+                    found = Some(Connection { fd });
+                }
+            }
+            true
+        })?;
+        *self.known.lock() = seen;
+        Ok(found)
+    }
+
+    /// Returns the peer of a connection to the listening address.
+    fn peer_of(&self, fd: &OwnedFd) -> Option<SocketAddr> {
+        let is_ours = local_addr(fd).is_some_and(|addr| addr.port() == self.local.port());
+        if is_ours { getpeername(fd).ok()??.try_into().ok() } else { None }
+    }
+}
+
+impl Connection {
     /// Ends the connection in both directions, so that an unfinished answer cannot end cleanly.
     pub fn cut(&self) {
         if let Err(error) = rustix::net::shutdown(&self.fd, Shutdown::Both) {
@@ -58,15 +100,23 @@
 
 /// Stops accepting connections on the listening address `local`.
 pub fn stop_listening(local: SocketAddr) {
-    let listener =
-        find(|fd| sockopt::socket_acceptconn(fd).unwrap_or(false) && local_addr(fd) == Some(local));
-    match listener {
-        Some(fd) => {
+    let mut listener = None;
+    let scanned = scan(|_, fd| {
+        let matches =
+            sockopt::socket_acceptconn(&fd).unwrap_or(false) && local_addr(&fd) == Some(local);
+        if matches {
+            listener = Some(fd);
+        }
+        !matches
+    });
+    match scanned.map(|()| listener) {
+        Ok(Some(fd)) => {
             if let Err(error) = rustix::net::shutdown(&fd, Shutdown::Both) {
                 log::warn!("cannot stop listening on {local}: {error}");
             }
         }
-        None => log::warn!("cannot find the socket that listens on {local}"),
+        Ok(None) => log::warn!("cannot find the socket that listens on {local}"),
+        Err(error) => log::warn!("cannot look for the socket that listens on {local}: {error}"),
     }
 }
 
@@ -95,25 +145,37 @@
     getsockname(fd).ok()?.try_into().ok()
 }
 
-/// Returns a duplicate of the first open file that `matches`.
-fn find(matches: impl Fn(&OwnedFd) -> bool) -> Option<OwnedFd> {
+/// Shows `visit` a duplicate of each open file with its number, until it returns false.
+fn scan(mut visit: impl FnMut(RawFd, OwnedFd) -> bool) -> io::Result<()> {
     let flags = OFlags::RDONLY | OFlags::DIRECTORY | OFlags::CLOEXEC;
-    let folder = rustix::fs::open(FD_FOLDER, flags, Mode::empty()).ok()?;
-    let entries = Dir::read_from(&folder).ok()?;
-    entries
-        .filter_map(|entry| entry.ok()?.file_name().to_str().ok()?.parse().ok())
-        .filter_map(duplicate)
-        .find(|fd| matches(fd))
+    let folder = rustix::fs::open(FD_FOLDER, flags, Mode::empty())?;
+    for entry in Dir::read_from(&folder)? {
+        let entry = entry?;
+        let Some(raw) = entry.file_name().to_str().ok().and_then(|name| name.parse().ok()) else {
+            continue;
+        };
+        match duplicate(raw) {
+            Ok(fd) => {
+                if !visit(raw, fd) {
+                    return Ok(());
+                }
+            }
+            // Another thread has closed it since.
+            Err(Errno::BADF) => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Ok(())
 }
 
 #[allow(unsafe_code)]
-fn duplicate(raw: RawFd) -> Option<OwnedFd> {
+fn duplicate(raw: RawFd) -> Result<OwnedFd, Errno> {
     if raw < 0 {
-        return None;
+        return Err(Errno::BADF);
     }
     // SAFETY: the descriptor was open when the folder was read. If another thread has closed it
     // since, the duplication fails; if it has been reused, the duplicate refers to the new file,
     // whose addresses the caller compares. The borrow ends before this function returns.
     let borrowed = unsafe { BorrowedFd::borrow_raw(raw) };
-    rustix::io::fcntl_dupfd_cloexec(borrowed, 0).ok()
+    rustix::io::fcntl_dupfd_cloexec(borrowed, 0)
 }
--- a/crates/citron-proxy/tests/support/agent.rs
+++ b/crates/citron-proxy/tests/support/agent.rs
@@ -67,6 +67,22 @@
         self.send(Body::Policy(policy_message(revision, &policy)));
     }
 
+    /// Sends members: host, address for loans, and whether the platform lists it.
+    pub fn send_members(&self, members: &[(&str, &str, bool)]) {
+        let members = members
+            .iter()
+            .map(|(host, loans, listed)| wire::Member {
+                host: (*host).to_owned(),
+                domain: "a".to_owned(),
+                state: wire::MemberState::Alive as i32,
+                loans: (*loans).to_owned(),
+                listed: *listed,
+                ..wire::Member::default()
+            })
+            .collect();
+        self.send(Body::Members(wire::MemberTable { full: true, members, removed: vec![] }));
+    }
+
     /// Sends targets `t0`, `t1`, ... of lot-desk.
     pub fn send_targets(&self, addrs: &[SocketAddr]) {
         let targets = addrs.iter().enumerate().map(|(i, addr)| target_entry(i, *addr)).collect();
--- a/crates/citron-stand/src/platform/admin.rs
+++ b/crates/citron-stand/src/platform/admin.rs
@@ -6,12 +6,15 @@
 use rocket::{Route, State, get, http::Status, post, put, routes, serde::json::Json};
 use serde::Deserialize;
 
-use super::serve::{Calls, Mode, Shared};
+use super::{
+    meter::Calls,
+    serve::{Mode, Shared},
+};
 
 type Stand = State<Arc<Shared>>;
 
 pub(super) fn routes() -> Vec<Route> {
-    routes![set_hosts, set_mode, lose_answers, set_lag, calls]
+    routes![set_hosts, set_mode, lose_answers, lose_writes, set_lag, calls]
 }
 
 #[derive(Deserialize)]
@@ -32,7 +35,7 @@
 
 #[post("/mode", data = "<mode>")]
 fn set_mode(stand: &Stand, mode: Json<Mode>) -> Status {
-    stand.mode.send_replace(mode.into_inner());
+    stand.set_mode(mode.into_inner());
     Status::Ok
 }
 
@@ -42,6 +45,12 @@
     Status::Ok
 }
 
+#[post("/lose-writes", data = "<count>")]
+fn lose_writes(stand: &Stand, count: Json<Count>) -> Status {
+    *stand.lose_writes.lock() = count.into_inner().count;
+    Status::Ok
+}
+
 #[post("/lag", data = "<lag>")]
 fn set_lag(stand: &Stand, lag: Json<Lag>) -> Status {
     let lag = Duration::from_millis(lag.into_inner().lag_ms);
@@ -51,5 +60,5 @@
 
 #[get("/calls")]
 fn calls(stand: &Stand) -> Json<Calls> {
-    Json(stand.calls.lock().clone())
+    Json(stand.meter.read())
 }
