--- a/crates/citron/src/limit/account.rs
+++ b/crates/citron/src/limit/account.rs
@@ -126,6 +126,11 @@
         })
     }
 
+    /// Returns whether a borrower may still use a part of the own share.
+    pub fn lends_to(&self, borrower: &str) -> bool {
+        self.debits.iter().any(|debit| &*debit.borrower == borrower)
+    }
+
     /// Lends what is asked for as far as it is not needed here, or repeats an earlier answer.
     pub fn lend(&mut self, from: &Arc<str>, request: &Request, now: Duration) -> Grant {
         self.settle(now);
@@ -151,15 +156,16 @@
         grant
     }
 
-    /// Takes in a grant; returns whether it was of use.
+    /// Takes in a grant; returns whether there is a loan where there was none.
     pub fn borrow(&mut self, from: &str, grant: &Grant, now: Duration) -> bool {
         self.settle(now);
         let Some(credit) = self.credits.iter_mut().find(|credit| &*credit.lender == from) else {
             return false;
         };
+        let before = credit.until().is_some();
         let taken = credit.take(grant, now);
         self.clamp();
-        taken
+        taken && !before
     }
 
     /// Returns whether forgetting the account and opening it again later changes nothing.
--- a/crates/citron/src/limit/gate.rs
+++ b/crates/citron/src/limit/gate.rs
@@ -137,7 +137,7 @@
     }
 
     /// Takes in a message; `allowance` is that of its customer for its service. Returns whether
-    /// a loan was made or taken.
+    /// a loan was made or taken where there was none.
     pub fn receive(
         &mut self,
         from: &str,
@@ -286,8 +286,9 @@
         let key = self.enter(&request.customer, &request.service, allowance, now);
         let from: Arc<str> = from.into();
         let entry = self.accounts.get_mut(&key).expect("the account was just entered");
+        let lent_before = entry.account.lends_to(&from);
         let grant = entry.account.lend(&from, request, now);
-        let made = grant.lent != Share::default();
+        let made = !lent_before && grant.lent != Share::default();
         self.outbox.push(Outgoing { to: from, message: Message::Grant(grant) });
         made
     }
--- a/crates/citron/tests/limit.rs
+++ b/crates/citron/tests/limit.rs
@@ -114,6 +114,21 @@
         admit_for(&mut gate, OPEN + Duration::from_secs(2), 4000);
         assert!(admit_for(&mut gate, late + Duration::from_secs(1), 1000) >= 99);
     }
+    a_share_in_use_that_grows_waits_out_the_handover {
+        let mut gate = gate("a", &["a", "b"]);
+        assert_eq!(admit_all(&mut gate, OPEN), 10);
+        gate.set_homes(homes(&["a"]), OPEN);
+        assert!(admit_for(&mut gate, OPEN, HANDOVER.as_millis() as u64) <= 250);
+    }
+    an_answer_to_an_earlier_request_is_ignored {
+        let (mut lender, mut borrower, asked) = pair();
+        lender.receive("b", &asked, Some(&PLAN), OPEN);
+        let first = grant(&mut lender);
+        let later = OPEN + Duration::from_millis(500);
+        borrower.admit("roaster", "lot-desk", &PLAN, later);
+        assert_ne!(request(&mut borrower), asked);
+        assert!(!borrower.receive("a", &first, Some(&PLAN), later));
+    }
     a_share_that_shrinks_does_so_at_once {
         let mut gate = gate("a", &["a"]);
         gate.set_homes(homes(&["a", "b"]), OPEN);
