--- /dev/null
+++ b/crates/citron-stand/src/bench/decision.rs
@@ -0,0 +1,141 @@
+//! The proxy's time and memory per decision, by the size of its tables.
+
+use std::{
+    fs, hint,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use citron::{
+    choice::{Answer, Ask, Load, Proxy, State, Table, Target},
+    limit::{Gate, HANDOVER},
+    policy::{Allowance, Customer, Plan, Policy, Route},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::Summary;
+
+const ROUNDS: usize = 200_000;
+const SERVICE: &str = "lot-desk";
+const PLAN: Allowance = Allowance { rate: 1e6, burst: 1e6 };
+const TARGETS: [usize; 2] = [54, 2_900];
+const ROUTES: [usize; 2] = [20, 7_100];
+const TEAMS: [usize; 2] = [1_000, 110_000];
+
+/// Times each decision at today's and at the future size.
+///
+/// # Errors
+/// Fails if the memory of the process cannot be read.
+pub fn run(_: &[String]) -> eyre::Result<Summary> {
+    let mut summary = Summary::default();
+    println!("{:<10} {:>8} {:>10} {:>10}", "decision", "entries", "time_ns", "memory_kb");
+    for (name, sizes, measure) in [
+        ("choice", TARGETS, choice as fn(usize) -> eyre::Result<(f64, f64)>),
+        ("route", ROUTES, route),
+        ("allowance", TEAMS, allowance),
+    ] {
+        for size in sizes {
+            let (time_ns, memory_kb) = measure(size)?;
+            println!("{name:<10} {size:>8} {time_ns:>10.0} {memory_kb:>10.0}");
+            summary.push(format!("{name}_{size}_ns"), time_ns);
+            summary.push(format!("{name}_{size}_kb"), memory_kb);
+        }
+    }
+    Ok(summary)
+}
+
+/// Times a choice with the start, the end and the answer of its request.
+fn choice(size: usize) -> eyre::Result<(f64, f64)> {
+    let before = memory_kb()?;
+    let mut table = Table::new("proxy-00", "domain-0");
+    let proxy = |index: usize| Proxy {
+        domain: format!("domain-{}", index % 4).into(),
+        host: format!("proxy-{index:02}").into(),
+    };
+    table.set_proxies((0..18).map(proxy).collect());
+    table.upsert((0..size).map(target), Duration::ZERO);
+    let memory = memory_kb()? - before;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Duration::from_micros(round as u64 * 100);
+        let ask = Ask { service: SERVICE, exclude: &[], idempotent: true };
+        if let Some(pick) = table.pick(&ask, now, &mut rng) {
+            table.on_start(&pick.target);
+            table.on_end(&pick.target);
+            let load = Load { busy: rng.random_range(0..3), slots: 3 };
+            let answer = Answer { load: Some(load), state: State::Ready };
+            table.on_answer(&pick.target, answer, Duration::from_millis(50), now);
+        }
+    }
+    Ok((per_round(start), memory))
+}
+
+fn target(index: usize) -> Target {
+    Target {
+        name: format!("target-{index:05}").into(),
+        service: SERVICE.into(),
+        address: format!("10.0.{}.{}:80", index / 250, index % 250).into(),
+        domain: format!("domain-{}", index % 4).into(),
+        slots: 3,
+        connections: 400,
+        leaving: false,
+    }
+}
+
+/// Times finding the route and the allowance of a request.
+fn route(size: usize) -> eyre::Result<(f64, f64)> {
+    let before = memory_kb()?;
+    let mut policy = Policy::default();
+    policy.customers.insert("team".to_owned(), Customer { plan: "gold".to_owned() });
+    let uses = [(SERVICE.to_owned(), PLAN)].into();
+    policy.grants.plans.insert("gold".to_owned(), Plan { uses });
+    for index in 0..size {
+        let prefix = format!("/api/v{index}/");
+        let route = Route { prefix: prefix.clone(), service: SERVICE.to_owned(), idempotent: None };
+        policy.grants.routes.insert(prefix, route);
+    }
+    let memory = memory_kb()? - before;
+    let paths: Vec<String> = (0..size).map(|index| format!("/api/v{index}/lots/17")).collect();
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let route = policy.route(&paths[round * 7919 % size]);
+        hint::black_box(route.and_then(|route| policy.allowance("team", &route.service)));
+    }
+    Ok((per_round(start), memory))
+}
+
+/// Times the admission of a request, with accounts of all teams in memory.
+fn allowance(size: usize) -> eyre::Result<(f64, f64)> {
+    let teams: Vec<String> = (0..size).map(|index| format!("team-{index:06}")).collect();
+    let before = memory_kb()?;
+    let mut gate = Gate::open("proxy-00", 1, HANDOVER, Duration::ZERO);
+    let homes: Arc<[Arc<str>]> = Arc::new([Arc::from("proxy-00")]);
+    let finder = Arc::new(move |_: &str, _: &str| homes.iter().cloned().collect());
+    gate.set_homes(finder, Duration::ZERO);
+    let mut now = HANDOVER * 2;
+    gate.tick(now);
+    for team in &teams {
+        gate.admit(team, SERVICE, &PLAN, now);
+    }
+    let memory = memory_kb()? - before;
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        now += Duration::from_micros(5);
+        hint::black_box(gate.admit(&teams[round * 7919 % size], SERVICE, &PLAN, now));
+    }
+    Ok((per_round(start), memory))
+}
+
+fn per_round(start: Instant) -> f64 {
+    start.elapsed().as_nanos() as f64 / ROUNDS as f64
+}
+
+/// Returns the resident memory of this process.
+fn memory_kb() -> eyre::Result<f64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    Ok(number.ok_or_else(|| eyre::eyre!("/proc/self/status has no VmRSS"))?.parse()?)
+}
--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -4,6 +4,7 @@
 mod child;
 mod choice;
 mod control;
+mod decision;
 mod fairness;
 mod latency;
 pub mod limits;
@@ -47,6 +48,7 @@
     ("change", change::run),
     ("choice", choice::run),
     ("control", control::run),
+    ("decision", decision::run),
     ("fairness", fairness::run),
     ("latency", latency::run),
     ("limits", limits::run),
--- a/crates/citron/tests/queue.rs
+++ b/crates/citron/tests/queue.rs
@@ -90,6 +90,14 @@
         assert!(!queue.cancel(ticket));
         assert_eq!(queue.pop(ms(0)), None);
     }
+    a_customer_whose_requests_expired_keeps_no_old_turn(queue) {
+        queue.push(&Wait { deadline: ms(10), ..wait("z") }, ms(0)).unwrap();
+        push_all(queue, "b", 4);
+        assert!(queue.pop(ms(20)).is_some() && queue.pop(ms(20)).is_some());
+        let late = queue.push(&wait("z"), ms(20)).unwrap().0;
+        assert_ne!(queue.pop(ms(20)), Some(late));
+        assert_eq!(queue.pop(ms(20)), Some(late));
+    }
     a_customer_has_its_own_limit(queue) {
         push_all(queue, "a", 6);
         assert_matches!(queue.push(&wait("a"), ms(0)), Err(Refusal::CustomerFull));
