--- a/crates/citron-proxy/tests/health.rs
+++ b/crates/citron-proxy/tests/health.rs
@@ -47,10 +47,9 @@
     assert_eq!(rig.targets[1].seen().len(), before);
     // An older verdict changes nothing, a newer one does.
     send(&rig, vec![verdict("t1", false, 2, 0), verdict("t2", true, 1, 0)]);
-    wait_for(|| async {
-        ejected(&rig).await.contains(&"t2".to_owned()) || ejected(&rig).await == ["t1"]
-    })
-    .await;
+    // The second ejection would break the floor of one in two.
+    wait_for(|| async { admin(&rig.proxy, "/events").await.contains("floor-held") }).await;
+    assert_eq!(ejected(&rig).await, ["t1"]);
     send(&rig, vec![verdict("t1", false, 4, 0), verdict("t2", false, 2, 0)]);
     wait_for(|| async { ejected(&rig).await.is_empty() }).await;
     assert!(admin(&rig.proxy, "/events").await.contains("target-returned"));
@@ -96,7 +95,9 @@
         let request = "GET /lots/1 HTTP/1.1\r\nhost: h\r\ncitron-customer: roaster\r\ncitron-deadline-ms: 20\r\n\r\n";
         assert_eq!(rig.call(request).await.status, 504);
     }
-    // Evidence is reported before the progress that follows a later change of the policy.
+    // The next two reports of progress come after evidence would have been sent.
+    let before = rig.agent.reports().len();
+    wait_for(|| async { rig.agent.reports().len() >= before + 2 }).await;
     let timeouts: u32 = rig
         .agent
         .reports()
--- a/crates/citron/src/health/steward.rs
+++ b/crates/citron/src/health/steward.rs
@@ -8,10 +8,7 @@
 };
 
 use self::record::{Phase, Record};
-use super::{
-    Batch, Evidence, Score, Target, Tuning, Verdict, floor_count,
-    score::{Rate, fading},
-};
+use super::{Batch, Evidence, Score, Target, Tuning, Verdict, floor_count, score::Rate};
 use crate::policy::Profile;
 
 /// How often verdicts in force are issued again, for those who missed them.
@@ -100,7 +97,7 @@
 
     /// Decides; returns the verdicts to spread, new and repeated ones.
     pub fn tick(&mut self, now: Duration) -> Vec<Verdict> {
-        self.fade(now);
+        self.settle(now);
         self.observers.retain(|_, witness| witness.heard + OBSERVER_LIMIT >= now);
         self.records.retain(|_, record| record.is_kept(now, UNLISTED_LIMIT));
         let mut verdicts = self.advance_ejected(now);
@@ -148,15 +145,15 @@
         self.rate.add(&evidence.counts);
         record.rate.add(&evidence.counts);
         let score = Score::of(&evidence.counts, self.rate.without(&record.rate));
-        record.weigh(score, trust, observer, domain, self.tuning.observer_cap);
+        record.weigh(score, trust, observer, domain);
     }
 
-    fn fade(&mut self, now: Duration) {
+    fn settle(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.ticked);
         self.ticked = now;
         self.rate.fade(elapsed);
         for record in self.records.values_mut() {
-            record.fade(fading(elapsed), elapsed);
+            record.settle(&self.tuning, elapsed);
         }
     }
 
--- a/crates/citron/src/health/steward/record.rs
+++ b/crates/citron/src/health/steward/record.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use super::super::{Score, Tuning, Verdict, pool::Pool, score::Rate};
+use super::super::{
+    Score, Tuning, Verdict,
+    pool::Pool,
+    score::{Rate, fading},
+};
 
 /// How long a trial without evidence against the target lasts at most.
 const TRIAL_LIMIT: Duration = Duration::from_secs(60);
@@ -70,18 +74,11 @@
     }
 
     /// Adds evidence to what counts in the present phase.
-    pub(super) fn weigh(
-        &mut self,
-        score: Score,
-        trust: f64,
-        observer: usize,
-        domain: usize,
-        cap: f64,
-    ) {
+    pub(super) fn weigh(&mut self, score: Score, trust: f64, observer: usize, domain: usize) {
         match &mut self.phase {
             Phase::InUse => {
-                self.slow.add(observer, domain, score.slow * trust, cap);
-                self.fail.add(observer, domain, score.fail * trust, cap);
+                self.slow.add(observer, domain, score.slow * trust);
+                self.fail.add(observer, domain, score.fail * trust);
             }
             Phase::Trial { score: sum, .. } => {
                 sum.slow += score.slow * trust;
@@ -92,9 +89,12 @@
         }
     }
 
-    pub(super) fn fade(&mut self, factor: f64, elapsed: Duration) {
-        self.slow.fade(factor);
-        self.fail.fade(factor);
+    /// Lets earlier evidence fade and takes in that of the last `elapsed`.
+    pub(super) fn settle(&mut self, tuning: &Tuning, elapsed: Duration) {
+        for pool in [&mut self.slow, &mut self.fail] {
+            pool.fade(fading(elapsed));
+            pool.settle(tuning, elapsed);
+        }
         self.rate.fade(elapsed);
     }
 
--- a/crates/citron/src/health/tuning.rs
+++ b/crates/citron/src/health/tuning.rs
@@ -13,6 +13,11 @@
     pub abroad: f64,
     /// The most that one observer contributes to a joint score.
     pub observer_cap: f64,
+    /// The most by which a joint score rises per second: what comes at one moment has one cause,
+    /// such as a short pause of the target, and counts little more than once.
+    pub rise_per_s: f64,
+    /// The rise that may come at once.
+    pub rise_burst: f64,
     /// The score at which a proxy by itself leaves a target only a trickle.
     pub local: f64,
     /// The share of targets that look sick at which a steward stops ejecting.
@@ -33,6 +38,8 @@
                 eject: 14.0,
                 abroad: 3.0,
                 observer_cap: 8.0,
+                rise_per_s: 8.0,
+                rise_burst: 4.0,
                 local: 11.0,
                 doubt_share: 0.4,
                 hold_off: Duration::from_secs(10),
@@ -43,6 +50,8 @@
                 eject: 20.0,
                 abroad: 6.0,
                 observer_cap: 9.0,
+                rise_per_s: 8.0,
+                rise_burst: 6.0,
                 local: 15.0,
                 doubt_share: 0.3,
                 hold_off: Duration::from_secs(10),
