--- a/crates/citron-proxy/src/link.rs
+++ b/crates/citron-proxy/src/link.rs
@@ -174,15 +174,13 @@
                 view
             });
         }
-        Some(Body::Targets(table)) => {
-            change(shared, |view| {
-                let view = view.with_targets(&table);
-                // Requests that see a target listed can also be placed there.
-                shared.places.set_targets(&view.services);
-                view
-            });
-            shared.health.follow(&shared.view.load());
-        }
+        Some(Body::Targets(table)) => change(shared, |view| {
+            let view = view.with_targets(&table);
+            // Requests that see a target listed can also be placed there.
+            shared.places.set_targets(&view.services);
+            shared.health.follow(&view);
+            view
+        }),
         Some(Body::Leave(_)) => leaving::begin(shared),
         Some(Body::Verdicts(table)) => {
             for verdict in table.verdicts {
