Keep what holders are known to have; drop datagrams that are too large

A datagram with evidence alone names no revision, and overwrote what its sender was known to have. Evidence in parts of 12 targets with the longest names exceeds 1,400 bytes; such a datagram is logged and dropped now, where it would have ended the agent.

--- a/crates/citron-agent/src/core/members.rs
+++ b/crates/citron-agent/src/core/members.rs
@@ -240,10 +240,12 @@
         self.post(to, &gossip);
     }
 
-    /// Sends a datagram; one that does not fit in the queue is lost like any other.
+    /// Sends a datagram; one that is too large, or does not fit in the queue, is lost like any other.
     pub fn post(&self, to: &str, gossip: &wire::Gossip) {
         let bytes = gossip.encode_to_vec();
-        if self.datagrams.try_send((to.to_owned(), bytes)).is_err() {
+        if bytes.len() > DATAGRAM_LIMIT_BYTES {
+            log::error!("a datagram of {} bytes to {to} is too large and was dropped", bytes.len());
+        } else if self.datagrams.try_send((to.to_owned(), bytes)).is_err() {
             log::warn!("the queue of datagrams is full");
         }
     }
--- a/crates/citron-agent/src/core/mod.rs
+++ b/crates/citron-agent/src/core/mod.rs
@@ -30,7 +30,7 @@
 /// Datagrams that wait to be sent.
 const SEND_CAPACITY: usize = 4096;
 /// Verdict bytes in one datagram.
-const VERDICT_BUDGET_BYTES: usize = 250;
+const VERDICT_BUDGET_BYTES: usize = 400;
 /// The largest datagram.
 pub const DATAGRAM_LIMIT_BYTES: usize = 1400;
 /// Verdicts that wait to be sent.
--- a/crates/citron-agent/src/core/policy.rs
+++ b/crates/citron-agent/src/core/policy.rs
@@ -72,7 +72,12 @@
 
     pub(super) fn take_hint(&self, from: &str, revision: u64, hosts_version: u64) {
         let hint = Hint { revision, hosts_version };
-        self.holders.lock().insert(from.to_owned(), hint);
+        let mut holders = self.holders.lock();
+        // Datagrams may overtake one another, and those with evidence alone say nothing of it.
+        let known = holders.entry(from.to_owned()).or_insert(hint);
+        known.revision = known.revision.max(revision);
+        known.hosts_version = known.hosts_version.max(hosts_version);
+        drop(holders);
         let newer =
             revision > self.revision() || hosts_version > self.lists.lock().targets.version();
         if newer {
