--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -4,6 +4,7 @@
 mod child;
 mod choice;
 mod control;
+mod decision;
 mod detection;
 mod fairness;
 mod latency;
@@ -48,6 +49,7 @@
     ("change", change::run),
     ("choice", choice::run),
     ("control", control::run),
+    ("decision", decision::run),
     ("detection", detection::run),
     ("fairness", fairness::run),
     ("latency", latency::run),
