--- a/crates/citron-proxy/tests/leaving.rs
+++ b/crates/citron-proxy/tests/leaving.rs
@@ -157,7 +157,7 @@
     let leaving = |report: &citron_wire::Report| matches!(&report.body, Some(citron_wire::report::Body::Progress(p)) if p.leaving);
     wait_for(|| async { process.agent.reports().iter().any(leaving) }).await;
     let reply = Caller::new(process.addr).call(GET.as_bytes()).await;
-    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")));
+    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")), "{reply:?}");
     assert!(process.child.try_wait().expect("wait").is_none(), "it must accept for the notice");
     process.child.kill().expect("kill");
 }
