Share the checks of settings and give the gossip seeds a variable of their own

Cause: CITRON_SEEDS was both the agent's gossip seeds and the tests' number of seeds, so that a long test run with it set would start agents with a bad setting; found while reading. The proxy and the agent checked names and addresses in two ways, and the proxy announced 0.0.0.0 to others. The proxy now also leaves on SIGINT.

--- a/crates/citron-agent/src/settings.rs
+++ b/crates/citron-agent/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use citron_daemon::setting::{Error, Spec, Values};
+use citron_daemon::setting::{
+    Error, Spec, Values,
+    check::{address, milliseconds, name},
+};
 use log::LevelFilter;
 
 /// The settings with their flags and variables.
@@ -51,7 +54,7 @@
     },
     Spec {
         flag: "seeds",
-        variable: "CITRON_SEEDS",
+        variable: "CITRON_GOSSIP_SEEDS",
         default: Some(""),
         help: "gossip addresses of other agents, asked while the platform's host list is not known",
         valid: "addresses separated by commas, such as 10.0.0.6:8083,10.0.0.7:8083",
@@ -128,24 +131,6 @@
     }
 }
 
-fn name(text: &str) -> Result<String, String> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    match text {
-        "" => Err("it is empty".to_owned()),
-        _ if text.len() > 64 => Err("it is too long".to_owned()),
-        _ if !text.chars().all(allowed) => Err("it has a character that is not allowed".to_owned()),
-        _ => Ok(text.to_owned()),
-    }
-}
-
-fn address(text: &str) -> Result<SocketAddr, String> {
-    let address: SocketAddr = text.parse().map_err(|_| "it is not IP:PORT".to_owned())?;
-    if address.ip().is_unspecified() {
-        return Err("other hosts cannot reach this address".to_owned());
-    }
-    Ok(address)
-}
-
 fn platform(text: &str) -> Result<String, String> {
     match citron_platform::Client::open(text, Duration::from_secs(1)) {
         Ok(_) => Ok(text.to_owned()),
@@ -160,11 +145,3 @@
         .map(|seed| address(seed).map(|seed| seed.to_string()))
         .collect()
 }
-
-fn milliseconds(text: &str, least: u64, most: u64) -> Result<Duration, String> {
-    let number: u64 = text.parse().map_err(|_| "it is not a whole number".to_owned())?;
-    if !(least..=most).contains(&number) {
-        return Err("it is out of range".to_owned());
-    }
-    Ok(Duration::from_millis(number))
-}
--- a/crates/citron-daemon/src/setting.rs
+++ b/crates/citron-daemon/src/setting.rs
@@ -1,5 +1,7 @@
 //! Settings from flags and environment variables, checked before anything starts.
 
+pub mod check;
+
 use std::{
     collections::BTreeMap,
     ffi::OsString,
--- a/crates/citron-proxy/src/main.rs
+++ b/crates/citron-proxy/src/main.rs
@@ -35,14 +35,17 @@
     citron_daemon::init_log(settings.log, &settings.host, "citron-proxy", clock)
         .wrap_err("cannot start the log")?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
     let recorder = Recorder::open(&settings.host, "citron-proxy", clock);
     let proxy = Proxy::spawn(settings, recorder).await?;
     println!("{}", proxy.ready_line());
     let leaver = proxy.leaver();
     tokio::spawn(async move {
-        while terminate.recv().await.is_some() {
-            leaver.leave();
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
         }
+        leaver.leave();
     });
     proxy.finished().await;
     Ok(())
--- a/crates/citron-proxy/src/settings.rs
+++ b/crates/citron-proxy/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{ffi::OsString, net::SocketAddr, time::Duration};
 
-use citron_daemon::setting::{self, Error, Request, Spec, Values};
+use citron_daemon::setting::{
+    self, Error, Request, Spec, Values,
+    check::{address, milliseconds, name, number},
+};
 use log::LevelFilter;
 
 const ABOUT: &str = "carries customers' requests to healthy targets";
@@ -101,9 +104,6 @@
     },
 ];
 
-/// The longest name of a host or failure domain, in bytes.
-const NAME_LIMIT_BYTES: usize = 64;
-
 /// The checked settings of a proxy.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -166,17 +166,13 @@
         Ok(Self {
             host: values.get_with("host", name)?,
             domain: values.get_with("domain", name)?,
-            listen: values.get("listen")?,
-            loans: values.get("loans")?,
+            listen: values.get_with("listen", address)?,
+            loans: values.get_with("loans", address)?,
             admin: values.get("admin")?,
             agent: values.get("agent")?,
             platform: values.get_with("platform", url)?,
-            leave: Duration::from_millis(
-                values.get_with("leave-ms", |text| number(text, 0, 600_000))?,
-            ),
-            handover: Duration::from_millis(
-                values.get_with("handover-ms", |text| number(text, 0, 600_000))?,
-            ),
+            leave: values.get_with("leave-ms", |text| milliseconds(text, 0, 600_000))?,
+            handover: values.get_with("handover-ms", |text| milliseconds(text, 0, 600_000))?,
             body_limit: values.get_with("body-limit-bytes", |text| number(text, 0, 1 << 40))?,
             header_limit: values
                 .get_with("header-limit-bytes", |text| number(text, 1024, 262_144))?
@@ -188,14 +184,6 @@
     }
 }
 
-fn name(text: &str) -> Result<String, String> {
-    let allowed = |c: char| c.is_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if text.is_empty() || text.len() > NAME_LIMIT_BYTES || !text.chars().all(allowed) {
-        return Err("it is not a name".to_owned());
-    }
-    Ok(text.to_owned())
-}
-
 fn url(text: &str) -> Result<Option<String>, String> {
     if text.is_empty() {
         return Ok(None);
@@ -206,11 +194,3 @@
         Err(error) => Err(error.to_string()),
     }
 }
-
-fn number(text: &str, min: u64, max: u64) -> Result<u64, String> {
-    match text.parse::<u64>() {
-        Ok(value) if (min..=max).contains(&value) => Ok(value),
-        Ok(_) => Err("it is out of range".to_owned()),
-        Err(error) => Err(error.to_string()),
-    }
-}
