--- a/crates/citron-platform/tests/contract.rs
+++ b/crates/citron-platform/tests/contract.rs
@@ -14,9 +14,11 @@
     Change, Client, Error, Expect, Host, Hosts, Object, Role, State, VALUE_LIMIT_BYTES, Version,
 };
 use citron_stand::platform::{Call, Mode, Platform, bind};
+use socket2::{Domain, Socket, Type};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
+    time::timeout,
 };
 
 /// Far longer than any call here takes when nothing fails.
@@ -24,6 +26,9 @@
 /// For calls that are meant to time out.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// For connections that are never made; a client gives up connecting after half of it.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
 const LOCAL: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 
 async fn open() -> (Platform, Client) {
@@ -202,6 +207,14 @@
     assert_eq!(client.get("a", "x").await, Ok(None));
 });
 
+case!(lost_write_is_unknown_and_took_no_effect, |platform, client| {
+    platform.lose_writes(1);
+    assert_eq!(client.get("a", "x").await, Ok(None));
+    assert_matches!(client.put("a", "x", b"1", Expect::Any).await, Err(Error::Unknown { .. }));
+    assert_eq!(client.get("a", "x").await, Ok(None));
+    client.put("a", "x", b"1", Expect::Absent).await.unwrap();
+});
+
 case!(refused_write_keeps_the_lost_answer_for_the_next, |platform, client| {
     client.put("a", "x", b"1", Expect::Absent).await.unwrap();
     platform.lose_answers(1);
@@ -247,6 +260,12 @@
     let calls: serde_json::Value =
         http.get(url("calls")).send().await.unwrap().json().await.unwrap();
     assert_eq!((&calls["calls"]["get"], &calls["lost_answers"]), (&2.into(), &1.into()));
+    let page = async |path: &str| {
+        let url = format!("{}/{path}", platform.url());
+        http.get(url).send().await.unwrap().text().await.unwrap()
+    };
+    assert!(page("metrics").await.contains("citron_platform_calls_total{call=\"get\"} 2"));
+    assert!(page("events").await.contains("fault-set"));
 });
 
 /// What a server does with a connection before it closes it.
@@ -319,6 +338,39 @@
 fate!(not_http, Fate::Answer("hello\r\n\r\n"),
     read: Err(Error::Unreachable { .. }), write: Err(Error::Unknown { .. }));
 
+/// Answers the first request of each connection, then reads one more and closes.
+async fn serve_one_a_connection() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(SocketAddr::from(LOCAL)).await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let arrived = Arc::new(AtomicUsize::new(0));
+    let count = arrived.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4096];
+                for answer in ["HTTP/1.1 200 x\r\netag: \"1\"\r\ncontent-length: 0\r\n\r\n", ""] {
+                    if stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                        count.fetch_add(1, Ordering::SeqCst);
+                    }
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    (url, arrived)
+}
+
+#[tokio::test]
+async fn write_on_a_reused_connection_is_not_repeated() {
+    let (url, arrived) = serve_one_a_connection().await;
+    let client = Client::open(&url, TIMEOUT).unwrap();
+    let put = async || client.put("a", "x", b"1", Expect::Any).await;
+    assert_eq!(put().await, Ok(Version(1)));
+    assert_matches!(put().await, Err(Error::Unknown { .. }));
+    assert_eq!(arrived.load(Ordering::SeqCst), 2);
+}
+
 #[tokio::test]
 async fn value_cut_short_is_no_value() {
     let (url, _) =
@@ -347,6 +399,23 @@
     assert_matches!(written, Err(Error::Unreachable { .. }));
 }
 
+#[tokio::test]
+async fn nothing_is_sent_on_a_connection_that_is_never_made() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(LOCAL).into()).unwrap();
+    socket.listen(0).unwrap();
+    let addr = socket.local_addr().unwrap().as_socket().unwrap();
+    // With its queue full, the system drops further attempts to connect.
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        queued.push(stream);
+    }
+    let client = Client::open(&format!("http://{addr}"), CONNECT_TIMEOUT).unwrap();
+    let written = client.put("a", "x", b"1", Expect::Any).await;
+    assert_matches!(written, Err(Error::Unreachable { .. }));
+    assert_matches!(client.get("a", "x").await, Err(Error::Unreachable { .. }));
+}
+
 #[test]
 fn bad_urls_are_refused() {
     for url in ["", "nowhere", "https://127.0.0.1", "ftp://127.0.0.1", "http://"] {
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -13,13 +13,14 @@
 use crate::{
     admit::Admission,
     body::Body,
+    health::Watched,
     intake::Intake,
     place,
     refusal::Refusal,
     send::{self, Attempt},
     service::{Service, Slot},
     shared::Shared,
-    socket::Connection,
+    socket::Finder,
 };
 
 /// How long a request waits before its caller's connection is watched.
@@ -47,15 +48,20 @@
     pub waited: Duration,
 }
 
-/// Waits until the caller from `peer` has gone away; forever if its connection is not found.
-pub async fn caller_gone(local: SocketAddr, peer: Option<SocketAddr>) {
+/// Waits until the caller from `peer` has gone away; forever if that cannot be found out.
+pub async fn caller_gone(finder: Arc<Finder>, peer: Option<SocketAddr>) {
     time::sleep(WATCH_AFTER).await;
-    if let Some(connection) = peer.and_then(|peer| Connection::find(local, peer))
-        && connection.closed().await.is_ok()
-    {
-        return;
+    let closed = match peer.map(|peer| finder.find(peer)) {
+        Some(Ok(Some(connection))) => connection.closed().await,
+        // The HTTP server has noticed first and has closed its side.
+        Some(Ok(None)) => Ok(()),
+        Some(Err(error)) => Err(error),
+        None => Err(std::io::ErrorKind::NotConnected.into()),
+    };
+    if let Err(error) = closed {
+        log::debug!("cannot watch a caller's connection: {error}");
+        std::future::pending::<()>().await;
     }
-    std::future::pending::<()>().await;
 }
 
 impl Carriage<'_> {
@@ -154,9 +160,12 @@
             deadline: self.admission.rules.deadline,
             fresh,
         };
+        let watched = Watched::begin(shared, self.service_name(), &slot.target.name);
         let result = send::send(shared, attempt).await;
         self.waited += shared.clock.now() - start;
         let ending = result.as_ref().err().copied().unwrap_or(Ending::Answered);
+        let failed = result.as_ref().is_ok_and(|response| response.status().is_server_error());
+        watched.end(ending, failed);
         shared.metrics.count_attempt(self.service_name(), ending);
         if ending == Ending::Foreign {
             let fields = [("service", self.service_name()), ("id", &id)];
--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod control;
 mod decision;
+mod detection;
 mod fairness;
 mod latency;
 pub mod limits;
@@ -49,6 +50,7 @@
     ("choice", choice::run),
     ("control", control::run),
     ("decision", decision::run),
+    ("detection", detection::run),
     ("fairness", fairness::run),
     ("latency", latency::run),
     ("limits", limits::run),
