Record loans when they begin and count their renewals

Cause: a loan is renewed every 250 ms, and each renewal was an event; a 25 s demo had 602 lines of time line, most of them renewals, and the ring of recent events would have held little else. Renewals are counted in citron_proxy_loans_total.

--- a/crates/citron-proxy/src/allowance.rs
+++ b/crates/citron-proxy/src/allowance.rs
@@ -34,6 +34,7 @@
     parts: Vec<Part>,
     /// The hosts and failure domains of the host list in force.
     listed: Mutex<Option<Vec<(String, String)>>>,
+    begun: Mutex<loan::Begun>,
 }
 
 struct Part {
@@ -50,7 +51,12 @@
             granted: Notify::new(),
         };
         let parts = (0..PARTS).map(|_| part()).collect();
-        Self { hasher: RandomState::new(), parts, listed: Mutex::default() }
+        Self {
+            hasher: RandomState::new(),
+            parts,
+            listed: Mutex::default(),
+            begun: Mutex::default(),
+        }
     }
 
     /// Puts the entry hosts that the platform lists in force.
@@ -173,8 +179,19 @@
         part.granted.notify_waiters();
     }
     if moved {
-        let kind = if taken { Kind::LoanTaken } else { Kind::LoanMade };
-        shared.recorder.record(kind, customer, &[("service", service), ("peer", &loan.from)]);
+        let (peer, customer, service) = (loan.from, customer.to_owned(), service.to_owned());
+        note(shared, &loan::Loan { taken, peer, customer, service });
+    }
+}
+
+/// Counts a loan, and records an event if it is not the renewal of one.
+fn note(shared: &Shared, loan: &loan::Loan) {
+    let (kind, direction) =
+        if loan.taken { (Kind::LoanTaken, "taken") } else { (Kind::LoanMade, "made") };
+    shared.metrics.loans.with_label_values(&[direction]).inc();
+    if shared.allowances.begun.lock().note(loan.clone(), shared.clock.now()) {
+        let fields = [("service", &*loan.service), ("peer", &*loan.peer)];
+        shared.recorder.record(kind, &loan.customer, &fields);
     }
 }
 
--- a/crates/citron-proxy/src/loan.rs
+++ b/crates/citron-proxy/src/loan.rs
@@ -1,11 +1,49 @@
 //! Loan messages as they are sent between proxies.
 
+use std::{collections::HashMap, time::Duration};
+
 use citron::{
     hlc,
     limit::{Grant, Message, Request, Share, TERM},
 };
 use citron_wire::{self as wire, loan::Body};
 
+/// The most loans that are remembered to tell new ones from renewals.
+const BEGUN_CAPACITY: usize = 4096;
+
+/// The loans between this proxy and others that have not ended, so that renewals can be told apart.
+#[derive(Debug, Default)]
+pub struct Begun {
+    ends: HashMap<Loan, Duration>,
+}
+
+/// A loan, by direction, other proxy, customer and service.
+#[derive(Debug, Clone, Eq, PartialEq, Hash)]
+pub struct Loan {
+    /// True at the borrower.
+    pub taken: bool,
+    /// The host of the other proxy.
+    pub peer: String,
+    /// The customer whose allowance is lent.
+    pub customer: String,
+    /// The service that the allowance is for.
+    pub service: String,
+}
+
+impl Begun {
+    /// Notes a loan and returns true unless it renews one that has not ended.
+    pub fn note(&mut self, loan: Loan, now: Duration) -> bool {
+        if self.ends.len() >= BEGUN_CAPACITY {
+            self.ends.retain(|_, end| *end > now);
+        }
+        if self.ends.len() >= BEGUN_CAPACITY && !self.ends.contains_key(&loan) {
+            return false;
+        }
+        let before = self.ends.insert(loan, now + TERM);
+        before.is_none_or(|end| end <= now)
+    }
+}
+
 /// Returns the datagram's message.
 pub fn write(from: &str, stamp: hlc::Stamp, revision: u64, message: &Message) -> wire::Loan {
     let body = match message {
--- a/crates/citron-proxy/src/metrics.rs
+++ b/crates/citron-proxy/src/metrics.rs
@@ -20,6 +20,8 @@
     pub retries: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
+    /// Loans and their renewals by direction.
+    pub loans: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Time of requests not spent on targets, seconds.
@@ -83,6 +85,11 @@
                 "Requests without a target's answer, by reason",
                 &["reason"],
             )?,
+            loans: counters(
+                "citron_proxy_loans_total",
+                "Loans of allowances and their renewals, by direction: made or taken",
+                &["direction"],
+            )?,
             in_flight: gauge("citron_proxy_in_flight", "Requests in flight")?,
             revision: gauge("citron_proxy_policy_revision", "Policy revision in force")?,
             attached: gauge("citron_proxy_agent_attached", "1 while the agent's stream is open")?,
