--- a/crates/citron/src/health/tuning.rs
+++ b/crates/citron/src/health/tuning.rs
@@ -40,7 +40,7 @@
                 observer_cap: 8.0,
                 rise_per_s: 8.0,
                 rise_burst: 4.0,
-                local: 11.0,
+                local: 18.0,
                 doubt_share: 0.4,
                 hold_off: Duration::from_secs(10),
                 hold_off_limit: Duration::from_secs(300),
