Cut targets and a host's platform one way under load

Relays before the targets of lot-desk are cut in one direction, or left with silent connections, while orders run; a fourth host loses the platform and still gets a change. The checks that attempts timed out keep the runs from passing without having met a cut.

--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, time::Duration};
 
-use citron_tests::{Fleet, Load, Settings, run, wait_until};
+use citron_tests::{Fleet, Host, Load, Process, Settings, run, wait_until};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -94,6 +94,65 @@
     .await?;
 });
 
+case!(one_way_cuts_to_targets_double_no_order, Settings::demo(), |fleet| {
+    let relays = relay_targets(&mut fleet, "lot-desk").await?;
+    under_load(&fleet, "cuts", async {
+        for (index, relay) in relays.iter().enumerate() {
+            // Requests get through and run while their answers are lost, or the other way round.
+            let cut = json!({"to_server": index % 2 == 0, "to_client": index % 2 == 1});
+            fleet.switch(&relay.text("admin")?, "/cut", &cut).await?;
+            sleep(Duration::from_millis(700)).await;
+            fleet
+                .switch(
+                    &relay.text("admin")?,
+                    "/cut",
+                    &json!({"to_server": false, "to_client": false}),
+                )
+                .await?;
+        }
+        Ok(())
+    })
+    .await?;
+    assert!(timed_out(&fleet, "lot-desk").await? > 0, "the cuts must have met attempts");
+});
+
+case!(silent_connections_double_no_order, Settings::demo(), |fleet| {
+    let relays = relay_targets(&mut fleet, "lot-desk").await?;
+    under_load(&fleet, "silent", async {
+        for relay in &relays {
+            let cut = json!({"to_server": true, "to_client": true, "existing_only": true});
+            fleet.switch(&relay.text("admin")?, "/cut", &cut).await?;
+        }
+        Ok(())
+    })
+    .await?;
+    assert!(timed_out(&fleet, "lot-desk").await? > 0, "the cuts must have met attempts");
+});
+
+case!(change_reaches_a_host_cut_off_from_the_platform, Settings::demo(), |fleet| {
+    let platform = fleet.platform.text("listen")?;
+    let relay = spawn_relay(&platform).await?;
+    let url = format!("http://{}", relay.text("listen")?);
+    let agent = fleet.spawn_agent("entry-4", "domain-4", &url).await?;
+    let proxy = fleet.spawn_proxy("entry-4", "domain-4", &url, &agent.text("control")?).await?;
+    fleet.hosts.push(Host {
+        name: "entry-4".to_owned(),
+        domain: "domain-4".to_owned(),
+        agent,
+        proxy,
+    });
+    fleet.publish(&[]).await?;
+    wait_for_revision(&fleet, 1).await?;
+    let cut = json!({"to_server": true, "to_client": true});
+    fleet.switch(&relay.text("admin")?, "/cut", &cut).await?;
+    let edited = edit(&fleet, "port-pilots", "casablanca-survey")?;
+    let path = |name: &str| edited.path().join(name).display().to_string();
+    fleet
+        .control(&["apply", &path("customers.toml"), &path("grants.toml"), "--as", "first-owner"])
+        .await?;
+    wait_for_revision(&fleet, 2).await?;
+});
+
 case!(platform_outage_leaves_reads_served, Settings::demo(), |fleet| {
     let platform = fleet.platform.text("listen")?;
     under_load(&fleet, "outage", async {
@@ -111,8 +170,7 @@
     let url = fleet.platform_url()?;
     let args = ["--host", "entry-9", "--domain", "domain-1", "--platform", &url, "--seeds", &seeds];
     let ports = ["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0", "--gossip", "127.0.0.1:0"];
-    let agent =
-        citron_tests::Process::spawn("citron-agent", &[&args[..], &ports[..]].concat()).await?;
+    let agent = Process::spawn("citron-agent", &[&args[..], &ports[..]].concat()).await?;
     let proxy = fleet.spawn_proxy("entry-9", "domain-1", &url, &agent.text("control")?).await?;
     let admin = proxy.text("admin")?;
     wait_until("a policy at the new proxy", LIMIT, || async {
@@ -199,6 +257,25 @@
     wait_for_revision(&fleet, 3).await?;
 });
 
+async fn spawn_relay(to: &str) -> eyre::Result<Process> {
+    let args = ["relay", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0", "--to", to];
+    Process::spawn("citron-stand", &args).await
+}
+
+/// Puts a relay before each target of a service, and lists the relays in the targets' place.
+async fn relay_targets(fleet: &mut Fleet, service: &str) -> eyre::Result<Vec<Process>> {
+    let mut relays = Vec::new();
+    for target in fleet.targets.iter_mut().filter(|target| target.service == service) {
+        let relay = spawn_relay(&target.address).await?;
+        target.address = relay.text("listen")?;
+        relays.push(relay);
+    }
+    fleet.publish(&[]).await?;
+    // A change of the host list is in every proxy's view within seconds.
+    sleep(Duration::from_secs(5)).await;
+    Ok(relays)
+}
+
 async fn answered(fleet: &Fleet, admin: &str) -> eyre::Result<u64> {
     let text = fleet.client.get(format!("http://{admin}/metrics")).send().await?.text().await?;
     let line =
@@ -206,6 +283,22 @@
     Ok(line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0))
 }
 
+/// Returns the attempts at a service that ended without an answer in time, over all proxies.
+async fn timed_out(fleet: &Fleet, service: &str) -> eyre::Result<u64> {
+    let mut total = 0;
+    for host in &fleet.hosts {
+        let url = format!("http://{}/metrics", host.proxy.text("admin")?);
+        let text = fleet.client.get(url).send().await?.text().await?;
+        let line = text.lines().find(|line| {
+            line.starts_with("citron_proxy_attempts_total")
+                && line.contains("ending=\"timed-out\"")
+                && line.contains(service)
+        });
+        total += line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0);
+    }
+    Ok(total)
+}
+
 /// Copies the policy with the plan of one customer replaced by that of another.
 fn edit(fleet: &Fleet, customer: &str, like: &str) -> eyre::Result<tempfile::TempDir> {
     let folder = tempfile::tempdir()?;
