Split the stand-in target by matter, share what stood twice, and cut all targets at once

Cause of the last: with the fault that any order may be repeated put into the library, the whole-system case of one-way cuts still passed, since only a few orders met a cut. All targets of the service now lose their answers for 1.5 s, then their requests.

--- a/crates/citron-stand/src/bench/change.rs
+++ b/crates/citron-stand/src/bench/change.rs
@@ -13,6 +13,7 @@
     policy::Lists,
 };
 use crate::{
+    command,
     platform::{self, Mode, Platform},
     relay::{self, Cut, Relay},
 };
@@ -33,9 +34,7 @@
 /// # Errors
 /// Fails if a process cannot be started or a change does not come into force.
 pub fn run(_: &[String]) -> eyre::Result<Summary> {
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
-    runtime.block_on(measure())
+    command::block_on(measure())
 }
 
 async fn measure() -> eyre::Result<Summary> {
--- a/crates/citron-stand/src/bench/control/mod.rs
+++ b/crates/citron-stand/src/bench/control/mod.rs
@@ -17,7 +17,7 @@
     slope::{Figure, push_lines},
 };
 use super::{Summary, policy};
-use crate::platform;
+use crate::{command, platform};
 
 /// The numbers of agents that are measured.
 const SIZES: &[usize] = &[4, 8, 16, 32, 64, 128];
@@ -59,9 +59,7 @@
     if !matches!(only, None | Some("members" | "policy")) {
         bail!("the second word is members or policy");
     }
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
-    runtime.block_on(async {
+    command::block_on(async {
         let mut summary = Summary::default();
         if only != Some("policy") {
             measure_members(largest, &mut summary).await?;
--- a/crates/citron-stand/src/bench/latency.rs
+++ b/crates/citron-stand/src/bench/latency.rs
@@ -21,7 +21,7 @@
     child::{Agent, Child, target},
     policy::Lists,
 };
-use crate::platform;
+use crate::{command, platform};
 
 /// The number of targets.
 const TARGETS: usize = 20;
@@ -43,9 +43,7 @@
 /// # Errors
 /// Fails if a process cannot be started or a request is not answered.
 pub fn run(_: &[String]) -> eyre::Result<Summary> {
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
-    runtime.block_on(measure())
+    command::block_on(measure())
 }
 
 async fn measure() -> eyre::Result<Summary> {
--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -17,6 +17,15 @@
 use citron_daemon::setting::{self, Request, Spec, Values};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// The setting of the log, which every stand-in has.
+const LOG: Spec = Spec {
+    flag: "log",
+    variable: "CITRON_STAND_LOG",
+    default: Some("warn"),
+    help: "least level of log lines",
+    valid: "off, error, warn, info, debug or trace",
+};
+
 /// Reads the settings of a subcommand, or prints its help.
 ///
 /// # Errors
@@ -38,7 +47,7 @@
 }
 
 /// Runs a future on a runtime with several threads.
-fn block_on<T>(future: impl Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
+pub(crate) fn block_on<T>(future: impl Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
     tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(future)
 }
 
--- a/crates/citron-stand/src/command/platform.rs
+++ b/crates/citron-stand/src/command/platform.rs
@@ -10,7 +10,7 @@
 use eyre::WrapErr;
 use serde_json::json;
 
-use super::{block_on, read, stopped};
+use super::{LOG, block_on, read, stopped};
 use crate::platform;
 
 const PROGRAM: &str = "citron-stand platform";
@@ -30,13 +30,7 @@
         help: "file with the first list of hosts",
         valid: "a JSON file as returned by GET /v1/hosts",
     },
-    Spec {
-        flag: "log",
-        variable: "CITRON_STAND_LOG",
-        default: Some("warn"),
-        help: "least level of log lines",
-        valid: "off, error, warn, info, debug or trace",
-    },
+    LOG,
 ];
 
 struct Settings {
--- a/crates/citron-stand/src/command/relay.rs
+++ b/crates/citron-stand/src/command/relay.rs
@@ -12,7 +12,7 @@
 use rocket::{State, http::Status, post, routes, serde::json::Json};
 use serde_json::json;
 
-use super::{block_on, read, stopped};
+use super::{LOG, block_on, read, stopped};
 use crate::relay::{self, Cut, Relay};
 
 const PROGRAM: &str = "citron-stand relay";
@@ -39,13 +39,7 @@
         help: "address of the switch, metrics and events",
         valid: "an IP address and port; port 0 picks a free one",
     },
-    Spec {
-        flag: "log",
-        variable: "CITRON_STAND_LOG",
-        default: Some("warn"),
-        help: "least level of log lines",
-        valid: "off, error, warn, info, debug or trace",
-    },
+    LOG,
 ];
 
 struct Settings {
--- a/crates/citron-stand/src/command/target.rs
+++ b/crates/citron-stand/src/command/target.rs
@@ -9,7 +9,7 @@
 use eyre::bail;
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::{block_on, read};
+use super::{LOG, block_on, read};
 use crate::target::{self, Settings};
 
 /// The most targets of one process.
@@ -79,13 +79,7 @@
         help: "seed of service times and faults",
         valid: "a number from 0",
     },
-    Spec {
-        flag: "log",
-        variable: "CITRON_STAND_LOG",
-        default: Some("warn"),
-        help: "least level of log lines",
-        valid: "off, error, warn, info, debug or trace",
-    },
+    LOG,
 ];
 
 /// Runs targets until SIGTERM.
--- a/crates/citron-stand/src/target/mod.rs
+++ b/crates/citron-stand/src/target/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod fault;
 mod ledger;
+mod request;
 mod serve;
 mod work;
 
--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -97,18 +97,12 @@
 case!(one_way_cuts_to_targets_double_no_order, Settings::demo(), |fleet| {
     let relays = relay_targets(&mut fleet, "lot-desk").await?;
     under_load(&fleet, "cuts", async {
-        for (index, relay) in relays.iter().enumerate() {
-            // Requests get through and run while their answers are lost, or the other way round.
-            let cut = json!({"to_server": index % 2 == 0, "to_client": index % 2 == 1});
-            fleet.switch(&relay.text("admin")?, "/cut", &cut).await?;
-            sleep(Duration::from_millis(700)).await;
-            fleet
-                .switch(
-                    &relay.text("admin")?,
-                    "/cut",
-                    &json!({"to_server": false, "to_client": false}),
-                )
+        // First requests run while their answers are lost, then requests are lost.
+        for (to_server, to_client) in [(false, true), (true, false)] {
+            cut_all(&fleet, &relays, &json!({"to_server": to_server, "to_client": to_client}))
                 .await?;
+            sleep(Duration::from_millis(1500)).await;
+            cut_all(&fleet, &relays, &json!({"to_server": false, "to_client": false})).await?;
         }
         Ok(())
     })
@@ -119,10 +113,8 @@
 case!(silent_connections_double_no_order, Settings::demo(), |fleet| {
     let relays = relay_targets(&mut fleet, "lot-desk").await?;
     under_load(&fleet, "silent", async {
-        for relay in &relays {
-            let cut = json!({"to_server": true, "to_client": true, "existing_only": true});
-            fleet.switch(&relay.text("admin")?, "/cut", &cut).await?;
-        }
+        let cut = json!({"to_server": true, "to_client": true, "existing_only": true});
+        cut_all(&fleet, &relays, &cut).await?;
         Ok(())
     })
     .await?;
@@ -145,11 +137,7 @@
     wait_for_revision(&fleet, 1).await?;
     let cut = json!({"to_server": true, "to_client": true});
     fleet.switch(&relay.text("admin")?, "/cut", &cut).await?;
-    let edited = edit(&fleet, "port-pilots", "casablanca-survey")?;
-    let path = |name: &str| edited.path().join(name).display().to_string();
-    fleet
-        .control(&["apply", &path("customers.toml"), &path("grants.toml"), "--as", "first-owner"])
-        .await?;
+    apply_edit(&fleet).await?;
     wait_for_revision(&fleet, 2).await?;
 });
 
@@ -229,11 +217,7 @@
 });
 
 case!(change_reaches_every_proxy, Settings::demo(), |fleet| {
-    let edited = edit(&fleet, "port-pilots", "casablanca-survey")?;
-    let path = |name: &str| edited.path().join(name).display().to_string();
-    fleet
-        .control(&["apply", &path("customers.toml"), &path("grants.toml"), "--as", "first-owner"])
-        .await?;
+    apply_edit(&fleet).await?;
     wait_for_revision(&fleet, 2).await?;
 });
 
@@ -262,6 +246,14 @@
     Process::spawn("citron-stand", &args).await
 }
 
+/// Cuts, or heals, the directions of all relays.
+async fn cut_all(fleet: &Fleet, relays: &[Process], cut: &Value) -> eyre::Result<()> {
+    for relay in relays {
+        fleet.switch(&relay.text("admin")?, "/cut", cut).await?;
+    }
+    Ok(())
+}
+
 /// Puts a relay before each target of a service, and lists the relays in the targets' place.
 async fn relay_targets(fleet: &mut Fleet, service: &str) -> eyre::Result<Vec<Process>> {
     let mut relays = Vec::new();
@@ -326,6 +318,15 @@
     Ok(folder)
 }
 
+/// Moves one customer to another plan, as the operator who has the final say.
+async fn apply_edit(fleet: &Fleet) -> eyre::Result<()> {
+    let edited = edit(fleet, "port-pilots", "casablanca-survey")?;
+    let path = |name: &str| edited.path().join(name).display().to_string();
+    let (customers, grants) = (path("customers.toml"), path("grants.toml"));
+    fleet.control(&["apply", &customers, &grants, "--as", "first-owner"]).await?;
+    Ok(())
+}
+
 async fn wait_for_revision(fleet: &Fleet, revision: u64) -> eyre::Result<()> {
     for host in &fleet.hosts {
         let admin = host.proxy.text("admin")?;
