Make the whole-system tests see repeated orders, unclaimed keys and violated invariants

Few orders were in flight when a proxy was killed, callers never sent again while the first request ran, and a panic of a daemon went unseen. Orders now take 300 ms where a proxy is killed or paused, callers send again after 1.5 s, and a panic of any daemon fails the test.

--- a/crates/citron-stand/src/command/load.rs
+++ b/crates/citron-stand/src/command/load.rs
@@ -2,7 +2,7 @@
 
 use std::{process::ExitCode, time::Duration};
 
-use citron_daemon::setting::{Spec, Values};
+use citron_daemon::setting::{Spec, Values, check::milliseconds};
 use eyre::eyre;
 
 use super::{block_on, read};
@@ -40,6 +40,13 @@
         help: "how long new requests are sent, seconds",
         valid: "a number from 1 to 600",
     },
+    Spec {
+        flag: "call-timeout-ms",
+        variable: "CITRON_LOAD_CALL_TIMEOUT_MS",
+        default: Some("10000"),
+        help: "how long a caller waits for an answer before it sends the request again, milliseconds",
+        valid: "a number from 1 to 600000",
+    },
     Spec {
         flag: "seed",
         variable: "CITRON_LOAD_SEED",
@@ -126,6 +133,7 @@
         agents: list(values, "agents")?,
         workloads,
         duration: Duration::from_secs(seconds),
+        call_timeout: values.get_with("call-timeout-ms", |text| milliseconds(text, 1, 600_000))?,
         seed: values.get("seed")?,
         name: values.get("name")?,
     })
--- a/crates/citron-stand/src/load/caller.rs
+++ b/crates/citron-stand/src/load/caller.rs
@@ -8,8 +8,6 @@
 
 use super::workload::Request;
 
-/// How long a caller waits for one answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a caller waits for an agent.
 const LOCATE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a caller sends a request whose connection broke.
@@ -21,6 +19,7 @@
 #[derive(Debug)]
 pub struct Caller {
     agents: Vec<String>,
+    call_timeout: Duration,
     client: reqwest::Client,
     located: Mutex<HashMap<(String, String), Located>>,
 }
@@ -64,11 +63,11 @@
 }
 
 impl Caller {
-    /// Opens callers that ask `agents`, given as `ip:port`.
+    /// Opens callers that ask `agents`, given as `ip:port`, and wait for one answer no longer than `call_timeout`.
     ///
     /// # Errors
     /// Fails if the HTTP client cannot be set up.
-    pub fn open(agents: &[String]) -> eyre::Result<Self> {
+    pub fn open(agents: &[String], call_timeout: Duration) -> eyre::Result<Self> {
         let client = reqwest::Client::builder()
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
@@ -76,7 +75,7 @@
             .pool_idle_timeout(Duration::from_secs(2))
             .connect_timeout(LOCATE_TIMEOUT)
             .build()?;
-        Ok(Self { agents: agents.to_vec(), client, located: Mutex::default() })
+        Ok(Self { agents: agents.to_vec(), call_timeout, client, located: Mutex::default() })
     }
 
     /// Sends a request, again through another address if its connection broke.
@@ -98,7 +97,7 @@
     }
 
     async fn send(&self, request: &Request, address: &str) -> Sent {
-        match time::timeout(CALL_TIMEOUT, self.exchange(request, address)).await {
+        match time::timeout(self.call_timeout, self.exchange(request, address)).await {
             Ok(sent) => sent,
             Err(_) => Sent::Broken("no answer in time".to_owned()),
         }
--- a/crates/citron-stand/src/load/mod.rs
+++ b/crates/citron-stand/src/load/mod.rs
@@ -33,6 +33,8 @@
     pub workloads: Vec<Workload>,
     /// How long new requests are sent.
     pub duration: Duration,
+    /// How long a caller waits for one answer before it sends the request again elsewhere.
+    pub call_timeout: Duration,
     /// The seed of arrival times.
     pub seed: u64,
     /// Tells the orders of one load from those of another.
@@ -44,7 +46,7 @@
 /// # Errors
 /// Fails if the HTTP client cannot be set up.
 pub async fn run(settings: &Settings) -> eyre::Result<Report> {
-    let caller = Arc::new(Caller::open(&settings.agents)?);
+    let caller = Arc::new(Caller::open(&settings.agents, settings.call_timeout)?);
     let mut loads = JoinSet::new();
     for (index, workload) in settings.workloads.iter().enumerate() {
         let caller = Arc::clone(&caller);
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -150,6 +150,17 @@
         &self.settings
     }
 
+    /// Returns the processes in which an invariant was violated.
+    pub fn panicked(&self) -> Vec<String> {
+        let daemons = self.hosts.iter().flat_map(|host| {
+            [
+                (format!("agent of {}", host.name), &host.agent),
+                (format!("proxy of {}", host.name), &host.proxy),
+            ]
+        });
+        daemons.filter(|(_, process)| process.has_panicked()).map(|(name, _)| name).collect()
+    }
+
     /// Returns the platform's address.
     ///
     /// # Errors
--- a/tests/src/load.rs
+++ b/tests/src/load.rs
@@ -1,5 +1,7 @@
 //! A load of callers in a process of its own, and what it reported.
 
+use std::time::Duration;
+
 use eyre::{WrapErr, eyre};
 use serde_json::Value;
 use tokio::task::JoinHandle;
@@ -22,7 +24,7 @@
 }
 
 impl Load {
-    /// Starts a load of `seconds` on a fleet.
+    /// Starts a load of `seconds` on a fleet, whose callers send a request again after `patience`.
     ///
     /// # Errors
     /// Fails if a ready line of the fleet lacks an address.
@@ -30,14 +32,16 @@
         fleet: &Fleet,
         name: &str,
         seconds: u64,
+        patience: Duration,
         workloads: &[&str],
     ) -> eyre::Result<Self> {
         let (agents, ledgers, workloads) = (fleet.agents()?, fleet.ledgers(), workloads.join(","));
         let (name, seconds) = (name.to_owned(), seconds.to_string());
+        let patience_ms = patience.as_millis().to_string();
         let task = tokio::spawn(async move {
             let args =
                 ["load", "--agents", &agents, "--workloads", &workloads, "--ledgers", &ledgers];
-            let rest = ["--seconds", &seconds, "--name", &name];
+            let rest = ["--seconds", &seconds, "--name", &name, "--call-timeout-ms", &patience_ms];
             let output = run("citron-stand", &[&args[..], &rest[..]].concat()).await?;
             Summary::read(&output.stdout)
                 .wrap_err_with(|| String::from_utf8_lossy(&output.stderr).into_owned())
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -11,6 +11,8 @@
 const GRAY_TARGET: &str = "tec-live-2";
 /// How long the load runs, seconds.
 const LOAD_SECONDS: u64 = 20;
+/// How long a caller waits before it sends a request again.
+const PATIENCE: Duration = Duration::from_secs(10);
 /// When the target turns gray, after the load's start.
 const GRAY_AFTER: Duration = Duration::from_secs(5);
 /// When the proxy is killed, after the target turned gray.
@@ -52,7 +54,7 @@
     println!("starting a platform, 20 targets of four services and three hosts");
     let mut fleet = Fleet::spawn(Settings::demo()).await?;
     println!("sending lookups, orders and archive pulls for {LOAD_SECONDS} s");
-    let load = Load::spawn(&fleet, "demo", LOAD_SECONDS, WORKLOADS)?;
+    let load = Load::spawn(&fleet, "demo", LOAD_SECONDS, PATIENCE, WORKLOADS)?;
     sleep(GRAY_AFTER).await;
     turn_gray(&fleet).await?;
     sleep(KILL_AFTER).await;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -5,6 +5,10 @@
     io::{BufRead, BufReader},
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -29,6 +33,7 @@
 pub struct Process {
     child: Child,
     ready: Value,
+    panicked: Arc<AtomicBool>,
 }
 
 impl Process {
@@ -40,7 +45,7 @@
         let mut child = command(program, args)?
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::inherit())
+            .stderr(Stdio::piped())
             .spawn()
             .wrap_err_with(|| format!("{program} cannot be started"))?;
         let stdout = child.stdout.take().ok_or_else(|| eyre!("{program} has no output"))?;
@@ -52,7 +57,17 @@
             // Later output is read so that the process never blocks on it.
             lines.for_each(drop);
         });
-        let mut process = Self { child, ready: Value::Null };
+        let stderr = child.stderr.take().ok_or_else(|| eyre!("{program} has no error output"))?;
+        let panicked = Arc::new(AtomicBool::new(false));
+        let mut process = Self { child, ready: Value::Null, panicked: Arc::clone(&panicked) };
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if line.contains("panicked at") {
+                    panicked.store(true, Ordering::Relaxed);
+                }
+                eprintln!("{line}");
+            }
+        });
         let line = timeout(READY_TIMEOUT, receiver)
             .await
             .map_err(|_| eyre!("{program} was not ready in time"))??
@@ -76,6 +91,11 @@
         Ok(value.ok_or_else(|| eyre!("the ready line {} has no {key}", self.ready))?.to_owned())
     }
 
+    /// Returns true if an invariant of the process was violated, which shows as a panic.
+    pub fn has_panicked(&self) -> bool {
+        self.panicked.load(Ordering::Relaxed)
+    }
+
     /// Returns the process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -9,6 +9,10 @@
 
 /// How long a condition may take that the system must reach; far above its stated targets.
 const LIMIT: Duration = Duration::from_secs(60);
+/// Callers that wait past every deadline of the services.
+const PATIENT: Duration = Duration::from_secs(10);
+/// Callers that send a request again while the first one may still run.
+const IMPATIENT: Duration = Duration::from_millis(1500);
 /// Reads and orders of both users.
 const MIXED: &[&str] = &[
     "lookup:izmir-roasters:lot-desk:/lots/:25:2000",
@@ -23,17 +27,34 @@
             #[allow(unused_mut)]
             let mut $fleet = Fleet::spawn($settings).await?;
             $body
+            assert_eq!($fleet.panicked(), [""; 0], "an invariant was violated");
             Ok(())
         }
     };
 }
 
+/// Returns a fleet whose orders take long, so that many are in flight at any time.
+fn slow_orders() -> Settings {
+    let mut settings = Settings::demo();
+    settings.services.retain(|service| service.name == "lot-desk" || service.name == "tec-live");
+    for service in &mut settings.services {
+        service.targets = 10;
+        service.service_ms = 300.0;
+    }
+    settings
+}
+
 /// Runs a load while `disturb` does its part, and checks that no request was treated wrongly.
-async fn under_load<F>(fleet: &Fleet, name: &str, disturb: F) -> eyre::Result<u64>
+async fn under_load<F>(
+    fleet: &Fleet,
+    name: &str,
+    patience: Duration,
+    disturb: F,
+) -> eyre::Result<u64>
 where
     F: Future<Output = eyre::Result<()>>,
 {
-    let load = Load::spawn(fleet, name, 8, MIXED)?;
+    let load = Load::spawn(fleet, name, 8, patience, MIXED)?;
     sleep(Duration::from_secs(2)).await;
     disturb.await?;
     let summary = load.finish().await?;
@@ -43,17 +64,17 @@
     Ok(summary.count("unreached"))
 }
 
-case!(killed_proxy_doubles_no_order, Settings::demo(), |fleet| {
+case!(killed_proxy_doubles_no_order, slow_orders(), |fleet| {
     let pid = fleet.hosts[0].proxy.pid();
-    under_load(&fleet, "kill", async {
+    under_load(&fleet, "kill", IMPATIENT, async {
         let pid = rustix::process::Pid::from_raw(pid as i32).unwrap();
         Ok(rustix::process::kill_process(pid, Signal::KILL)?)
     })
     .await?;
 });
 
-case!(paused_proxy_doubles_no_order, Settings::demo(), |fleet| {
-    under_load(&fleet, "pause", async {
+case!(paused_proxy_doubles_no_order, slow_orders(), |fleet| {
+    under_load(&fleet, "pause", IMPATIENT, async {
         fleet.hosts[0].proxy.signal(Signal::STOP)?;
         sleep(Duration::from_secs(3)).await;
         fleet.hosts[0].proxy.signal(Signal::CONT)
@@ -63,7 +84,7 @@
 
 case!(killed_agent_leaves_the_proxy_serving, Settings::demo(), |fleet| {
     let pid = fleet.hosts[0].agent.pid();
-    under_load(&fleet, "agent", async {
+    under_load(&fleet, "agent", IMPATIENT, async {
         let pid = rustix::process::Pid::from_raw(pid as i32).unwrap();
         Ok(rustix::process::kill_process(pid, Signal::KILL)?)
     })
@@ -74,7 +95,7 @@
 
 case!(wrong_answers_do_not_reach_callers, Settings::demo(), |fleet| {
     let wrong: Vec<_> = fleet.targets.iter().filter(|target| target.name.ends_with("-1")).collect();
-    under_load(&fleet, "wrong", async {
+    under_load(&fleet, "wrong", IMPATIENT, async {
         for target in wrong {
             fleet.switch(&target.admin, "/fault", &json!({"kind": "wrong", "share": 0.5})).await?;
         }
@@ -85,7 +106,7 @@
 
 case!(cut_bodies_do_not_pass_as_whole, Settings::demo(), |fleet| {
     let cut: Vec<_> = fleet.targets.iter().filter(|target| target.name.ends_with("-1")).collect();
-    under_load(&fleet, "cut", async {
+    under_load(&fleet, "cut", IMPATIENT, async {
         for target in cut {
             fleet.switch(&target.admin, "/fault", &json!({"kind": "cut"})).await?;
         }
@@ -96,7 +117,7 @@
 
 case!(one_way_cuts_to_targets_double_no_order, Settings::demo(), |fleet| {
     let relays = relay_targets(&mut fleet, "lot-desk").await?;
-    under_load(&fleet, "cuts", async {
+    under_load(&fleet, "cuts", PATIENT, async {
         // First requests run while their answers are lost, then requests are lost.
         for (to_server, to_client) in [(false, true), (true, false)] {
             cut_all(&fleet, &relays, &json!({"to_server": to_server, "to_client": to_client}))
@@ -112,7 +133,7 @@
 
 case!(silent_connections_double_no_order, Settings::demo(), |fleet| {
     let relays = relay_targets(&mut fleet, "lot-desk").await?;
-    under_load(&fleet, "silent", async {
+    under_load(&fleet, "silent", PATIENT, async {
         let cut = json!({"to_server": true, "to_client": true, "existing_only": true});
         cut_all(&fleet, &relays, &cut).await?;
         Ok(())
@@ -143,7 +164,7 @@
 
 case!(platform_outage_leaves_reads_served, Settings::demo(), |fleet| {
     let platform = fleet.platform.text("listen")?;
-    under_load(&fleet, "outage", async {
+    under_load(&fleet, "outage", IMPATIENT, async {
         fleet.switch(&platform, "/admin/mode", &json!({"mode": "down", "delay_ms": 0})).await
     })
     .await?;
@@ -173,6 +194,7 @@
         &fleet,
         "leave",
         8,
+        PATIENT,
         &[
             "pull:casablanca-survey:tec-archive:/tec/archive/:6:3000000",
             "order:izmir-roasters:lot-desk:/lots/:10:100",
@@ -190,7 +212,7 @@
 case!(leaving_target_gets_no_new_work, Settings::demo(), |fleet| {
     let target = fleet.targets.iter().find(|target| target.name == "lot-desk-1").unwrap().clone();
     fleet.publish(&["lot-desk-1"]).await?;
-    let load = Load::spawn(&fleet, "target", 12, MIXED)?;
+    let load = Load::spawn(&fleet, "target", 12, PATIENT, MIXED)?;
     let settled = wait_until("two seconds without new work", LIMIT, || async {
         let before = answered(&fleet, &target.admin).await.ok()?;
         sleep(Duration::from_secs(2)).await;
@@ -206,7 +228,13 @@
     for target in fleet.targets.iter().take(8) {
         fleet.switch(&target.admin, "/fault", &json!({"kind": "errors", "share": 1.0})).await?;
     }
-    let load = Load::spawn(&fleet, "floor", 10, &["lookup:izmir-roasters:lot-desk:/lots/:60:100"])?;
+    let load = Load::spawn(
+        &fleet,
+        "floor",
+        10,
+        PATIENT,
+        &["lookup:izmir-roasters:lot-desk:/lots/:60:100"],
+    )?;
     load.finish().await?;
     for host in &fleet.hosts {
         let status = fleet.status(&host.proxy.text("admin")?).await?;
