Kill and pause the proxy that callers connect to first

Cause: with idempotency keys not claimed, the cases of a killed and a paused proxy still passed; the proxy they met was not the one that the orders went through.

--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -359,7 +359,8 @@
             wait_until(&format!("{} serving", host.name), START_LIMIT, || async {
                 let status = self.status(&proxy).await.ok()?;
                 let ready = status["revision"].as_u64()? > 0 && status["settled"] == true;
-                let located = self.locate(&agent, &self.settings.services[0].name).await.ok()?;
+                let located =
+                    self.locate(&agent, &self.settings.services[0].name, "any").await.ok()?.len();
                 (ready && located == self.hosts.len()).then_some(())
             })
             .await?;
@@ -367,10 +368,29 @@
         Ok(())
     }
 
-    async fn locate(&self, agent: &str, service: &str) -> eyre::Result<usize> {
-        let url = format!("http://{agent}/locate/{service}?customer=izmir-roasters");
+    /// Returns the host that callers of a customer are told to connect to first.
+    ///
+    /// # Errors
+    /// Fails if the agent does not answer or names an address that is not a proxy's.
+    pub async fn home(&self, service: &str, customer: &str) -> eyre::Result<&Host> {
+        let agent = self.hosts[0].agent.text("listen")?;
+        let addresses = self.locate(&agent, service, customer).await?;
+        let first = addresses.first().ok_or_else(|| eyre!("no address for {service}"))?;
+        let mut hosts = self.hosts.iter();
+        let home = hosts.find(|host| host.proxy.ready()["listen"].as_str() == Some(first));
+        home.ok_or_else(|| eyre!("{first} is not the address of a proxy"))
+    }
+
+    async fn locate(
+        &self,
+        agent: &str,
+        service: &str,
+        customer: &str,
+    ) -> eyre::Result<Vec<String>> {
+        let url = format!("http://{agent}/locate/{service}?customer={customer}");
         let answer: Value = self.client.get(url).send().await?.error_for_status()?.json().await?;
-        Ok(answer["addresses"].as_array().map_or(0, Vec::len))
+        let addresses = answer["addresses"].as_array().map(Vec::as_slice).unwrap_or_default();
+        Ok(addresses.iter().filter_map(Value::as_str).map(str::to_owned).collect())
     }
 
     fn domain(&self, index: usize) -> String {
--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -73,30 +73,23 @@
 }
 
 case!(killed_proxy_doubles_no_order, slow_orders(), |fleet| {
-    let pid = fleet.hosts[0].proxy.pid();
-    under_load(&fleet, "kill", IMPATIENT, async {
-        let pid = rustix::process::Pid::from_raw(pid as i32).unwrap();
-        Ok(rustix::process::kill_process(pid, Signal::KILL)?)
-    })
-    .await?;
+    let home = fleet.home("lot-desk", "izmir-roasters").await?;
+    under_load(&fleet, "kill", IMPATIENT, async { home.proxy.signal(Signal::KILL) }).await?;
 });
 
 case!(paused_proxy_doubles_no_order, slow_orders(), |fleet| {
+    let home = fleet.home("lot-desk", "izmir-roasters").await?;
     under_load(&fleet, "pause", IMPATIENT, async {
-        fleet.hosts[0].proxy.signal(Signal::STOP)?;
+        home.proxy.signal(Signal::STOP)?;
         sleep(Duration::from_secs(3)).await;
-        fleet.hosts[0].proxy.signal(Signal::CONT)
+        home.proxy.signal(Signal::CONT)
     })
     .await?;
 });
 
 case!(killed_agent_leaves_the_proxy_serving, Settings::demo(), |fleet| {
-    let pid = fleet.hosts[0].agent.pid();
-    under_load(&fleet, "agent", IMPATIENT, async {
-        let pid = rustix::process::Pid::from_raw(pid as i32).unwrap();
-        Ok(rustix::process::kill_process(pid, Signal::KILL)?)
-    })
-    .await?;
+    let agent = &fleet.hosts[0].agent;
+    under_load(&fleet, "agent", IMPATIENT, async { agent.signal(Signal::KILL) }).await?;
     let status = fleet.status(&fleet.hosts[0].proxy.text("admin")?).await?;
     assert!(status["revision"].as_u64() > Some(0), "{status}");
 });
