--- a/crates/citron-daemon/src/serve.rs
+++ b/crates/citron-daemon/src/serve.rs
@@ -31,9 +31,13 @@
     /// the configured grace time.
     pub async fn stop(self) {
         self.shutdown.notify();
-        if let Err(error) = self.task.await {
-            log::warn!("the HTTP server on {} ended badly: {error}", self.addr);
-        }
+        let fault = match self.task.await {
+            Ok(Ok(())) => return,
+            // Rocket panics when its error is dropped without having been looked at.
+            Ok(Err(error)) => error.kind().to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::warn!("the HTTP server on {} ended badly: {fault}", self.addr);
     }
 }
 
