Let the control bench wait until the news of the joins has been passed on

Cause: with a pause of 5 s, gossip bytes per node rose from 797/s at 4 agents to 4,762/s at 128, near the bound of 1,000 bytes a datagram; the news of 128 joins takes about half a minute at that bound. The pause now grows with the agents, so that the steady phase is one.

--- a/crates/citron-stand/src/bench/control/mod.rs
+++ b/crates/citron-stand/src/bench/control/mod.rs
@@ -23,6 +23,9 @@
 const SIZES: &[usize] = &[4, 8, 16, 32, 64, 128];
 /// How long one measurement lasts.
 const WINDOW: Duration = Duration::from_secs(10);
+/// The pause before the first measurement, and its part for each agent.
+const SETTLE: Duration = Duration::from_secs(5);
+const SETTLE_PER_AGENT: Duration = Duration::from_millis(300);
 /// The time between two policy changes in the second phase.
 const CHANGE_EVERY: Duration = Duration::from_secs(2);
 /// The time between two replaced hosts in the second phase.
@@ -96,8 +99,8 @@
     lists.publish(&platform.url()).await?;
     let mut fleet = Fleet::spawn(&platform, size)?;
     fleet.wait_joined().await?;
-    // Messages of the start have died down after a few protocol periods.
-    sleep(WINDOW / 2).await;
+    // Each member passes on the news of every join within a bound per datagram, which takes longer in a larger fleet.
+    sleep(SETTLE + SETTLE_PER_AGENT * size as u32).await;
 
     let before = Sample::take(&fleet, &platform).await?;
     sleep(WINDOW).await;
