Read metrics through one function and name the daemons' common settings once

The line of a metric was picked out of Prometheus' text in five places, in the control bench and in the whole-system tests; metric::value serves all. Host and domain stood in the settings of both daemons with the same flag, variable and valid values.

--- a/crates/citron-agent/src/settings.rs
+++ b/crates/citron-agent/src/settings.rs
@@ -3,27 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use citron_daemon::setting::{
-    Error, Spec, Values,
+    DOMAIN, Error, HOST, Spec, Values,
     check::{address, milliseconds, name},
 };
 use log::LevelFilter;
 
 /// The settings with their flags and variables.
 pub const SPECS: &[Spec] = &[
-    Spec {
-        flag: "host",
-        variable: "CITRON_HOST",
-        default: None,
-        help: "name of this host, unique in the fleet",
-        valid: "1 to 64 letters, digits, '-', '_' or '.'",
-    },
-    Spec {
-        flag: "domain",
-        variable: "CITRON_DOMAIN",
-        default: None,
-        help: "failure domain of this host",
-        valid: "1 to 64 letters, digits, '-', '_' or '.'",
-    },
+    HOST,
+    DOMAIN,
     Spec {
         flag: "listen",
         variable: "CITRON_LISTEN",
--- a/crates/citron-daemon/src/setting.rs
+++ b/crates/citron-daemon/src/setting.rs
@@ -24,6 +24,27 @@
     pub valid: &'static str,
 }
 
+/// The name of the host, which every daemon has.
+pub const HOST: Spec = Spec {
+    flag: "host",
+    variable: "CITRON_HOST",
+    default: None,
+    help: "name of this host, unique in the fleet",
+    valid: NAME_VALID,
+};
+
+/// The failure domain of the host, which every daemon has.
+pub const DOMAIN: Spec = Spec {
+    flag: "domain",
+    variable: "CITRON_DOMAIN",
+    default: None,
+    help: "failure domain of this host",
+    valid: NAME_VALID,
+};
+
+/// What [`check::name`] takes.
+const NAME_VALID: &str = "1 to 64 letters, digits, '-', '_' or '.'";
+
 /// What the command line asked for.
 #[derive(Debug)]
 pub enum Request {
--- a/crates/citron-proxy/src/settings.rs
+++ b/crates/citron-proxy/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{ffi::OsString, net::SocketAddr, time::Duration};
 
 use citron_daemon::setting::{
-    self, Error, Request, Spec, Values,
+    self, DOMAIN, Error, HOST, Request, Spec, Values,
     check::{address, milliseconds, name, number},
 };
 use log::LevelFilter;
@@ -11,20 +11,8 @@
 const ABOUT: &str = "carries customers' requests to healthy targets";
 
 const SPECS: &[Spec] = &[
-    Spec {
-        flag: "host",
-        variable: "CITRON_HOST",
-        default: None,
-        help: "name of this host",
-        valid: "1 to 64 letters, digits, '-', '_' or '.'",
-    },
-    Spec {
-        flag: "domain",
-        variable: "CITRON_DOMAIN",
-        default: None,
-        help: "failure domain of this host",
-        valid: "1 to 64 letters, digits, '-', '_' or '.'",
-    },
+    HOST,
+    DOMAIN,
     Spec {
         flag: "listen",
         variable: "CITRON_LISTEN",
--- a/crates/citron-stand/src/bench/child.rs
+++ b/crates/citron-stand/src/bench/child.rs
@@ -114,6 +114,14 @@
         self.child.text("listen")
     }
 
+    /// Returns the text of the metrics.
+    ///
+    /// # Errors
+    /// Fails if the agent does not answer.
+    pub(super) async fn metrics(&self) -> eyre::Result<String> {
+        Ok(reqwest::get(format!("http://{}/metrics", self.listen())).await?.text().await?)
+    }
+
     /// Returns the gossip address.
     pub(super) fn gossip(&self) -> &str {
         self.child.text("gossip")
--- a/crates/citron-stand/src/bench/control/fleet.rs
+++ b/crates/citron-stand/src/bench/control/fleet.rs
@@ -6,7 +6,7 @@
 use eyre::bail;
 use tokio::time::{Instant, sleep};
 
-use crate::{bench::child::Agent, platform::Platform};
+use crate::{bench::child::Agent, metric, platform::Platform};
 
 /// The number of failure domains.
 const DOMAINS: usize = 11;
@@ -65,9 +65,9 @@
     pub(super) async fn wait_joined(&self) -> eyre::Result<()> {
         let end = Instant::now() + JOIN_LIMIT;
         for agent in &self.agents {
-            while members(agent.listen()).await? < self.agents.len() {
+            while members(agent).await? < self.agents.len() {
                 if Instant::now() > end {
-                    bail!("{} sees only {} members", agent.name, members(agent.listen()).await?);
+                    bail!("{} sees only {} members", agent.name, members(agent).await?);
                 }
                 sleep(Duration::from_millis(100)).await;
             }
@@ -81,8 +81,7 @@
     }
 }
 
-async fn members(listen: &str) -> eyre::Result<usize> {
-    let text = reqwest::get(format!("http://{listen}/metrics")).await?.text().await?;
-    let line = text.lines().find(|line| line.starts_with("citron_agent_members "));
-    Ok(line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap_or(0.0) as usize)
+async fn members(agent: &Agent) -> eyre::Result<usize> {
+    let text = agent.metrics().await?;
+    Ok(metric::value(&text, "citron_agent_members", &[]).unwrap_or(0.0) as usize)
 }
--- a/crates/citron-stand/src/bench/control/sample.rs
+++ b/crates/citron-stand/src/bench/control/sample.rs
@@ -5,7 +5,7 @@
 use eyre::eyre;
 
 use super::fleet::Fleet;
-use crate::platform::Platform;
+use crate::{bench::child::Agent, metric, platform::Platform};
 
 /// Clock ticks of `/proc/PID/stat` per second on Linux.
 const TICKS_PER_S: f64 = 100.0;
@@ -47,8 +47,7 @@
     pub(super) async fn take(fleet: &Fleet, platform: &Platform) -> eyre::Result<Self> {
         let mut nodes = BTreeMap::new();
         for agent in &fleet.agents {
-            let pid = agent.child.pid();
-            nodes.insert(pid, Node::read(pid, agent.listen()).await?);
+            nodes.insert(agent.child.pid(), Node::read(agent).await?);
         }
         let calls = platform.calls();
         Ok(Self { at: Instant::now(), nodes, calls: calls.total(), waiting: calls.waiting_watches })
@@ -83,14 +82,9 @@
     ///
     /// # Errors
     /// Fails if it has ended.
-    pub(super) async fn read(pid: u32, listen: &str) -> eyre::Result<Self> {
-        let text = reqwest::get(format!("http://{listen}/metrics")).await?.text().await?;
-        let metric = |name: &str| {
-            let line = text
-                .lines()
-                .find(|line| line.starts_with(name) && line[name.len()..].starts_with(' '));
-            line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
-        };
+    pub(super) async fn read(agent: &Agent) -> eyre::Result<Self> {
+        let (pid, text) = (agent.child.pid(), agent.metrics().await?);
+        let metric = |name: &str| metric::value(&text, name, &[]).unwrap_or(0.0);
         Ok(Self {
             cpu_s: cpu_seconds(pid)?,
             rss_mb: resident_mb(pid)?,
--- a/crates/citron-stand/src/bench/control/size.rs
+++ b/crates/citron-stand/src/bench/control/size.rs
@@ -17,6 +17,7 @@
         child::{Agent, target},
         policy::Lists,
     },
+    metric,
     platform::{self, Mode},
 };
 
@@ -87,14 +88,14 @@
     wait_known(&second, lists.revision()).await?;
     let start_ms = started.elapsed().as_secs_f64() * 1e3;
     sleep(Duration::from_secs(2)).await;
-    let before = Node::read(second.child.pid(), second.listen()).await?;
+    let before = Node::read(&second).await?;
 
     lists.change();
     lists.publish(&platform.url()).await?;
     let published = Instant::now();
     wait_known(&second, lists.revision()).await?;
     let change_ms = published.elapsed().as_secs_f64() * 1e3;
-    let after = Node::read(second.child.pid(), second.listen()).await?;
+    let after = Node::read(&second).await?;
     let row = Row {
         rss_mb: after.rss_mb,
         start_ms,
@@ -113,10 +114,8 @@
 async fn wait_known(agent: &Agent, revision: u64) -> eyre::Result<()> {
     let end = Instant::now() + KNOWN_LIMIT;
     while Instant::now() < end {
-        let text = reqwest::get(format!("http://{}/metrics", agent.listen())).await?.text().await?;
-        let line = text.lines().find(|line| line.starts_with("citron_agent_policy_revision "));
-        let known =
-            line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap_or(0.0);
+        let text = agent.metrics().await?;
+        let known = metric::value(&text, "citron_agent_policy_revision", &[]).unwrap_or(0.0);
         if known >= revision as f64 {
             return Ok(());
         }
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod command;
 pub mod load;
+pub mod metric;
 pub mod platform;
 pub mod relay;
 pub mod target;
--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -2,6 +2,7 @@
 
 use std::{future::Future, time::Duration};
 
+use citron_stand::metric;
 use citron_tests::{Fleet, Host, Load, Process, Settings, run, wait_until};
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -299,28 +300,26 @@
 }
 
 async fn answered(fleet: &Fleet, admin: &str) -> eyre::Result<u64> {
-    let text = fleet.client.get(format!("http://{admin}/metrics")).send().await?.text().await?;
-    let line =
-        text.lines().find(|line| line.starts_with("stand_requests_total{result=\"answered\"}"));
-    Ok(line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0))
+    count(fleet, admin, "stand_requests_total", &["result=\"answered\""]).await
 }
 
 /// Returns the attempts at a service that ended without an answer in time, over all proxies.
 async fn timed_out(fleet: &Fleet, service: &str) -> eyre::Result<u64> {
+    let labels = [&*format!("service=\"{service}\""), "ending=\"timed-out\""];
     let mut total = 0;
     for host in &fleet.hosts {
-        let url = format!("http://{}/metrics", host.proxy.text("admin")?);
-        let text = fleet.client.get(url).send().await?.text().await?;
-        let line = text.lines().find(|line| {
-            line.starts_with("citron_proxy_attempts_total")
-                && line.contains("ending=\"timed-out\"")
-                && line.contains(service)
-        });
-        total += line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0);
+        let admin = host.proxy.text("admin")?;
+        total += count(fleet, &admin, "citron_proxy_attempts_total", &labels).await?;
     }
     Ok(total)
 }
 
+/// Returns a counter of the program at `admin`, 0 if it has not counted yet.
+async fn count(fleet: &Fleet, admin: &str, name: &str, labels: &[&str]) -> eyre::Result<u64> {
+    let text = fleet.client.get(format!("http://{admin}/metrics")).send().await?.text().await?;
+    Ok(metric::value(&text, name, labels).unwrap_or(0.0) as u64)
+}
+
 /// Copies the policy with the plan of one customer replaced by that of another.
 fn edit(fleet: &Fleet, customer: &str, like: &str) -> eyre::Result<tempfile::TempDir> {
     let folder = tempfile::tempdir()?;
