--- a/crates/citron-daemon/src/lib.rs
+++ b/crates/citron-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod clock;
+mod journal;
 mod log;
 mod record;
 mod serve;
@@ -11,6 +12,7 @@
 pub use self::{
     admin::{Admin, bind as bind_admin},
     clock::Clock,
+    journal::{Journal, init as init_journal},
     log::init as init_log,
     record::Recorder,
     serve::{Server, bind, config},
--- /dev/null
+++ b/crates/citron-gateway/src/directory.rs
@@ -0,0 +1,81 @@
+//! What a gateway answers besides requests: where to connect, whether it is ready, and its state
+//! for peers.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use citron::{catalog::Snapshot, route::Table};
+use citron_adapter::ingress::{ADDRESSES_LIMIT, Resolved};
+use citron_daemon::Server;
+use eyre::WrapErr;
+use rocket::{Build, Rocket, State, get, http::Status, routes, serde::json::Json};
+
+use crate::shared::Shared;
+
+/// How long callers may keep an answer, if the platform allows so much.
+const KEEP: Duration = Duration::from_secs(4);
+
+type Answer<T> = Result<Json<T>, Status>;
+
+/// Starts to answer callers that ask where to connect.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn bind(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
+    serve(shared, addr, |rocket| rocket.mount("/", routes![resolve])).await
+}
+
+/// Starts to answer the platform's checks.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn bind_ready(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
+    serve(shared, addr, |rocket| rocket.mount("/", routes![ready])).await
+}
+
+/// Starts to answer peers that ask for the state in force.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn bind_peers(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
+    serve(shared, addr, |rocket| rocket.mount("/", routes![peer_routes, peer_targets])).await
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    addr: SocketAddr,
+    mount: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
+) -> eyre::Result<Server> {
+    let config = rocket::Config { workers: 1, max_blocking: 1, ..citron_daemon::config(addr) };
+    let rocket = rocket::custom(config).manage(Arc::clone(shared));
+    citron_daemon::bind(mount(rocket), addr).await.wrap_err("cannot start an HTTP service")
+}
+
+#[get("/v1/resolve?<zone>")]
+fn resolve(shared: &State<Arc<Shared>>, zone: Option<&str>) -> Answer<Resolved> {
+    let settings = shared.settings();
+    let own = shared.is_ready().then_some((settings.domain.as_str(), settings.callers));
+    let now = shared.clock.now();
+    let mut addresses = shared.gateways.lock().addresses(own, zone.unwrap_or_default(), now);
+    addresses.truncate(ADDRESSES_LIMIT);
+    if addresses.is_empty() {
+        return Err(Status::ServiceUnavailable);
+    }
+    let keep_s = KEEP.min(settings.keep_limit).as_secs().max(1);
+    Ok(Json(Resolved { addresses, keep_s }))
+}
+
+#[get("/v1/ready")]
+fn ready(shared: &State<Arc<Shared>>) -> Status {
+    if shared.is_ready() { Status::Ok } else { Status::ServiceUnavailable }
+}
+
+#[get("/routes")]
+fn peer_routes(shared: &State<Arc<Shared>>) -> Answer<Table> {
+    shared.routes().map(|table| Json((*table).clone())).ok_or(Status::ServiceUnavailable)
+}
+
+#[get("/targets")]
+fn peer_targets(shared: &State<Arc<Shared>>) -> Answer<Snapshot> {
+    let snapshot = shared.targets.lock().catalog.snapshot();
+    if snapshot.revision > 0 { Ok(Json(snapshot)) } else { Err(Status::ServiceUnavailable) }
+}
--- /dev/null
+++ b/crates/citron-gateway/src/gateway.rs
@@ -0,0 +1,115 @@
+//! The running gateway.
+
+use std::{sync::Arc, time::Duration};
+
+use citron::leave::{Action, Departure};
+use citron_adapter::{settings::Settings, store::Store};
+use citron_daemon::{Clock, Server};
+use eyre::WrapErr;
+use tokio::{net::TcpListener, task::JoinHandle, time};
+
+use crate::{caller, directory, follow, metrics::Metrics, peer, reload, shared::Shared};
+
+/// How long a leaving gateway accepts connections, so that callers hear of it first.
+const NOTICE: Duration = Duration::from_millis(600);
+/// The time between two steps of a leaving gateway.
+const STEP: Duration = Duration::from_millis(20);
+/// The time between two sweeps of idle connections and held entries.
+const SWEEP_GAP: Duration = Duration::from_millis(500);
+/// How long accepting pauses after it failed, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long connecting to a peer may take.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A gateway that serves callers.
+#[derive(Debug)]
+pub struct Gateway {
+    shared: Arc<Shared>,
+    accept: JoinHandle<()>,
+    servers: Vec<Server>,
+}
+
+impl Gateway {
+    /// Binds all addresses of `settings` and begins to serve.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound.
+    pub async fn bind(settings: Settings, clock: Clock) -> eyre::Result<Self> {
+        let metrics = Metrics::open().wrap_err("cannot set up the metrics")?;
+        let store = Store::open(settings.store).wrap_err("cannot set up the store's client")?;
+        let shared = Arc::new(Shared::new(settings, clock, metrics, rand::random()));
+        let settings = shared.settings();
+        let listener = TcpListener::bind(settings.callers)
+            .await
+            .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
+        let socket = peer::bind(settings.ip, settings.internal_port)
+            .await
+            .wrap_err("cannot bind the socket for peers")?;
+        let own = socket.local_addr().wrap_err("cannot tell the socket's address")?;
+        tokio::spawn(follow::routes(Arc::clone(&shared), store.clone()));
+        tokio::spawn(follow::targets(Arc::clone(&shared), store.clone()));
+        tokio::spawn(follow::gateways(Arc::clone(&shared), store, own));
+        let accept = tokio::spawn(accept(Arc::clone(&shared), listener));
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(PEER_CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(1)
+            .build()
+            .wrap_err("cannot set up the client for peers")?;
+        tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket), http));
+        tokio::spawn(peer::report(Arc::clone(&shared), Arc::clone(&socket), clock.wall_ms()));
+        tokio::spawn(peer::tell(Arc::clone(&shared), socket));
+        let servers = vec![
+            directory::bind(&shared, settings.directory).await?,
+            directory::bind_ready(&shared, settings.ready).await?,
+            directory::bind_peers(&shared, settings.peers).await?,
+        ];
+        reload::spawn(Arc::clone(&shared)).wrap_err("cannot handle SIGHUP")?;
+        tokio::spawn(sweep(Arc::clone(&shared)));
+        Ok(Self { shared, accept, servers })
+    }
+
+    /// Leaves: callers are sent elsewhere, all that was read is answered, then all sockets close.
+    pub async fn leave(self) {
+        let mut departure = Departure::new(NOTICE);
+        let clock = self.shared.clock;
+        if departure.begin(clock.now()) == Some(Action::Announce) {
+            log::info!("event=leaving in_flight={}", self.shared.in_flight());
+            self.shared.leave();
+        }
+        loop {
+            match departure.step(clock.now(), self.shared.in_flight()) {
+                Some(Action::StopAccepting) => self.accept.abort(),
+                Some(Action::ShutDown) => break,
+                Some(Action::Announce) | None => time::sleep(STEP).await,
+            }
+        }
+        log::info!("event=stopped");
+        drop(self.servers);
+    }
+}
+
+async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(caller::serve(stream, Arc::clone(&shared)));
+            }
+            Err(error) => {
+                log::warn!("event=accept-failed reason={:?}", error.to_string());
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn sweep(shared: Arc<Shared>) {
+    loop {
+        time::sleep(SWEEP_GAP).await;
+        shared.pool.sweep();
+        let over = shared.targets.lock().expire(shared.clock.now());
+        for target in over {
+            log::info!("event=target-gone target={target} reason=not-back-after-outage");
+        }
+    }
+}
--- /dev/null
+++ b/crates/citron-gateway/src/http1/head.rs
@@ -0,0 +1,110 @@
+//! The head of a caller's request.
+
+use bytes::{Buf, BytesMut};
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING},
+};
+
+use super::Fault;
+
+/// The most headers of one request.
+const HEADERS_LIMIT: usize = 100;
+
+/// A request's head.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// The method.
+    pub method: Method,
+    /// The path with its query, as the caller sent it.
+    pub target: Uri,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// How the body is framed.
+    pub length: Length,
+    /// Whether the caller keeps the connection open after the answer.
+    pub keep_alive: bool,
+    /// Whether the caller waits for leave to send the body.
+    pub expects_continue: bool,
+}
+
+/// How a body is framed.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Length {
+    /// So many bytes, 0 if there is no body.
+    Known(u64),
+    /// In chunks.
+    Chunked,
+}
+
+/// Takes one head from the front of `buffer`, or returns `None` if it is not whole yet.
+///
+/// # Errors
+/// Fails if the bytes are not a head, or if the head is longer than `limit` bytes.
+pub fn parse(buffer: &mut BytesMut, limit: usize) -> Result<Option<Head>, Fault> {
+    let mut storage = [httparse::EMPTY_HEADER; HEADERS_LIMIT];
+    let mut request = httparse::Request::new(&mut storage);
+    let parsed = request.parse(buffer).map_err(|error| match error {
+        httparse::Error::TooManyHeaders => Fault::HeadTooLong,
+        _ => Fault::Malformed,
+    })?;
+    let httparse::Status::Complete(length) = parsed else {
+        return if buffer.len() > limit { Err(Fault::HeadTooLong) } else { Ok(None) };
+    };
+    if length > limit {
+        return Err(Fault::HeadTooLong);
+    }
+    let head = convert(&request)?;
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+fn convert(request: &httparse::Request<'_, '_>) -> Result<Head, Fault> {
+    let method = request.method.and_then(|m| Method::from_bytes(m.as_bytes()).ok());
+    let target = request.path.and_then(|path| path.parse::<Uri>().ok());
+    let (Some(method), Some(target), Some(version)) = (method, target, request.version) else {
+        return Err(Fault::Malformed);
+    };
+    let mut headers = HeaderMap::with_capacity(request.headers.len());
+    for header in request.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(header.value);
+        let (Ok(name), Ok(value)) = (name, value) else { return Err(Fault::Malformed) };
+        headers.append(name, value);
+    }
+    if headers.get_all(HOST).iter().count() != 1 || !target.path().starts_with('/') {
+        return Err(Fault::Malformed);
+    }
+    let closes = has_token(&headers, "close");
+    let keep_alive = !closes && (version == 1 || has_token(&headers, "keep-alive"));
+    let expects_continue =
+        headers.get(EXPECT).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    Ok(Head { length: framing(&headers)?, method, target, headers, keep_alive, expects_continue })
+}
+
+/// Returns how the body is framed; two framings at once could hide a second request.
+fn framing(headers: &HeaderMap) -> Result<Length, Fault> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (lengths.next(), encodings.next()) {
+        (None, None) => Ok(Length::Known(0)),
+        (None, Some(encoding)) => {
+            let is_chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+            if is_chunked && encodings.next().is_none() {
+                Ok(Length::Chunked)
+            } else {
+                Err(Fault::Malformed)
+            }
+        }
+        (Some(length), None) if lengths.next().is_none() => {
+            let digits = length.to_str().ok().filter(|s| s.bytes().all(|b| b.is_ascii_digit()));
+            digits.and_then(|s| s.parse().ok()).map(Length::Known).ok_or(Fault::Malformed)
+        }
+        _ => Err(Fault::Malformed),
+    }
+}
+
+fn has_token(headers: &HeaderMap, token: &str) -> bool {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|part| part.trim().eq_ignore_ascii_case(token))
+}
--- /dev/null
+++ b/crates/citron-gateway/src/http1/reply.rs
@@ -0,0 +1,107 @@
+//! Answers to callers.
+
+use std::io::Write;
+
+use bytes::{Bytes, BytesMut};
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{HeaderName, HeaderValue, RETRY_AFTER},
+};
+
+use crate::channel::Exchange;
+
+/// An answer to one request.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers, without those that concern the connection or the framing.
+    pub headers: HeaderMap,
+    /// The body, or its beginning.
+    pub body: Bytes,
+    /// The rest of a body too long to be held.
+    pub rest: Option<Stream>,
+    /// Whether the answer is to a request for the head only, with the length it states.
+    pub head_only: Option<Option<u64>>,
+}
+
+/// The rest of an answer that is passed on while it arrives.
+#[derive(Debug)]
+pub struct Stream {
+    /// The target's side.
+    pub exchange: Exchange,
+    /// The length of the whole body, if the target states it.
+    pub length: Option<u64>,
+}
+
+impl Reply {
+    /// Creates an answer of the gateway's own.
+    pub fn own(status: u16, reason: &str) -> Self {
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_str(reason) {
+            headers.insert(HeaderName::from_static("citron-reason"), value);
+        }
+        Self {
+            status: StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY),
+            headers,
+            body: Bytes::new(),
+            rest: None,
+            head_only: None,
+        }
+    }
+
+    /// Tells the caller to come back after `seconds`.
+    pub fn retry_after(mut self, seconds: f64) -> Self {
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.2}")) {
+            self.headers.insert(RETRY_AFTER, value);
+        }
+        self
+    }
+
+    /// Returns true if the body is sent in chunks, as its length is not known.
+    pub fn is_chunked(&self) -> bool {
+        self.rest.as_ref().is_some_and(|rest| rest.length.is_none())
+    }
+}
+
+/// Writes the head of an answer, and the body as far as it is there and not chunked.
+pub fn write_head(out: &mut BytesMut, reply: &Reply, keep_alive: bool) {
+    let status = reply.status;
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    put(out, format_args!("HTTP/1.1 {} {reason}\r\n", status.as_u16()));
+    for (name, value) in &reply.headers {
+        out.extend_from_slice(name.as_str().as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value.as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+    if !keep_alive {
+        out.extend_from_slice(b"connection: close\r\n");
+    }
+    match (&reply.head_only, &reply.rest) {
+        (Some(Some(length)), _) => put(out, format_args!("content-length: {length}\r\n")),
+        (Some(None), _) => {}
+        (None, Some(Stream { length: Some(length), .. })) => {
+            put(out, format_args!("content-length: {length}\r\n"));
+        }
+        (None, Some(_)) => out.extend_from_slice(b"transfer-encoding: chunked\r\n"),
+        (None, None) if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED => {}
+        (None, None) => put(out, format_args!("content-length: {}\r\n", reply.body.len())),
+    }
+    out.extend_from_slice(b"\r\n");
+}
+
+fn put(out: &mut BytesMut, text: std::fmt::Arguments<'_>) {
+    struct Sink<'a>(&'a mut BytesMut);
+    impl Write for Sink<'_> {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            self.0.extend_from_slice(bytes);
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let written = Sink(out).write_fmt(text);
+    debug_assert!(written.is_ok(), "writing to memory cannot fail");
+}
--- /dev/null
+++ b/crates/citron-gateway/src/metrics.rs
@@ -0,0 +1,132 @@
+//! Counters and histograms of a gateway.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// The bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
+
+/// The metrics of one gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Where all metrics are registered.
+    pub registry: Registry,
+    /// Calls to the store, by subject and outcome.
+    pub store_calls: IntCounterVec,
+    /// Pulls from peers, by subject and outcome.
+    pub pulls: IntCounterVec,
+    /// Outcomes that peers were not told of, as too many waited.
+    pub news_dropped: IntCounter,
+    /// Datagrams that could not be read.
+    pub datagrams_bad: IntCounter,
+    /// Datagrams that could not be sent.
+    pub datagrams_unsent: IntCounter,
+    /// The version of the routes in force.
+    pub routes_version: IntGauge,
+    /// The revision of the target list in force.
+    pub targets_revision: IntGauge,
+    refused: IntCounterVec,
+    attempts: IntCounterVec,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    ///
+    /// # Errors
+    /// Fails if a name is not valid or taken twice.
+    pub fn open() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            prometheus::Result::Ok(counters)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let latency = HistogramVec::new(
+            HistogramOpts::new(
+                "citron_request_duration_seconds",
+                "Time from a request's last byte to its answer, by route",
+            )
+            .buckets(LATENCY_BOUNDS_S.to_vec()),
+            &["route"],
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self {
+            refused: counters(
+                "citron_refusals_total",
+                "Requests that the gateway ended itself, by reason",
+                &["reason"],
+            )?,
+            attempts: counters(
+                "citron_attempts_total",
+                "Attempts at targets, by ending",
+                &["ending"],
+            )?,
+            store_calls: counters(
+                "citron_store_calls_total",
+                "Calls to the store, by subject and outcome",
+                &["subject", "outcome"],
+            )?,
+            pulls: counters(
+                "citron_peer_pulls_total",
+                "State taken from peers, by subject and outcome",
+                &["subject", "outcome"],
+            )?,
+            requests: counters(
+                "citron_requests_total",
+                "Answered requests, by route and status",
+                &["route", "status"],
+            )?,
+            news_dropped: counter(
+                "citron_outcomes_dropped_total",
+                "Outcomes that peers were not told of",
+            )?,
+            datagrams_bad: counter(
+                "citron_datagrams_unreadable_total",
+                "Datagrams from peers that could not be read",
+            )?,
+            datagrams_unsent: counter(
+                "citron_datagrams_unsent_total",
+                "Datagrams to peers that could not be sent",
+            )?,
+            routes_version: gauge("citron_routes_version", "Version of the routes in force")?,
+            targets_revision: gauge(
+                "citron_targets_revision",
+                "Revision of the target list in force",
+            )?,
+            latency,
+            registry,
+        })
+    }
+
+    /// Counts a request that the gateway ended itself.
+    pub fn refusal(&self, reason: &str) {
+        self.refused.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an attempt at a target.
+    pub fn attempt(&self, ending: &str) {
+        self.attempts.with_label_values(&[ending]).inc();
+    }
+
+    /// Counts an answered request.
+    pub fn request(&self, route: &str, status: u16, took: Duration) {
+        self.requests.with_label_values(&[route, &status.to_string()]).inc();
+        self.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/citron-gateway/src/reload.rs
@@ -0,0 +1,58 @@
+//! Takes changes of the settings file while the process runs.
+
+use std::{sync::Arc, time::Duration};
+
+use citron_adapter::settings::Settings;
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time,
+};
+
+use crate::shared::Shared;
+
+/// The time between two looks at the settings file without a signal.
+const LOOK_GAP: Duration = Duration::from_secs(2);
+
+/// Reads the settings again on SIGHUP and when the file has changed.
+///
+/// # Errors
+/// Fails if the signal cannot be handled.
+pub fn spawn(shared: Arc<Shared>) -> std::io::Result<()> {
+    let hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(watch(shared, hangup));
+    Ok(())
+}
+
+async fn watch(shared: Arc<Shared>, mut hangup: Signal) {
+    loop {
+        let signalled = time::timeout(LOOK_GAP, hangup.recv()).await.is_ok();
+        match Settings::read() {
+            Ok(settings) => take(&shared, settings, signalled),
+            Err(error) if signalled => {
+                log::error!("event=reload-failed reason={:?} kept=the-settings-in-force", error.to_string());
+            }
+            Err(error) => log::debug!("event=reload-failed reason={:?}", error.to_string()),
+        }
+    }
+}
+
+fn take(shared: &Shared, settings: Settings, signalled: bool) {
+    let held = shared.settings();
+    if *held == settings {
+        if signalled {
+            log::info!("event=reloaded changed=no");
+        }
+        return;
+    }
+    let moved = settings.callers != held.callers
+        || settings.ready != held.ready
+        || settings.directory != held.directory
+        || settings.peers != held.peers
+        || settings.store != held.store;
+    if moved {
+        log::warn!("event=reloaded changed=yes note=addresses-apply-at-the-next-start");
+    } else {
+        log::info!("event=reloaded changed=yes");
+    }
+    *shared.settings.write() = Arc::new(settings);
+}
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -77,7 +77,7 @@
         let mut tried = SmallVec::<[String; 4]>::new();
         let mut answer = None;
         loop {
-            match series.next(self.shared.clock.now(), &service.budget) {
+            match series.next(self.shared.clock.now(), || service.budget.withdraw()) {
                 Step::Claim => tokio::select! {
                     claim = self.claim() => series.claimed(claim),
                     () = &mut gone => series.caller_gone(),
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -2,14 +2,22 @@
 
 mod budget;
 mod key;
+mod window;
 
-pub use self::{budget::Budget, key::key_digest};
+pub use self::{
+    budget::Budget,
+    key::key_digest,
+    window::{Share, Window},
+};
 
 use std::time::Duration;
 
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
 
+/// The most attempts of one request that may fail to connect and be followed by another.
+const UNSENT_LIMIT: u32 = 3;
+
 /// What is certain about a request at its end.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Display, IntoStaticStr, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
@@ -28,6 +36,8 @@
 pub enum Ending {
     /// The head of the target's own answer to this request arrived.
     Answered,
+    /// The target ran it and answered with a failure of its own.
+    Failed,
     /// No connection could be made, so nothing was sent.
     NotConnected,
     /// The target said that it refused the request without running it.
@@ -44,7 +54,7 @@
     /// Returns what the attempt leaves certain about the request.
     pub fn outcome(self) -> Outcome {
         match self {
-            Self::Answered => Outcome::Answered,
+            Self::Answered | Self::Failed => Outcome::Answered,
             Self::NotConnected | Self::Shed => Outcome::NotRun,
             Self::Foreign | Self::Broken | Self::TimedOut => Outcome::Unknown,
         }
@@ -153,17 +163,19 @@
         }
     }
 
-    /// Returns what to do at `now`; a repetition is paid for from `budget`.
-    pub fn next(&mut self, now: Duration, budget: &Budget) -> Step {
+    /// Returns what to do at `now`; a repetition is made only if `pay` takes it from a budget.
+    ///
+    /// An attempt that never reached its target is repeated without payment.
+    pub fn next(&mut self, now: Duration, pay: impl FnOnce() -> bool) -> Step {
         assert!(!self.sending, "an attempt must end before the next step");
         if self.endings.last() == Some(&Ending::Answered) {
             return Step::Answer;
         }
         if let Some(cause) = self.stop {
-            return self.refuse(cause);
+            return if cause == Cause::CallerGone { self.refuse(cause) } else { self.give_up(cause) };
         }
         if now >= self.rules.deadline {
-            return self.refuse(Cause::DeadlinePassed);
+            return self.give_up(Cause::DeadlinePassed);
         }
         if self.rules.keyed {
             match self.claim {
@@ -174,9 +186,9 @@
             }
         }
         if let Some(&last) = self.endings.last()
-            && !(self.may_repeat() && budget.withdraw())
+            && !(self.may_repeat() && (last == Ending::NotConnected || pay()))
         {
-            return self.refuse(cause_of(last));
+            return self.give_up(cause_of(last));
         }
         self.send(now)
     }
@@ -215,14 +227,20 @@
         self.stop = Some(Cause::CallerGone);
     }
 
-    /// Returns the number of attempts made so far.
+    /// Returns the number of attempts so far that may have reached a target.
     pub fn attempts(&self) -> u32 {
-        self.endings.len() as u32
+        self.endings.iter().filter(|&&ending| ending != Ending::NotConnected).count() as u32
+    }
+
+    /// Passes the target's own failure on if that is how the last attempt ended.
+    fn give_up(&self, cause: Cause) -> Step {
+        if self.endings.last() == Some(&Ending::Failed) { Step::Answer } else { self.refuse(cause) }
     }
 
     fn may_repeat(&self) -> bool {
         let safe = self.rules.idempotent || self.is_not_run();
-        safe && self.repeatable && self.attempts() < self.rules.attempts
+        let unsent = self.endings.len() as u32 - self.attempts();
+        safe && self.repeatable && self.attempts() < self.rules.attempts && unsent <= UNSENT_LIMIT
     }
 
     fn is_not_run(&self) -> bool {
@@ -278,6 +296,6 @@
         Ending::Shed => Cause::TargetShed,
         Ending::Foreign => Cause::ForeignAnswer,
         Ending::Broken => Cause::TargetBroken,
-        Ending::Answered | Ending::TimedOut => Cause::TargetTimedOut,
+        Ending::Answered | Ending::Failed | Ending::TimedOut => Cause::TargetTimedOut,
     }
 }
--- /dev/null
+++ b/crates/citron/src/catalog.rs
@@ -0,0 +1,215 @@
+//! The targets that the platform lists, at one revision.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// How long an entry that vanished around an outage of the store is kept after the store's return.
+const LAPSE_HOLD: Duration = Duration::from_secs(2);
+/// The most lifetimes that are remembered as leaving after their entries are gone.
+const DEPARTED_CAPACITY: usize = 4096;
+
+/// One lifetime of a target.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// The identity that the target reports, unique among live targets.
+    pub id: Arc<str>,
+    /// When this lifetime started, in milliseconds since the Unix epoch; tells lifetimes of one
+    /// identity apart.
+    pub born_ms: u64,
+    /// The service it serves.
+    pub service: Arc<str>,
+    /// Where to connect.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Requests it runs at once, at least 1.
+    pub slots: u32,
+    /// Whether it leaves and must receive no new work.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub warmup_ms: u64,
+}
+
+/// One change of the list.
+#[derive(Debug, Clone)]
+pub enum Change {
+    /// The entry is new or has changed.
+    Put(Target),
+    /// The entry with this identity is gone, or names no usable target any more.
+    Gone(Arc<str>),
+}
+
+/// The whole list at one revision, as it is passed between hosts.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The store's revision of this list.
+    pub revision: u64,
+    /// All usable targets.
+    pub targets: Vec<Target>,
+}
+
+/// The list in force; its revision never goes back.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    revision: u64,
+    targets: BTreeMap<Arc<str>, Target>,
+    /// Targets whose entries vanished around an outage of the store, held until then.
+    lapsed: BTreeMap<Arc<str>, Duration>,
+    /// The lifetimes that were seen to leave.
+    departed: BTreeMap<Arc<str>, u64>,
+    outage: Outage,
+}
+
+/// What is known of the store's last outage.
+#[derive(Debug, Default, Copy, Clone, Eq, PartialEq)]
+enum Outage {
+    #[default]
+    None,
+    Since,
+    Until(Duration),
+}
+
+impl Catalog {
+    /// Takes a whole list; returns false if it is not newer than the list in force.
+    pub fn replace(&mut self, snapshot: Snapshot, now: Duration) -> bool {
+        if snapshot.revision <= self.revision {
+            return false;
+        }
+        let mut gone = std::mem::take(&mut self.targets);
+        for target in snapshot.targets {
+            gone.remove(&target.id);
+            self.put(target);
+        }
+        for (id, target) in gone {
+            self.targets.insert(Arc::clone(&id), target);
+            self.remove(&id, now);
+        }
+        self.revision = snapshot.revision;
+        true
+    }
+
+    /// Takes the changes up to `revision`; returns false if they are not newer.
+    pub fn apply(&mut self, revision: u64, changes: Vec<Change>, now: Duration) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        for change in changes {
+            match change {
+                Change::Put(target) => self.put(target),
+                Change::Gone(id) => self.remove(&id, now),
+            }
+        }
+        self.revision = revision;
+        true
+    }
+
+    /// Takes that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.outage = Outage::Since;
+    }
+
+    /// Takes that the store answers again.
+    pub fn store_regained(&mut self, now: Duration) {
+        if self.outage != Outage::Since {
+            return;
+        }
+        self.outage = Outage::Until(now);
+        for until in self.lapsed.values_mut() {
+            *until = now + LAPSE_HOLD;
+        }
+    }
+
+    /// Drops the held entries whose time is over and returns their identities.
+    pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+        let over: Vec<_> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in &over {
+            self.lapsed.remove(id);
+            self.targets.remove(id);
+        }
+        over
+    }
+
+    /// Returns the store's revision of the list in force, 0 before the first one.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the target with this identity, also one that leaves.
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
+    /// Returns the targets of a service that may receive work.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
+        self.targets.values().filter(move |t| &*t.service == service && !t.leaving)
+    }
+
+    /// Returns true if the target's entry vanished around an outage and is only held.
+    pub fn is_lapsed(&self, id: &str) -> bool {
+        self.lapsed.contains_key(id)
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns true if no target is listed.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Returns the list as it is passed to other hosts; entries that are only held are left out.
+    pub fn snapshot(&self) -> Snapshot {
+        let listed = self.targets.values().filter(|target| !self.is_lapsed(&target.id));
+        Snapshot { revision: self.revision, targets: listed.cloned().collect() }
+    }
+
+    fn put(&mut self, mut target: Target) {
+        if self.departed.get(&target.id) == Some(&target.born_ms) {
+            target.leaving = true;
+        }
+        if target.leaving {
+            self.depart(&target.id, target.born_ms);
+        }
+        self.lapsed.remove(&target.id);
+        self.targets.insert(Arc::clone(&target.id), target);
+    }
+
+    fn remove(&mut self, id: &Arc<str>, now: Duration) {
+        let Some(target) = self.targets.get(id) else { return };
+        let hold_until = match self.outage {
+            _ if target.leaving => None,
+            Outage::None => None,
+            Outage::Since => Some(Duration::MAX),
+            Outage::Until(at) if now < at + LAPSE_HOLD => Some(at + LAPSE_HOLD),
+            Outage::Until(_) => None,
+        };
+        match hold_until {
+            Some(until) => {
+                self.lapsed.insert(Arc::clone(id), until);
+            }
+            None => {
+                self.lapsed.remove(id);
+                self.targets.remove(id);
+            }
+        }
+    }
+
+    fn depart(&mut self, id: &Arc<str>, born_ms: u64) {
+        if self.departed.len() >= DEPARTED_CAPACITY && !self.departed.contains_key(id) {
+            let oldest = self.departed.iter().min_by_key(|(_, born)| **born);
+            if let Some(id) = oldest.map(|(id, _)| Arc::clone(id)) {
+                self.departed.remove(&id);
+            }
+        }
+        self.departed.insert(Arc::clone(id), born_ms);
+        assert!(self.departed.len() <= DEPARTED_CAPACITY, "departed lifetimes must stay bounded");
+    }
+}
--- /dev/null
+++ b/crates/citron/src/gateways.rs
@@ -0,0 +1,131 @@
+//! The gateways of the fleet, as one of them knows them from their own reports.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+/// After this long without a report a gateway is not given to callers.
+const FRESH: Duration = Duration::from_millis(3500);
+/// After this long without a report a gateway counts as gone for all else.
+const ALIVE: Duration = Duration::from_secs(10);
+/// After this long without a report a gateway is forgotten.
+const FORGET: Duration = Duration::from_secs(120);
+/// A failure domain with so many ready gateways serves its callers alone.
+const DOMAIN_MIN: usize = 2;
+
+/// What a gateway reports about itself.
+#[derive(Debug, Clone, Eq, PartialEq)]
+pub struct Report {
+    /// When its process started, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers ask for the state in force.
+    pub peers: SocketAddr,
+    /// Whether callers may be sent there.
+    pub ready: bool,
+    /// The version of its routes, 0 if it has none.
+    pub routes_version: u64,
+    /// The revision of its target list, 0 if it has none.
+    pub targets_revision: u64,
+}
+
+/// What is known of one gateway.
+#[derive(Debug, Clone)]
+pub struct Gateway {
+    /// Where it receives datagrams.
+    pub address: SocketAddr,
+    /// Its last report, if it ever sent one.
+    pub report: Option<Report>,
+    /// When it last reported, or when it became known.
+    pub heard_at: Duration,
+}
+
+/// All gateways but this one, by host.
+#[derive(Debug, Default)]
+pub struct Gateways {
+    by_host: BTreeMap<Arc<str>, Gateway>,
+}
+
+impl Gateways {
+    /// Takes that a gateway may be at `address`; returns true if it was not known.
+    pub fn learn(&mut self, host: &str, address: SocketAddr, now: Duration) -> bool {
+        if self.by_host.contains_key(host) {
+            return false;
+        }
+        let gateway = Gateway { address, report: None, heard_at: now };
+        self.by_host.insert(Arc::from(host), gateway);
+        true
+    }
+
+    /// Takes a report; returns true if the gateway was not heard before, or not for long.
+    pub fn hear(&mut self, host: &str, address: SocketAddr, report: Report, now: Duration) -> bool {
+        let known = self.by_host.get(host);
+        let back = known.is_none_or(|g| g.report.is_none() || now - g.heard_at >= ALIVE);
+        let gateway = Gateway { address, report: Some(report), heard_at: now };
+        self.by_host.insert(Arc::from(host), gateway);
+        back
+    }
+
+    /// Forgets the gateways that have been silent for long and returns their hosts.
+    pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+        let silent = |gateway: &Gateway| now.saturating_sub(gateway.heard_at) >= FORGET;
+        let gone: Vec<_> =
+            self.by_host.iter().filter(|(_, g)| silent(g)).map(|(h, _)| Arc::clone(h)).collect();
+        for host in &gone {
+            self.by_host.remove(host);
+        }
+        gone
+    }
+
+    /// Returns all known gateways.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Gateway)> {
+        self.by_host.iter()
+    }
+
+    /// Returns the gateways that have reported lately.
+    pub fn alive(&self, now: Duration) -> impl Iterator<Item = (&Arc<str>, &Gateway)> {
+        let lately = move |gateway: &Gateway| now.saturating_sub(gateway.heard_at) < ALIVE;
+        self.by_host.iter().filter(move |(_, g)| g.report.is_some() && lately(g))
+    }
+
+    /// Returns the addresses for callers in `domain`, given this gateway's own if it is ready.
+    ///
+    /// Callers stay in their failure domain while it has ready gateways enough.
+    pub fn addresses(
+        &self,
+        own: Option<(&str, SocketAddr)>,
+        domain: &str,
+        now: Duration,
+    ) -> Vec<SocketAddr> {
+        let fresh = |gateway: &Gateway| now.saturating_sub(gateway.heard_at) < FRESH;
+        let others = self.by_host.values().filter(|gateway| fresh(gateway));
+        let reports = others.filter_map(|gateway| gateway.report.as_ref()).filter(|r| r.ready);
+        let ready: Vec<(&str, SocketAddr)> =
+            reports.map(|report| (&*report.domain, report.callers)).chain(own).collect();
+        let near: Vec<SocketAddr> =
+            ready.iter().filter(|(d, _)| *d == domain).map(|(_, address)| *address).collect();
+        if near.len() >= DOMAIN_MIN {
+            return near;
+        }
+        ready.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Returns the gateway with the newest routes above `version`, if any.
+    pub fn newer_routes(&self, version: u64, now: Duration) -> Option<SocketAddr> {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        reports
+            .filter(|report| report.routes_version > version)
+            .max_by_key(|report| report.routes_version)
+            .map(|report| report.peers)
+    }
+
+    /// Returns the gateway with the newest target list above `revision`, if any.
+    pub fn newer_targets(&self, revision: u64, now: Duration) -> Option<SocketAddr> {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        reports
+            .filter(|report| report.targets_revision > revision)
+            .max_by_key(|report| report.targets_revision)
+            .map(|report| report.peers)
+    }
+}
--- /dev/null
+++ b/crates/citron/src/gray/view.rs
@@ -0,0 +1,195 @@
+//! One gateway's view of all targets: beliefs, own load, and which target comes next.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use rand::Rng;
+
+use super::{Belief, Candidate, NEWSWORTHY, Verdict, choose};
+use crate::catalog::{Catalog, Target};
+
+/// How long a target that shed is held back.
+const HOLD_BACK: Duration = Duration::from_millis(250);
+/// The time between two tests of a suspected target.
+const TEST_GAP: Duration = Duration::from_millis(1000);
+
+/// What is known about the targets besides their entries.
+#[derive(Debug)]
+pub struct View {
+    domain: Arc<str>,
+    states: HashMap<Arc<str>, State>,
+}
+
+#[derive(Debug)]
+struct State {
+    born_ms: u64,
+    /// What all gateways know of the target.
+    belief: Belief,
+    /// What this gateway knows of its own path to the target.
+    path: Belief,
+    busy: u32,
+    held_back_until: Duration,
+    tested_at: Option<Duration>,
+    /// Whether another target has answered at its address.
+    misplaced: bool,
+}
+
+/// The target chosen for an attempt, with what decided it.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The target.
+    pub target: Target,
+    /// The probability that it is sick or out of reach.
+    pub sick: f64,
+    /// The age of what is known about it, if anything was heard.
+    pub age: Option<Duration>,
+    /// The number of targets that it was chosen from.
+    pub candidates: usize,
+}
+
+impl View {
+    /// Creates the view of a gateway in `domain`.
+    pub fn new(domain: &str) -> Self {
+        Self { domain: Arc::from(domain), states: HashMap::new() }
+    }
+
+    /// Chooses a target of `service` that is not in `tried` and counts the attempt as begun.
+    ///
+    /// With `may_test`, a suspected target is chosen when its test is due and `is_tester` says
+    /// that this gateway tests it.
+    pub fn begin(
+        &mut self,
+        catalog: &Catalog,
+        service: &str,
+        tried: &[Arc<str>],
+        may_test: bool,
+        is_tester: impl Fn(&str) -> bool,
+        rng: &mut impl Rng,
+        now: Duration,
+    ) -> Option<Choice> {
+        let targets: Vec<&Target> = catalog
+            .serving(service)
+            .filter(|target| !tried.contains(&target.id))
+            .filter(|target| !self.states.get(&target.id).is_some_and(|s| s.misplaced_as(target)))
+            .collect();
+        let candidates: Vec<Candidate> = targets
+            .iter()
+            .map(|target| {
+                let due = may_test && self.is_due(target, now) && is_tester(&target.id);
+                self.candidate(catalog, target, due, now)
+            })
+            .collect();
+        let index = choose(&candidates, may_test, rng)?;
+        let state = self.state(targets[index], now);
+        state.busy += 1;
+        if candidates[index].due {
+            state.tested_at = Some(now);
+        }
+        Some(Choice {
+            target: targets[index].clone(),
+            sick: candidates[index].sick,
+            age: state.belief.age(now),
+            candidates: candidates.len(),
+        })
+    }
+
+    /// Takes how an attempt ended, `None` if that says nothing about the target; returns true if
+    /// the other gateways should be told.
+    pub fn end(&mut self, target: &Target, verdict: Option<Verdict>, now: Duration) -> bool {
+        let state = self.state(target, now);
+        state.busy = state.busy.saturating_sub(1);
+        let Some(verdict) = verdict else { return false };
+        if verdict.is_about_path() || verdict == Verdict::Served {
+            state.path.observe(verdict, 1.0, now);
+        }
+        if verdict == Verdict::Unreachable {
+            return false;
+        }
+        let was = state.belief.sick(now);
+        state.observe(verdict, 1.0, now);
+        verdict != Verdict::Served || was > NEWSWORTHY
+    }
+
+    /// Takes what another gateway reports about a target.
+    pub fn hear(&mut self, target: &Target, verdict: Verdict, now: Duration) {
+        let weight = match verdict {
+            Verdict::Served | Verdict::Failed => 1.0,
+            Verdict::Late | Verdict::Shed => 0.5,
+            // May come from the other gateway's path.
+            Verdict::Silent | Verdict::Unreachable => 0.4,
+        };
+        self.state(target, now).observe(verdict, weight, now);
+    }
+
+    /// Takes that another target answered at the address of `target`.
+    pub fn misplace(&mut self, target: &Target, now: Duration) {
+        self.state(target, now).misplaced = true;
+    }
+
+    /// Forgets the targets that are no longer listed and carry no request.
+    pub fn retain(&mut self, catalog: &Catalog) {
+        self.states.retain(|id, state| state.busy > 0 || catalog.get(id).is_some());
+    }
+
+    /// Returns the probability that a target is sick or out of reach.
+    pub fn sick(&self, id: &str, now: Duration) -> f64 {
+        self.states.get(id).map_or(0.0, |state| state.sick(now))
+    }
+
+    fn is_due(&self, target: &Target, now: Duration) -> bool {
+        let Some(state) = self.states.get(&target.id) else { return false };
+        let gap = |at: Duration| now.saturating_sub(at) >= TEST_GAP;
+        state.belief.age(now).is_none_or(|age| age >= TEST_GAP) && state.tested_at.is_none_or(gap)
+    }
+
+    fn candidate(&self, catalog: &Catalog, target: &Target, due: bool, now: Duration) -> Candidate {
+        let state = self.states.get(&target.id).filter(|s| s.born_ms == target.born_ms);
+        Candidate {
+            sick: state.map_or_else(|| Belief::new(now).sick(now), |state| state.sick(now)),
+            load: (state.map_or(0, |state| state.busy), target.slots),
+            near: target.domain == self.domain,
+            warming: target.warmup_ms > 0,
+            lapsed: catalog.is_lapsed(&target.id),
+            held_back: state.is_some_and(|state| now < state.held_back_until),
+            due,
+        }
+    }
+
+    /// Returns the state of a target's lifetime; an earlier lifetime is forgotten.
+    fn state(&mut self, target: &Target, now: Duration) -> &mut State {
+        let state = self.states.entry(Arc::clone(&target.id)).or_insert_with(|| State::new(target, now));
+        if state.born_ms < target.born_ms {
+            *state = State::new(target, now);
+        }
+        state
+    }
+}
+
+impl State {
+    fn new(target: &Target, now: Duration) -> Self {
+        Self {
+            born_ms: target.born_ms,
+            belief: Belief::new(now),
+            path: Belief::new(now),
+            busy: 0,
+            held_back_until: Duration::ZERO,
+            tested_at: None,
+            misplaced: false,
+        }
+    }
+
+    fn observe(&mut self, verdict: Verdict, weight: f64, now: Duration) {
+        self.belief.observe(verdict, weight, now);
+        if verdict == Verdict::Shed {
+            self.held_back_until = now + HOLD_BACK;
+        }
+    }
+
+    fn sick(&self, now: Duration) -> f64 {
+        let (belief, path) = (self.belief.sick(now), self.path.sick(now));
+        belief.max(path)
+    }
+
+    fn misplaced_as(&self, target: &Target) -> bool {
+        self.misplaced && self.born_ms == target.born_ms
+    }
+}
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -5,9 +5,12 @@
 //! comes from a generator that the caller seeds. Equal inputs give equal outputs.
 
 pub mod attempt;
+pub mod catalog;
 pub mod choice;
 pub mod claim;
 pub mod event;
+pub mod gateways;
+pub mod gray;
 pub mod health;
 pub mod hlc;
 pub mod home;
@@ -18,5 +21,6 @@
 pub mod member;
 pub mod policy;
 pub mod queue;
+pub mod route;
 pub mod rumor;
 pub mod watcher;
--- /dev/null
+++ b/crates/citron/src/route.rs
@@ -0,0 +1,112 @@
+//! The routes in force: which services may get a request, and under what policy.
+
+mod split;
+
+pub use self::split::Split;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// One version of the routes, the services and the limits on callers.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// The version; a higher one replaces a lower one, never the other way round.
+    pub version: u64,
+    /// The services by name.
+    pub services: BTreeMap<Arc<str>, Service>,
+    /// What callers may send.
+    pub limits: Limits,
+    hosts: BTreeMap<String, Vec<Arc<Route>>>,
+}
+
+/// What the operator says about one service.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Connections that each target of the service accepts from all gateways together.
+    pub connections: u32,
+}
+
+/// The bounds on what a caller may send.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Longest request head, in bytes.
+    pub head_bytes: usize,
+    /// Longest request body, in bytes.
+    pub body_bytes: u64,
+    /// Longest time from the first byte of a head to its last.
+    pub head_timeout: Duration,
+    /// How long a connection may stay idle between requests.
+    pub idle_timeout: Duration,
+}
+
+/// One route: a path prefix of a host, its services and its policy.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The operator's name of the route.
+    pub name: Arc<str>,
+    /// The prefix of the paths that it serves; begins and ends with a slash.
+    pub prefix: String,
+    /// Whether a repetition has the same effect as a single run.
+    pub idempotent: bool,
+    /// The most targets that one request may be sent to, at least 1.
+    pub attempts: u32,
+    /// The longest time until the final answer.
+    pub timeout: Duration,
+    /// The latency objective.
+    pub objective: Duration,
+    /// The rank; 0 goes first.
+    pub priority: u32,
+    /// The services with their weights, at least one.
+    pub parts: SmallVec<[Part; 2]>,
+}
+
+/// A service's share of a route.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight among the parts of the route.
+    pub weight: u32,
+}
+
+impl Table {
+    /// Creates a table from routes by host.
+    pub fn new(
+        version: u64,
+        services: BTreeMap<Arc<str>, Service>,
+        limits: Limits,
+        routes: impl IntoIterator<Item = (String, Route)>,
+    ) -> Self {
+        let mut hosts: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        for (host, route) in routes {
+            assert!(route.attempts > 0, "a route must allow at least one attempt");
+            assert!(!route.parts.is_empty(), "a route must name at least one service");
+            hosts.entry(host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+        }
+        Self { version, services, limits, hosts }
+    }
+
+    /// Returns the route with the longest prefix of `path` among those of `host`.
+    ///
+    /// `host` may carry a port; `path` may carry a query.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        self.hosts.get(&name)?.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Returns true if there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- a/crates/citron/tests/attempt.rs
+++ b/crates/citron/tests/attempt.rs
@@ -18,7 +18,7 @@
     let mut series = Series::new(rules);
     let mut endings = endings.iter();
     loop {
-        match series.next(Duration::ZERO, &budget) {
+        match series.next(Duration::ZERO, || budget.withdraw()) {
             Step::Claim => series.claimed(Claim::Granted),
             Step::Send { .. } => {
                 series.ended(*endings.next().expect("more attempts were made than listed"));
@@ -77,10 +77,10 @@
 fn an_order_is_not_repeated_after_its_body_is_spent() {
     let budget = Budget::new(20);
     let mut series = Series::new(rules(false, false));
-    assert!(matches!(series.next(Duration::ZERO, &budget), Step::Send { fresh: true, .. }));
+    assert!(matches!(series.next(Duration::ZERO, || budget.withdraw()), Step::Send { fresh: true, .. }));
     series.ended(Ending::Shed);
     series.body_spent();
-    assert_eq!(series.next(Duration::ZERO, &budget), refuse(NotRun, TargetShed));
+    assert_eq!(series.next(Duration::ZERO, || budget.withdraw()), refuse(NotRun, TargetShed));
 }
 
 #[test]
@@ -88,9 +88,9 @@
     let budget = Budget::new(1);
     assert!(budget.withdraw());
     let mut series = Series::new(rules(true, false));
-    series.next(Duration::ZERO, &budget);
+    series.next(Duration::ZERO, || budget.withdraw());
     series.ended(Ending::Broken);
-    assert_eq!(series.next(Duration::ZERO, &budget), refuse(Unknown, TargetBroken));
+    assert_eq!(series.next(Duration::ZERO, || budget.withdraw()), refuse(Unknown, TargetBroken));
 }
 
 #[test]
@@ -108,9 +108,9 @@
 #[test]
 fn a_lookup_leaves_time_for_another_attempt_and_an_order_does_not() {
     let budget = Budget::new(20);
-    let step = Series::new(rules(true, false)).next(Duration::ZERO, &budget);
+    let step = Series::new(rules(true, false)).next(Duration::ZERO, || budget.withdraw());
     assert_eq!(step, Step::Send { until: DEADLINE / 2, fresh: false });
-    let step = Series::new(rules(false, false)).next(Duration::ZERO, &budget);
+    let step = Series::new(rules(false, false)).next(Duration::ZERO, || budget.withdraw());
     assert_eq!(step, Step::Send { until: DEADLINE, fresh: true });
 }
 
@@ -120,9 +120,9 @@
         fn $name() {
             let budget = Budget::new(20);
             let mut series = Series::new(rules(false, true));
-            assert_eq!(series.next(Duration::ZERO, &budget), Step::Claim);
+            assert_eq!(series.next(Duration::ZERO, || budget.withdraw()), Step::Claim);
             series.claimed(Claim::$claim);
-            let step = series.next(Duration::ZERO, &budget);
+            let step = series.next(Duration::ZERO, || budget.withdraw());
             assert_eq!(step, refuse(NotRun, Cause::$cause));
             assert_eq!(series.attempts(), 0);
         }
@@ -136,9 +136,9 @@
 fn an_order_whose_caller_goes_away_during_an_attempt_is_unknown() {
     let budget = Budget::new(20);
     let mut series = Series::new(rules(false, false));
-    series.next(Duration::ZERO, &budget);
+    series.next(Duration::ZERO, || budget.withdraw());
     series.caller_gone();
-    assert_eq!(series.next(Duration::ZERO, &budget), refuse(Unknown, Cause::CallerGone));
+    assert_eq!(series.next(Duration::ZERO, || budget.withdraw()), refuse(Unknown, Cause::CallerGone));
 }
 
 #[test]
@@ -146,8 +146,8 @@
 fn a_step_during_an_attempt_is_refused() {
     let budget = Budget::new(20);
     let mut series = Series::new(rules(true, false));
-    series.next(Duration::ZERO, &budget);
-    series.next(Duration::ZERO, &budget);
+    series.next(Duration::ZERO, || budget.withdraw());
+    series.next(Duration::ZERO, || budget.withdraw());
 }
 
 #[test]
@@ -205,7 +205,7 @@
         if rng.random_ratio(1, 40) {
             series.caller_gone();
         }
-        match series.next(now, budget) {
+        match series.next(now, || budget.withdraw()) {
             Step::Claim => series.claimed(match rng.random_range(0..6) {
                 0 => Claim::Taken,
                 1 => Claim::Undecided,
