Hedge an overdue repeatable request beside its first attempt instead of cutting it

Cause: after half of its time a repeatable request's first attempt was cut, also where no second one could be paid for (LOST after SIGTERM, and failures without need). Ruled out: a longer share for the first attempt, which cuts too. Now the first attempt goes on and a second begins beside it; the first whole answer wins.

--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -10,6 +10,7 @@
     route::Route,
 };
 use citron_adapter::header;
+use futures::{StreamExt, stream::FuturesUnordered};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -33,6 +34,9 @@
 /// The longest idle time of a connection that any other request may use.
 const REPEATABLE_IDLE_LIMIT: Duration = Duration::from_secs(6);
 
+/// The share of the objective after which an unanswered request is sent to a second target.
+const HEDGE_SHARE: f64 = 0.6;
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -130,17 +134,35 @@
             attempts: self.route.attempts,
         });
         let mut tried: Vec<Arc<str>> = Vec::new();
+        let mut attempts = FuturesUnordered::new();
         let mut answer = None;
+        let mut hedge_at = self.shared.clock.now() + self.route.objective.mul_f64(HEDGE_SHARE);
         loop {
             let now = self.shared.clock.now();
-            let pay = || self.shared.budgets.withdraw(&self.service, self.shared.share(), now);
-            match series.next(now, pay) {
+            match series.next(now, || self.pay(now)) {
                 Step::Claim => unreachable!("requests here carry no key to claim"),
-                Step::Answer => {
-                    if let Some(reply) = answer.take() {
-                        return (reply, series.attempts());
+                Step::Send { .. } => match self.place(&mut tried) {
+                    Some(choice) => attempts.push(self.attempt(choice)),
+                    None => series.unplaced(),
+                },
+                Step::Wait => tokio::select! {
+                    Some(attempt) = attempts.next() => {
+                        series.ended(attempt.ending);
+                        answer = attempt.reply.or(answer);
+                    }
+                    () = time::sleep_until(self.shared.clock.instant(hedge_at)) => {
+                        hedge_at = Duration::MAX / 4;
+                        if series.hedge(self.shared.clock.now(), || self.pay(now)).is_some() {
+                            match self.place(&mut tried) {
+                                Some(choice) => attempts.push(self.attempt(choice)),
+                                None => series.unplaced(),
+                            }
+                        }
                     }
-                    return (Reply::own(502, "answer-missing"), series.attempts());
+                },
+                Step::Answer => {
+                    let reply = answer.unwrap_or_else(|| Reply::own(502, "answer-missing"));
+                    return (reply, series.attempts());
                 }
                 Step::Refuse { outcome, cause } => {
                     log::info!(
@@ -151,28 +173,28 @@
                     self.shared.metrics.refusal(cause.into());
                     return (refusal::reply(outcome, cause), series.attempts());
                 }
-                Step::Send { until, .. } => {
-                    let may_test = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
-                    let Some(choice) = self.shared.begin(&self.service, &tried, may_test) else {
-                        series.unplaced();
-                        continue;
-                    };
-                    tried.push(Arc::clone(&choice.target.id));
-                    let attempt = self.attempt(&choice, until, tried.len() > 1).await;
-                    series.ended(attempt.ending);
-                    answer = attempt.reply.or(answer);
-                }
             }
         }
     }
 
-    async fn attempt(&self, choice: &Choice, until: Duration, again: bool) -> Attempt {
+    fn pay(&self, now: Duration) -> bool {
+        self.shared.budgets.withdraw(&self.service, self.shared.share(), now)
+    }
+
+    /// Chooses a target that was not tried yet.
+    fn place(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
+        let may_test = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
+        let choice = self.shared.begin(&self.service, tried, may_test)?;
+        tried.push(Arc::clone(&choice.target.id));
+        Some(choice)
+    }
+
+    async fn attempt(&self, choice: Choice) -> Attempt {
         let target = &choice.target;
         let began = self.shared.clock.now();
         let mut begun = Begun { shared: self.shared, target, verdict: None };
-        let send = self.send(target, again);
-        let limit = self.shared.clock.instant(until);
-        let mut attempt = match time::timeout_at(limit, send).await {
+        let limit = self.shared.clock.instant(self.deadline);
+        let mut attempt = match time::timeout_at(limit, self.send(target)).await {
             Ok(attempt) => attempt,
             Err(_) => {
                 Attempt { ending: Ending::TimedOut, reply: None, verdict: Some(Verdict::Silent) }
@@ -202,14 +224,12 @@
     }
 
     /// Sends the request to one target and takes its answer.
-    async fn send(&self, target: &Target, again: bool) -> Attempt {
+    async fn send(&self, target: &Target) -> Attempt {
         let Some(request) = self.request(target) else {
             return Attempt { ending: Ending::Broken, reply: None, verdict: None };
         };
-        let idle_limit = match (self.route.idempotent, again) {
-            (true, false) => REPEATABLE_IDLE_LIMIT,
-            _ => ONCE_IDLE_LIMIT,
-        };
+        let idle_limit =
+            if self.route.idempotent { REPEATABLE_IDLE_LIMIT } else { ONCE_IDLE_LIMIT };
         let kept = self.shared.pool.take(&target.id, target.born_ms, idle_limit).await;
         let channel = match kept {
             Some(channel) => channel,
--- a/crates/citron-proxy/src/carry.rs
+++ b/crates/citron-proxy/src/carry.rs
@@ -78,6 +78,7 @@
         let mut answer = None;
         loop {
             match series.next(self.shared.clock.now(), || service.budget.withdraw()) {
+                Step::Wait => unreachable!("attempts are made one after the other here"),
                 Step::Claim => tokio::select! {
                     claim = self.claim() => series.claimed(claim),
                     () = &mut gone => series.caller_gone(),
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -124,6 +124,8 @@
         /// True if it must use a connection that no earlier attempt has used.
         fresh: bool,
     },
+    /// Wait for the attempt under way, then call [`Series::ended`].
+    Wait,
     /// Pass the last attempt's answer on.
     Answer,
     /// Tell the caller that there is no answer.
@@ -144,7 +146,7 @@
     rules: Rules,
     claim: Option<Claim>,
     endings: SmallVec<[Ending; 4]>,
-    sending: bool,
+    under_way: u32,
     stop: Option<Cause>,
     repeatable: bool,
 }
@@ -157,7 +159,7 @@
             rules,
             claim: None,
             endings: SmallVec::new(),
-            sending: false,
+            under_way: 0,
             stop: None,
             repeatable: true,
         }
@@ -167,10 +169,12 @@
     ///
     /// An attempt that never reached its target is repeated without payment.
     pub fn next(&mut self, now: Duration, pay: impl FnOnce() -> bool) -> Step {
-        assert!(!self.sending, "an attempt must end before the next step");
         if self.endings.last() == Some(&Ending::Answered) {
             return Step::Answer;
         }
+        if self.under_way > 0 && self.stop != Some(Cause::CallerGone) {
+            return Step::Wait;
+        }
         if let Some(cause) = self.stop {
             return if cause == Cause::CallerGone { self.refuse(cause) } else { self.give_up(cause) };
         }
@@ -193,6 +197,14 @@
         self.send(now)
     }
 
+    /// Begins a further attempt beside the one under way, if the request can be repeated and `pay`
+    /// takes the repetition from a budget.
+    pub fn hedge(&mut self, now: Duration, pay: impl FnOnce() -> bool) -> Option<Step> {
+        assert!(self.under_way > 0, "an attempt must be under way to be hedged");
+        let may = self.rules.idempotent && self.stop.is_none() && now < self.rules.deadline;
+        if may && self.may_repeat() && pay() { Some(self.send(now)) } else { None }
+    }
+
     /// Takes the answer to the claim that [`Step::Claim`] asked for.
     pub fn claimed(&mut self, claim: Claim) {
         assert!(self.rules.keyed, "a request without a key must not claim one");
@@ -202,15 +214,18 @@
 
     /// Takes how the attempt ended that [`Step::Send`] asked for.
     pub fn ended(&mut self, ending: Ending) {
-        assert!(self.sending, "an attempt must start before it ends");
-        self.sending = false;
+        assert!(self.under_way > 0, "an attempt must start before it ends");
+        self.under_way -= 1;
         self.endings.push(ending);
     }
 
     /// Takes that the attempt that [`Step::Send`] asked for was not made, as no target could take it.
     pub fn unplaced(&mut self) {
-        assert!(self.sending, "an attempt must start before it is given up");
-        self.sending = false;
+        assert!(self.under_way > 0, "an attempt must start before it is given up");
+        self.under_way -= 1;
+        if self.under_way > 0 {
+            return;
+        }
         self.stop = Some(self.endings.last().map_or(Cause::NoCapacity, |&last| cause_of(last)));
     }
 
@@ -221,7 +236,7 @@
 
     /// Takes that the caller went away; an attempt under way ends as unknown.
     pub fn caller_gone(&mut self) {
-        if self.sending {
+        while self.under_way > 0 {
             self.ended(Ending::TimedOut);
         }
         self.stop = Some(Cause::CallerGone);
@@ -229,7 +244,8 @@
 
     /// Returns the number of attempts so far that may have reached a target.
     pub fn attempts(&self) -> u32 {
-        self.endings.iter().filter(|&&ending| ending != Ending::NotConnected).count() as u32
+        let ended = self.endings.iter().filter(|&&ending| ending != Ending::NotConnected);
+        ended.count() as u32 + self.under_way
     }
 
     /// Passes the target's own failure on if that is how the last attempt ended.
@@ -239,7 +255,7 @@
 
     fn may_repeat(&self) -> bool {
         let safe = self.rules.idempotent || self.is_not_run();
-        let unsent = self.endings.len() as u32 - self.attempts();
+        let unsent = self.endings.iter().filter(|&&e| e == Ending::NotConnected).count() as u32;
         safe && self.repeatable && self.attempts() < self.rules.attempts && unsent <= UNSENT_LIMIT
     }
 
@@ -258,13 +274,13 @@
             "a request with a key must own it before it is sent"
         );
         assert!(self.attempts() < self.rules.attempts, "the attempts must stay within the limit");
-        self.sending = true;
+        self.under_way += 1;
         Step::Send { until: self.attempt_end(now), fresh: self.needs_fresh_connection() }
     }
 
     /// Leaves an idempotent request time for another attempt if this one's connection is silent.
     fn attempt_end(&self, now: Duration) -> Duration {
-        let is_last = self.attempts() + 1 == self.rules.attempts;
+        let is_last = self.attempts() >= self.rules.attempts;
         if !self.rules.idempotent || !self.repeatable || is_last {
             return self.rules.deadline;
         }
--- a/crates/citron/tests/attempt.rs
+++ b/crates/citron/tests/attempt.rs
@@ -226,6 +226,7 @@
                 }
                 if rng.random_ratio(1, 20) { series.caller_gone() } else { series.ended(ending) }
             }
+            Step::Wait => unreachable!("no attempt is under way here"),
             Step::Answer => {
                 assert!(answered, "only an answer can be passed on");
                 break;
