--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -6,7 +6,7 @@
 use citron::{
     attempt::{Ending, Rules, Series, Step},
     catalog::Target,
-    gray::{Choice, Verdict},
+    gray::{Choice, Demand, Verdict},
     route::Route,
 };
 use citron_adapter::header;
@@ -70,13 +70,18 @@
 /// Tells the shared state of an attempt's end, also if the attempt is dropped.
 struct Begun<'a> {
     shared: &'a Shared,
-    target: &'a Target,
+    choice: &'a Choice,
+    /// From when on it is overdue.
+    overdue_at: Duration,
     verdict: Option<Verdict>,
+    ended: bool,
 }
 
 impl Drop for Begun<'_> {
     fn drop(&mut self) {
-        self.shared.end(self.target, self.verdict);
+        let overdue = !self.ended && self.choice.was_free() && self.shared.clock.now() > self.overdue_at;
+        let verdict = if overdue { Some(Verdict::Overdue) } else { self.verdict };
+        self.shared.end(&self.choice.target, verdict);
     }
 }
 
@@ -152,11 +157,8 @@
                     }
                     () = time::sleep_until(self.shared.clock.instant(hedge_at)) => {
                         hedge_at = Duration::MAX / 4;
-                        if series.hedge(self.shared.clock.now(), || self.pay(now)).is_some() {
-                            match self.place(&mut tried) {
-                                Some(choice) => attempts.push(self.attempt(choice)),
-                                None => series.unplaced(),
-                            }
+                        if let Some(choice) = self.hedge(&mut series, &mut tried) {
+                            attempts.push(self.attempt(choice));
                         }
                     }
                 },
@@ -184,7 +186,20 @@
     /// Chooses a target that was not tried yet.
     fn place(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
         let may_test = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
-        let choice = self.shared.begin(&self.service, tried, may_test)?;
+        let demand = if may_test { Demand::Test } else { Demand::Any };
+        let choice = self.shared.begin(&self.service, tried, demand)?;
+        tried.push(Arc::clone(&choice.target.id));
+        Some(choice)
+    }
+
+    /// Chooses a free target for an attempt beside an overdue one, if that may be repeated.
+    fn hedge(&self, series: &mut Series, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
+        let choice = self.shared.begin(&self.service, tried, Demand::Free)?;
+        let now = self.shared.clock.now();
+        if series.hedge(now, || self.pay(now)).is_none() {
+            self.shared.end(&choice.target, None);
+            return None;
+        }
         tried.push(Arc::clone(&choice.target.id));
         Some(choice)
     }
@@ -192,7 +207,13 @@
     async fn attempt(&self, choice: Choice) -> Attempt {
         let target = &choice.target;
         let began = self.shared.clock.now();
-        let mut begun = Begun { shared: self.shared, target, verdict: None };
+        let mut begun = Begun {
+            shared: self.shared,
+            choice: &choice,
+            overdue_at: began + self.route.objective.mul_f64(HEDGE_SHARE),
+            verdict: None,
+            ended: false,
+        };
         let limit = self.shared.clock.instant(self.deadline);
         let mut attempt = match time::timeout_at(limit, self.send(target)).await {
             Ok(attempt) => attempt,
@@ -204,17 +225,20 @@
         if attempt.verdict == Some(Verdict::Served) && took > self.route.objective {
             attempt.verdict = Some(Verdict::Late);
         }
-        // A short rest of the caller's time proves nothing about the target.
-        if attempt.ending == Ending::TimedOut && took < self.route.objective.mul_f64(0.75) {
+        // A short rest of the caller's time, or a wait for a slot, proves nothing about the target.
+        let is_fair = choice.was_free() && took > self.route.objective.mul_f64(HEDGE_SHARE);
+        if attempt.ending == Ending::TimedOut && !is_fair {
             attempt.verdict = None;
         }
         begun.verdict = attempt.verdict;
+        begun.ended = true;
         self.shared.metrics.attempt(attempt.ending.into());
         log::info!(
-            "event=attempt id={} target={} sick={:.3} age_ms={} candidates={} ending={} took_ms={}",
+            "event=attempt id={} target={} sick={:.3} busy={} age_ms={} candidates={} ending={} took_ms={}",
             self.id,
             target.id,
             choice.sick,
+            choice.busy,
             choice.age.map_or(-1, |age| age.as_millis() as i64),
             choice.candidates,
             attempt.ending,
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -58,6 +58,7 @@
             .wrap_err("cannot set up the client for peers")?;
         tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket), http));
         tokio::spawn(peer::report(Arc::clone(&shared), Arc::clone(&socket), clock.wall_ms()));
+        tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::tell(Arc::clone(&shared), socket));
         let servers = vec![
             directory::bind(&shared, settings.directory).await?,
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -10,7 +10,7 @@
 
 use citron::{
     gateways::{Gateway, Report},
-    gray::Verdict,
+    gray::{self, Verdict},
 };
 use prost::Message;
 use rand::seq::IteratorRandom;
@@ -23,6 +23,12 @@
 const REPORT_GAP: Duration = Duration::from_millis(1000);
 /// How long outcomes wait for others to go with them.
 const NEWS_GAP: Duration = Duration::from_millis(5);
+/// The time between two reports of a load that changes, to gateways of the same failure domain.
+const LOAD_GAP: Duration = Duration::from_millis(50);
+/// Gateways of other failure domains get each such report after so many.
+const LOAD_FAR_EVERY: u32 = 2;
+/// A load that does not change is reported again after so many gaps.
+const LOAD_REPEAT_EVERY: u32 = 10;
 /// The most gateways that one datagram is sent to.
 const FANOUT: usize = 64;
 /// The most outcomes in one datagram.
@@ -100,6 +106,40 @@
     }
 }
 
+/// Tells the peers of this gateway's requests at targets while they change.
+pub async fn report_load(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let (host, domain) = (shared.settings().host.clone(), shared.settings().domain.clone());
+    let mut sent = [gray::Load::new(), gray::Load::new()];
+    for tick in 0_u32.. {
+        time::sleep(LOAD_GAP).await;
+        let load = shared.targets.lock().view.load();
+        let repeat = tick % LOAD_REPEAT_EVERY == 0 && !load.is_empty();
+        let far = tick % LOAD_FAR_EVERY == 0 && (load != sent[1] || repeat);
+        let near = load != sent[0] || repeat;
+        if !near && !far {
+            continue;
+        }
+        let datagram = Datagram { host: host.clone(), load: Some(encode_load(&load)), ..Datagram::default() };
+        let bytes = datagram.encode_to_vec();
+        let wanted = |gateway: &Gateway| {
+            let is_near = gateway.report.as_ref().is_some_and(|r| *r.domain == *domain);
+            if is_near { near } else { far }
+        };
+        for address in receivers(&shared, wanted) {
+            send(&shared, &socket, &bytes, address).await;
+        }
+        if far {
+            sent[1] = load.clone();
+        }
+        sent[0] = load;
+    }
+}
+
+fn encode_load(load: &gray::Load) -> message::Load {
+    let (keys, counts) = load.iter().copied().unzip();
+    message::Load { keys, counts }
+}
+
 async fn take(
     shared: &Arc<Shared>,
     socket: &UdpSocket,
@@ -112,6 +152,11 @@
     }
     let now = shared.clock.now();
     hear_outcomes(shared, &datagram.outcomes, now);
+    if let Some(load) = &datagram.load {
+        let host = Arc::from(datagram.host.as_str());
+        let load = load.keys.iter().copied().zip(load.counts.iter().copied()).collect();
+        shared.targets.lock().view.hear_load(&host, load, now);
+    }
     for known in &datagram.known {
         if let Ok(address) = known.address.parse()
             && known.host != shared.settings().host
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -20,6 +20,20 @@
     /// Other gateways that the sender knows.
     #[prost(message, repeated, tag = "4")]
     pub known: Vec<Known>,
+    /// The sender's requests at targets; replaces what it reported before.
+    #[prost(message, optional, tag = "5")]
+    pub load: Option<Load>,
+}
+
+/// The requests of a gateway at targets: keys and counts in the same order.
+#[derive(Clone, PartialEq, Message)]
+pub struct Load {
+    /// The targets' keys.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub keys: Vec<u32>,
+    /// The requests at each.
+    #[prost(uint32, repeated, tag = "2")]
+    pub counts: Vec<u32>,
 }
 
 /// The state of a gateway.
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -13,7 +13,7 @@
     attempt::Share,
     catalog::{Catalog, Change, Snapshot, Target},
     gateways::Gateways,
-    gray::{Choice, Verdict, View},
+    gray::{Choice, Demand, Verdict, View},
     home,
     route::{Route, Split, Table},
 };
@@ -176,16 +176,16 @@
     }
 
     /// Chooses a target for an attempt and counts it as begun.
-    pub fn begin(&self, service: &str, tried: &[Arc<str>], may_test: bool) -> Option<Choice> {
+    pub fn begin(&self, service: &str, tried: &[Arc<str>], demand: Demand) -> Option<Choice> {
         let now = self.clock.now();
-        let testers = if may_test { self.live_hosts(now) } else { Vec::new() };
+        let testers = if demand.tests() { self.live_hosts(now) } else { Vec::new() };
         let own = self.settings().host.clone();
         let is_tester = |id: &str| {
             let best = testers.iter().max_by_key(|host| home::weight(&[id], host));
             best.is_none_or(|best| home::weight(&[id], best) <= home::weight(&[id], &own))
         };
         let Targets { catalog, view, rng } = &mut *self.targets.lock();
-        view.begin(catalog, service, tried, may_test, is_tester, rng, now)
+        view.begin(catalog, service, tried, demand, is_tester, rng, now)
     }
 
     /// Takes how an attempt ended and tells the peers what they should know.
@@ -268,6 +268,7 @@
 
     /// Drops the entries that were only held after an outage and whose time is over.
     pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+        self.view.expire(now);
         let over = self.catalog.expire(now);
         if !over.is_empty() {
             self.forget_unlisted();
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -9,8 +9,8 @@
 mod view;
 
 pub use self::{
-    choice::{Candidate, choose},
-    view::{Choice, View},
+    choice::{Candidate, Demand, choose},
+    view::{Choice, Key, Load, View},
 };
 
 use std::time::Duration;
@@ -49,6 +49,8 @@
     Silent = 5,
     /// No connection could be made.
     Unreachable = 6,
+    /// Another target answered first, although this one had a slot free and much time.
+    Overdue = 7,
 }
 
 impl Verdict {
@@ -56,7 +58,9 @@
     fn ratio(self) -> f64 {
         match self {
             Self::Served => 0.25,
-            Self::Late => 2.0,
+            // Mostly a matter of load, which is reported by itself.
+            Self::Late => 1.0,
+            Self::Overdue => 4.0,
             Self::Failed => 45.0,
             Self::Shed => 4.0,
             Self::Silent => 20.0,
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -6,8 +6,10 @@
 
 /// The cost of a failed request, the unit of all costs here.
 const FAILURE_COST: f64 = 1.0;
-/// The cost of a full set of slots taken by this gateway's own requests.
-const LOAD_COST: f64 = 0.25;
+/// The cost of a target whose slots are all taken but the last.
+const LOAD_COST: f64 = 0.05;
+/// The cost of waiting for a slot, for each request ahead and slot.
+const QUEUE_COST: f64 = 0.35;
 /// The cost of crossing to another failure domain.
 const DOMAIN_COST: f64 = 0.04;
 /// The cost of a target that is slow after its start.
@@ -24,8 +26,10 @@
 pub struct Candidate {
     /// The probability that it is sick or out of reach.
     pub sick: f64,
-    /// This gateway's requests at it, and its slots.
+    /// The requests that all gateways have at it, and its slots.
     pub load: (u32, u32),
+    /// This gateway's own requests at it.
+    pub own: u32,
     /// Whether it is in this gateway's failure domain.
     pub near: bool,
     /// Whether it is slow after its start.
@@ -38,12 +42,32 @@
     pub due: bool,
 }
 
+/// What an attempt asks of its target.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Demand {
+    /// Any target.
+    Any,
+    /// Any target, also a suspected one whose test is due: the request can be repeated elsewhere,
+    /// and only its outcome tells whether the target has recovered.
+    Test,
+    /// Only a target with a slot free that is not suspected.
+    Free,
+}
+
+impl Demand {
+    /// Returns true if the attempt may test a suspected target.
+    pub fn tests(self) -> bool {
+        self == Self::Test
+    }
+}
+
 impl Candidate {
     fn cost(&self) -> f64 {
-        let (busy, slots) = self.load;
-        let load = f64::from(busy) / f64::from(slots.max(1));
+        let (busy, slots) = (f64::from(self.load.0), f64::from(self.load.1.max(1)));
+        let ahead = (busy + 1.0 - slots).max(0.0);
         self.sick * FAILURE_COST
-            + load * LOAD_COST
+            + busy / slots * LOAD_COST
+            + ahead / slots * QUEUE_COST
             + if self.near { 0.0 } else { DOMAIN_COST }
             + if self.warming { WARMUP_COST } else { 0.0 }
             + if self.lapsed { LAPSED_COST } else { 0.0 }
@@ -51,17 +75,16 @@
     }
 }
 
-/// Returns the index of the candidate to send to, or `None` if there is none.
-///
-/// With `may_test`, a suspected target whose test is due goes first: the request can be repeated
-/// elsewhere, and only its outcome tells whether the target has recovered.
-pub fn choose(candidates: &[Candidate], may_test: bool, rng: &mut impl Rng) -> Option<usize> {
-    if may_test {
-        let due = candidates.iter().position(|c| c.due && c.sick > SUSPECT && c.load.0 == 0);
+/// Returns the index of the candidate to send to, or `None` if none meets the demand.
+pub fn choose(candidates: &[Candidate], demand: Demand, rng: &mut impl Rng) -> Option<usize> {
+    if demand.tests() {
+        let due = candidates.iter().position(|c| c.due && c.sick > SUSPECT && c.own == 0);
         if due.is_some() {
             return due;
         }
     }
-    let costs = candidates.iter().map(|c| c.cost() + rng.random_range(0.0..JITTER));
-    costs.enumerate().min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
+    let meets = |c: &Candidate| demand != Demand::Free || (c.load.0 < c.load.1 && c.sick < SUSPECT);
+    let meeting = candidates.iter().enumerate().filter(|(_, candidate)| meets(candidate));
+    let costs = meeting.map(|(index, c)| (index, c.cost() + rng.random_range(0.0..JITTER)));
+    costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
 }
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -4,7 +4,10 @@
 
 use rand::Rng;
 
-use super::{Belief, Candidate, NEWSWORTHY, Verdict, choose};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Belief, Candidate, Demand, NEWSWORTHY, Verdict, choose};
 use crate::catalog::{Catalog, Target};
 
 /// How long a target that shed is held back.
@@ -12,11 +15,21 @@
 /// The time between two tests of a suspected target.
 const TEST_GAP: Duration = Duration::from_millis(1000);
 
+/// How long another gateway's load counts without a new report.
+const LOAD_FRESH: Duration = Duration::from_millis(1200);
+
+/// A target's identity as load reports carry it.
+pub type Key = u32;
+
+/// Requests of one gateway at targets, as it reports them.
+pub type Load = SmallVec<[(Key, u32); 16]>;
+
 /// What is known about the targets besides their entries.
 #[derive(Debug)]
 pub struct View {
     domain: Arc<str>,
     states: HashMap<Arc<str>, State>,
+    loads: HashMap<Arc<str>, (Duration, Load)>,
 }
 
 #[derive(Debug)]
@@ -44,24 +57,38 @@
     pub age: Option<Duration>,
     /// The number of targets that it was chosen from.
     pub candidates: usize,
+    /// The requests at the target that all gateways report.
+    pub busy: u32,
+}
+
+impl Choice {
+    /// Returns true if the target had a slot free, as far as is known.
+    pub fn was_free(&self) -> bool {
+        self.busy < self.target.slots
+    }
+}
+
+/// Returns a target's identity for load reports.
+pub fn key(id: &str) -> Key {
+    xxh3_64(id.as_bytes()) as Key
 }
 
 impl View {
     /// Creates the view of a gateway in `domain`.
     pub fn new(domain: &str) -> Self {
-        Self { domain: Arc::from(domain), states: HashMap::new() }
+        Self { domain: Arc::from(domain), states: HashMap::new(), loads: HashMap::new() }
     }
 
     /// Chooses a target of `service` that is not in `tried` and counts the attempt as begun.
     ///
-    /// With `may_test`, a suspected target is chosen when its test is due and `is_tester` says
-    /// that this gateway tests it.
+    /// A request that may test is sent to a suspected target when its test is due and `is_tester`
+    /// says that this gateway tests it.
     pub fn begin(
         &mut self,
         catalog: &Catalog,
         service: &str,
         tried: &[Arc<str>],
-        may_test: bool,
+        demand: Demand,
         is_tester: impl Fn(&str) -> bool,
         rng: &mut impl Rng,
         now: Duration,
@@ -74,11 +101,11 @@
         let candidates: Vec<Candidate> = targets
             .iter()
             .map(|target| {
-                let due = may_test && self.is_due(target, now) && is_tester(&target.id);
+                let due = demand.tests() && self.is_due(target, now) && is_tester(&target.id);
                 self.candidate(catalog, target, due, now)
             })
             .collect();
-        let index = choose(&candidates, may_test, rng)?;
+        let index = choose(&candidates, demand, rng)?;
         let state = self.state(targets[index], now);
         state.busy += 1;
         if candidates[index].due {
@@ -89,6 +116,7 @@
             sick: candidates[index].sick,
             age: state.belief.age(now),
             candidates: candidates.len(),
+            busy: candidates[index].load.0,
         })
     }
 
@@ -97,7 +125,9 @@
     pub fn end(&mut self, target: &Target, verdict: Option<Verdict>, now: Duration) -> bool {
         let state = self.state(target, now);
         state.busy = state.busy.saturating_sub(1);
-        let Some(verdict) = verdict else { return false };
+        let Some(verdict) = verdict.filter(|&verdict| verdict != Verdict::Late) else {
+            return false;
+        };
         if verdict.is_about_path() || verdict == Verdict::Served {
             state.path.observe(verdict, 1.0, now);
         }
@@ -113,13 +143,27 @@
     pub fn hear(&mut self, target: &Target, verdict: Verdict, now: Duration) {
         let weight = match verdict {
             Verdict::Served | Verdict::Failed => 1.0,
-            Verdict::Late | Verdict::Shed => 0.5,
+            Verdict::Late => return,
+            Verdict::Shed | Verdict::Overdue => 0.5,
             // May come from the other gateway's path.
             Verdict::Silent | Verdict::Unreachable => 0.4,
         };
         self.state(target, now).observe(verdict, weight, now);
     }
 
+    /// Takes the requests that another gateway has at targets.
+    pub fn hear_load(&mut self, host: &Arc<str>, load: Load, now: Duration) {
+        self.loads.insert(Arc::clone(host), (now, load));
+    }
+
+    /// Returns this gateway's requests at targets.
+    pub fn load(&self) -> Load {
+        let busy = self.states.iter().filter(|(_, state)| state.busy > 0);
+        let mut load: Load = busy.map(|(id, state)| (key(id), state.busy)).collect();
+        load.sort_unstable();
+        load
+    }
+
     /// Takes that another target answered at the address of `target`.
     pub fn misplace(&mut self, target: &Target, now: Duration) {
         self.state(target, now).misplaced = true;
@@ -130,6 +174,11 @@
         self.states.retain(|id, state| state.busy > 0 || catalog.get(id).is_some());
     }
 
+    /// Forgets the loads that have not been reported again.
+    pub fn expire(&mut self, now: Duration) {
+        self.loads.retain(|_, (at, _)| now.saturating_sub(*at) < LOAD_FRESH);
+    }
+
     /// Returns the probability that a target is sick or out of reach.
     pub fn sick(&self, id: &str, now: Duration) -> f64 {
         self.states.get(id).map_or(0.0, |state| state.sick(now))
@@ -141,11 +190,19 @@
         state.belief.age(now).is_none_or(|age| age >= TEST_GAP) && state.tested_at.is_none_or(gap)
     }
 
+    /// Returns the requests that other gateways have at a target.
+    fn elsewhere(&self, id: &str, now: Duration) -> u32 {
+        let key = key(id);
+        let fresh = self.loads.values().filter(|(at, _)| now.saturating_sub(*at) < LOAD_FRESH);
+        fresh.flat_map(|(_, load)| load).filter(|(k, _)| *k == key).map(|(_, busy)| busy).sum()
+    }
+
     fn candidate(&self, catalog: &Catalog, target: &Target, due: bool, now: Duration) -> Candidate {
         let state = self.states.get(&target.id).filter(|s| s.born_ms == target.born_ms);
         Candidate {
             sick: state.map_or_else(|| Belief::new(now).sick(now), |state| state.sick(now)),
-            load: (state.map_or(0, |state| state.busy), target.slots),
+            load: (state.map_or(0, |s| s.busy) + self.elsewhere(&target.id, now), target.slots),
+            own: state.map_or(0, |state| state.busy),
             near: target.domain == self.domain,
             warming: target.warmup_ms > 0,
             lapsed: catalog.is_lapsed(&target.id),
