--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -46,7 +46,10 @@
 /// What is read next.
 enum Reading {
     Head,
-    Body { head: Box<Head>, decoder: Decoder },
+    Body {
+        head: Box<Head>,
+        decoder: Decoder,
+    },
     /// Nothing more: an answer closes the connection.
     Nothing,
 }
--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -27,6 +27,8 @@
 
 /// How long connecting to a target may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// The most attempts of one request that may fail to connect.
+const UNCONNECTED_LIMIT: u32 = 4;
 /// An answer up to this size is held until it is whole, so that a broken one can be repeated.
 const HOLD_LIMIT_BYTES: usize = 64 * 1024;
 /// The longest idle time of a connection that a request which must not be repeated may use.
@@ -79,7 +81,8 @@
 
 impl Drop for Begun<'_> {
     fn drop(&mut self) {
-        let overdue = !self.ended && self.choice.was_free() && self.shared.clock.now() > self.overdue_at;
+        let overdue =
+            !self.ended && self.choice.was_free() && self.shared.clock.now() > self.overdue_at;
         let verdict = if overdue { Some(Verdict::Overdue) } else { self.verdict };
         self.shared.end(&self.choice.target, verdict);
     }
@@ -137,6 +140,7 @@
             keyed: false,
             deadline: self.deadline,
             attempts: self.route.attempts,
+            unconnected: UNCONNECTED_LIMIT,
         });
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut attempts = FuturesUnordered::new();
@@ -307,7 +311,9 @@
     async fn receive(&self, target: &Target, response: Response<Exchange>) -> Attempt {
         let (head, mut exchange) = response.into_parts();
         let attempt = |ending, verdict| Attempt { ending, reply: None, verdict: Some(verdict) };
-        if head.headers.contains_key(header::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST {
+        if head.headers.contains_key(header::NOT_RUN)
+            || head.status == StatusCode::MISDIRECTED_REQUEST
+        {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 self.shared.targets.lock().view.misplace(target, self.shared.clock.now());
             }
@@ -365,7 +371,8 @@
 }
 
 fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let kept = headers.iter().filter(|(name, _)| !is_hop(name, headers) && **name != CONTENT_LENGTH);
+    let kept =
+        headers.iter().filter(|(name, _)| !is_hop(name, headers) && **name != CONTENT_LENGTH);
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
@@ -375,7 +382,9 @@
         return true;
     }
     let named = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    named.flat_map(|value| value.split(',')).any(|part| part.trim().eq_ignore_ascii_case(name.as_str()))
+    named
+        .flat_map(|value| value.split(','))
+        .any(|part| part.trim().eq_ignore_ascii_case(name.as_str()))
 }
 
 /// Returns the idle time that a target promises.
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -53,7 +53,9 @@
                 let mut known = shared.gateways.lock();
                 for (other, address) in gateways::decode_list(&list.objects) {
                     if other != host && known.learn(&other, address, now) {
-                        log::info!("event=gateway-learned host={other} address={address} source=store");
+                        log::info!(
+                            "event=gateway-learned host={other} address={address} source=store"
+                        );
                     }
                 }
                 drop(known);
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The running gateway.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use citron::leave::{Action, Departure};
 use citron_adapter::{settings::Settings, store::Store};
@@ -26,7 +26,7 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     accept: JoinHandle<()>,
-    servers: Vec<Server>,
+    servers: [Server; 3],
 }
 
 impl Gateway {
@@ -37,8 +37,6 @@
     pub async fn bind(settings: Settings, clock: Clock) -> eyre::Result<Self> {
         let metrics = Metrics::open().wrap_err("cannot set up the metrics")?;
         let store = Store::open(settings.store).wrap_err("cannot set up the store's client")?;
-        let shared = Arc::new(Shared::new(settings, clock, metrics, rand::random()));
-        let settings = shared.settings();
         let listener = TcpListener::bind(settings.callers)
             .await
             .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
@@ -46,6 +44,14 @@
             .await
             .wrap_err("cannot bind the socket for peers")?;
         let own = socket.local_addr().wrap_err("cannot tell the socket's address")?;
+        let callers = listener.local_addr().wrap_err("cannot tell the listener's address")?;
+        let addresses = settings.clone();
+        let settings = Settings { callers, ..settings };
+        let shared = Arc::new(Shared::new(settings, clock, metrics, rand::random()));
+        let directory = directory::bind(&shared, addresses.directory).await?;
+        let ready = directory::bind_ready(&shared, addresses.ready).await?;
+        let peers = directory::bind_peers(&shared, addresses.peers).await?;
+        shared.listen_at(directory.addr(), ready.addr(), peers.addr());
         tokio::spawn(follow::routes(Arc::clone(&shared), store.clone()));
         tokio::spawn(follow::targets(Arc::clone(&shared), store.clone()));
         tokio::spawn(follow::gateways(Arc::clone(&shared), store, own));
@@ -60,14 +66,24 @@
         tokio::spawn(peer::report(Arc::clone(&shared), Arc::clone(&socket), clock.wall_ms()));
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::tell(Arc::clone(&shared), socket));
-        let servers = vec![
-            directory::bind(&shared, settings.directory).await?,
-            directory::bind_ready(&shared, settings.ready).await?,
-            directory::bind_peers(&shared, settings.peers).await?,
-        ];
         reload::spawn(Arc::clone(&shared)).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
-        Ok(Self { shared, accept, servers })
+        Ok(Self { shared, accept, servers: [directory, ready, peers] })
+    }
+
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.shared.settings().callers
+    }
+
+    /// Returns where callers ask which address to use.
+    pub fn directory(&self) -> SocketAddr {
+        self.shared.settings().directory
+    }
+
+    /// Returns where the platform asks whether the gateway is ready.
+    pub fn ready(&self) -> SocketAddr {
+        self.shared.settings().ready
     }
 
     /// Leaves: callers are sent elsewhere, all that was read is answered, then all sockets close.
--- a/crates/citron-gateway/src/http1/head.rs
+++ b/crates/citron-gateway/src/http1/head.rs
@@ -3,7 +3,9 @@
 use bytes::{Buf, BytesMut};
 use hyper::{
     HeaderMap, Method, Uri,
-    header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING},
+    header::{
+        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING,
+    },
 };
 
 use super::Fault;
@@ -72,7 +74,7 @@
         let (Ok(name), Ok(value)) = (name, value) else { return Err(Fault::Malformed) };
         headers.append(name, value);
     }
-    if headers.get_all(HOST).iter().count() != 1 || !target.path().starts_with('/') {
+    if headers.get_all(HOST).iter().count() != 1 || !is_origin_form(&target) {
         return Err(Fault::Malformed);
     }
     let closes = has_token(&headers, "close");
@@ -82,6 +84,10 @@
     Ok(Head { length: framing(&headers)?, method, target, headers, keep_alive, expects_continue })
 }
 
+fn is_origin_form(target: &Uri) -> bool {
+    target.authority().is_none() && target.path().starts_with('/')
+}
+
 /// Returns how the body is framed; two framings at once could hide a second request.
 fn framing(headers: &HeaderMap) -> Result<Length, Fault> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
--- a/crates/citron-gateway/src/main.rs
+++ b/crates/citron-gateway/src/main.rs
@@ -65,9 +65,9 @@
         }
     }
     let level = level.as_deref().unwrap_or("info");
-    let level = level
-        .parse()
-        .wrap_err_with(|| format!("{level:?} is not a log level; use off, error, warn, info, debug or trace"))?;
+    let level = level.parse().wrap_err_with(|| {
+        format!("{level:?} is not a log level; use off, error, warn, info, debug or trace")
+    })?;
     Ok(Command::Run(level))
 }
 
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -94,7 +94,9 @@
         time::sleep(NEWS_GAP).await;
         let outcomes = std::mem::take(&mut *shared.news.lock());
         let now = shared.clock.now();
-        let alive = receivers(&shared, |gateway| gateway.report.is_some() && gateway.heard_at + REPORT_GAP * 10 > now);
+        let alive = receivers(&shared, |gateway| {
+            gateway.report.is_some() && gateway.heard_at + REPORT_GAP * 10 > now
+        });
         for part in outcomes.chunks(OUTCOMES_LIMIT) {
             let datagram =
                 Datagram { host: host.clone(), outcomes: part.to_vec(), ..Datagram::default() };
@@ -119,7 +121,8 @@
         if !near && !far {
             continue;
         }
-        let datagram = Datagram { host: host.clone(), load: Some(encode_load(&load)), ..Datagram::default() };
+        let datagram =
+            Datagram { host: host.clone(), load: Some(encode_load(&load)), ..Datagram::default() };
         let bytes = datagram.encode_to_vec();
         let wanted = |gateway: &Gateway| {
             let is_near = gateway.report.as_ref().is_some_and(|r| *r.domain == *domain);
@@ -210,7 +213,10 @@
         let chosen = gateways.iter().choose_multiple(&mut rand::rng(), KNOWN_LIMIT);
         chosen
             .into_iter()
-            .map(|(host, gateway)| Known { host: host.to_string(), address: gateway.address.to_string() })
+            .map(|(host, gateway)| Known {
+                host: host.to_string(),
+                address: gateway.address.to_string(),
+            })
             .collect()
     };
     let host = shared.settings().host.clone();
--- a/crates/citron-gateway/src/reload.rs
+++ b/crates/citron-gateway/src/reload.rs
@@ -29,7 +29,10 @@
         match Settings::read() {
             Ok(settings) => take(&shared, settings, signalled),
             Err(error) if signalled => {
-                log::error!("event=reload-failed reason={:?} kept=the-settings-in-force", error.to_string());
+                log::error!(
+                    "event=reload-failed reason={:?} kept=the-settings-in-force",
+                    error.to_string()
+                );
             }
             Err(error) => log::debug!("event=reload-failed reason={:?}", error.to_string()),
         }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -111,6 +112,12 @@
         Arc::clone(&self.settings.read())
     }
 
+    /// Takes the addresses that were bound, where the settings left the port to the system.
+    pub fn listen_at(&self, directory: SocketAddr, ready: SocketAddr, peers: SocketAddr) {
+        let mut settings = self.settings.write();
+        *settings = Arc::new(Settings { directory, ready, peers, ..(**settings).clone() });
+    }
+
     /// Returns the routes in force, if any are known.
     pub fn routes(&self) -> Option<Arc<Table>> {
         self.routes.read().clone()
@@ -197,10 +204,7 @@
             (news, targets.view.sick(&target.id, now))
         };
         let Some(verdict) = verdict.filter(|_| news) else { return };
-        log::info!(
-            "event=belief target={} verdict={verdict} sick={sick:.3} source=own",
-            target.id
-        );
+        log::info!("event=belief target={} verdict={verdict} sick={sick:.3} source=own", target.id);
         let mut waiting = self.news.lock();
         if waiting.len() >= NEWS_LIMIT {
             self.metrics.news_dropped.inc();
--- /dev/null
+++ b/crates/citron-gateway/tests/request.rs
@@ -0,0 +1,175 @@
+//! What callers may send, and what reaches the target of it.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{Request, World, lookup, order, target::Act};
+use tokio::time;
+
+#[tokio::test]
+async fn a_request_reaches_its_target_unchanged() {
+    let world = World::start(1).await;
+    let mut request = order("id-1");
+    request.extra = "X-Kept: yes\r\nX-Hop: no\r\nConnection: keep-alive, x-hop\r\n";
+    assert_eq!(world.ask(&request).await.status, 200);
+    let seen = &world.targets[0].seen()[0];
+    assert_eq!(seen.first_line, "POST /orders/7 HTTP/1.1");
+    assert_eq!(seen.body, "3 sacks");
+    assert_eq!(seen.headers["host"], "one.example");
+    assert_eq!(seen.headers["attempt-id"], "id-1");
+    assert_eq!(seen.headers["x-kept"], "yes");
+    assert_eq!(seen.headers["expect-instance"], "t0");
+    assert!(!seen.headers.contains_key("x-hop"));
+    let given: u64 = seen.headers["deadline-remaining-ms"].parse().expect("a number");
+    assert!(given <= 1000, "no more than the route's timeout, not {given} ms");
+}
+
+#[tokio::test]
+async fn a_body_in_chunks_reaches_its_target_whole() {
+    let world = World::start(1).await;
+    let mut caller = world.caller().await;
+    caller
+        .send("POST /orders/7 HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: id-1\r\nDeadline-Remaining-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n3 \r\n5;x=1\r\nsacks\r\n0\r\n\r\n")
+        .await;
+    assert_eq!(caller.answer().await.status, 200);
+    assert_eq!(world.targets[0].seen()[0].body, "3 sacks");
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_carried_together_and_answered_in_order() {
+    let world = World::start(3).await;
+    world.targets.iter().for_each(|target| target.set(Act::ServeAfter(100)));
+    let mut caller = world.caller().await;
+    let began = time::Instant::now();
+    let ids = ["id-0", "id-1", "id-2", "id-3", "id-4"];
+    caller.send(&ids.iter().map(|id| lookup(id).text()).collect::<String>()).await;
+    for id in ids {
+        let answer = caller.answer().await;
+        assert_eq!((answer.status, answer.header("attempt-id")), (200, Some(id)));
+    }
+    assert!(began.elapsed() < Duration::from_millis(350), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn what_lies_behind_a_closing_answer_is_not_passed_on() {
+    let world = World::start(1).await;
+    let mut first = lookup("id-1");
+    first.extra = "Connection: close\r\n";
+    let mut caller = world.caller().await;
+    caller.send(&(first.text() + &lookup("id-2").text())).await;
+    let answer = caller.answer().await;
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+    assert!(caller.is_closed().await);
+    assert_eq!(world.targets[0].runs("id-2"), 0);
+}
+
+#[tokio::test]
+async fn a_caller_is_told_to_send_its_body() {
+    let world = World::start(1).await;
+    let mut caller = world.caller().await;
+    let text = order("id-1").text().replace("Host", "Expect: 100-continue\r\nHost");
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head and a body");
+    caller.send(&format!("{head}\r\n\r\n")).await;
+    assert_eq!(caller.answer().await.status, 100);
+    caller.send(body).await;
+    assert_eq!(caller.answer().await.status, 200);
+}
+
+#[tokio::test]
+async fn an_answer_to_head_has_no_body() {
+    let world = World::start(1).await;
+    let request = Request { method: "GET", ..lookup("id-1") };
+    let length = world.ask(&request).await.body.len();
+    assert!(length > 0);
+}
+
+macro_rules! refused {
+    ($name:ident, $text:expr, $status:literal) => {
+        #[tokio::test]
+        async fn $name() {
+            let world = World::start(1).await;
+            let mut caller = world.caller().await;
+            let text: String = $text;
+            caller.send(&text).await;
+            let answer = caller.answer().await;
+            assert_eq!((answer.status, answer.header("connection")), ($status, Some("close")));
+            assert!(caller.is_closed().await);
+            assert!(world.targets[0].seen().is_empty(), "a target ran it");
+        }
+    };
+}
+
+refused!(no_http, "what is this\r\n\r\n".to_owned(), 400);
+refused!(no_host, "GET /lots/1 HTTP/1.1\r\n\r\n".to_owned(), 400);
+refused!(two_hosts, lookup("i").text().replace("Host", "Host: two.example\r\nHost"), 400);
+refused!(
+    two_lengths,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd".to_owned(),
+    400
+);
+refused!(
+    length_and_chunks,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".to_owned(),
+    400
+);
+refused!(
+    unknown_coding,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        .to_owned(),
+    400
+);
+refused!(
+    bad_chunk,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n"
+        .to_owned(),
+    400
+);
+refused!(
+    signed_length,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nContent-Length: +3\r\n\r\nabc".to_owned(),
+    400
+);
+refused!(
+    absolute_path,
+    "GET http://one.example/lots/1 HTTP/1.1\r\nHost: one.example\r\n\r\n".to_owned(),
+    400
+);
+refused!(
+    long_head,
+    format!("GET /lots/1 HTTP/1.1\r\nHost: one.example\r\nX: {}\r\n\r\n", "x".repeat(3000)),
+    431
+);
+refused!(
+    long_body,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nContent-Length: 5000\r\n\r\n".to_owned(),
+    413
+);
+refused!(
+    long_chunks,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: chunked\r\n\r\n2000\r\n"
+        .to_owned(),
+    413
+);
+refused!(slow_head, "GET /lots/1 HTTP/1.1\r\nHost: one".to_owned(), 408);
+
+#[tokio::test]
+async fn a_path_without_a_route_is_not_found() {
+    let world = World::start(1).await;
+    let request = Request { path: "/elsewhere/1", ..lookup("id-1") };
+    let answer = world.ask(&request).await;
+    assert_eq!(answer.status, 404);
+    assert_eq!(answer.header("connection"), None, "the connection stays open");
+}
+
+#[tokio::test]
+async fn an_idle_connection_stays_open_within_the_limit() {
+    let world = World::start(1).await;
+    let mut caller = world.caller().await;
+    caller.send(&lookup("id-1").text()).await;
+    assert_eq!(caller.answer().await.status, 200);
+    time::sleep(Duration::from_millis(2400)).await;
+    caller.send(&lookup("id-2").text()).await;
+    assert_eq!(caller.answer().await.status, 200);
+    assert!(caller.is_closed().await, "and is closed after it");
+}
--- /dev/null
+++ b/crates/citron-gateway/tests/support/store.rs
@@ -0,0 +1,236 @@
+//! A stand-in of the platform's store that speaks its published protocol.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use citron_daemon::Server;
+use parking_lot::Mutex;
+use rocket::{
+    State, delete, get, http::Status, post, put, response::status::Custom, routes,
+    serde::json::Json,
+};
+use serde_json::{Value, json};
+use tokio::{sync::Notify, time};
+
+/// How the store treats all calls.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Mood {
+    Well,
+    /// Refuses with this status.
+    Refusing(u16),
+    /// Answers nothing.
+    Silent,
+}
+
+/// A running store.
+pub struct Store {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    state: Mutex<Contents>,
+    changed: Notify,
+}
+
+struct Contents {
+    revision: u64,
+    oldest: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<(u64, String, Value)>,
+    mood: Mood,
+    calls: u64,
+}
+
+type Answer = Custom<Json<Value>>;
+
+impl Store {
+    pub async fn bind() -> Self {
+        let state = Contents {
+            revision: 3,
+            oldest: 0,
+            objects: BTreeMap::new(),
+            history: Vec::new(),
+            mood: Mood::Well,
+            calls: 0,
+        };
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed: Notify::new() });
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let rocket = rocket::custom(citron_daemon::config(addr))
+            .manage(Arc::clone(&shared))
+            .mount("/v1/objects", routes![list, one, create, replace, remove]);
+        let server = citron_daemon::bind(rocket, addr).await.expect("a store");
+        Self { server, shared }
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Writes an object as its owner does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.shared.state.lock().write(kind, name, spec);
+        self.shared.changed.notify_waiters();
+    }
+
+    pub fn delete(&self, kind: &str, name: &str) {
+        self.shared.state.lock().remove(kind, name);
+        self.shared.changed.notify_waiters();
+    }
+
+    pub fn set(&self, mood: Mood) {
+        self.shared.state.lock().mood = mood;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Discards the history and cuts the watches that wait.
+    pub fn forget_history(&self) {
+        let mut state = self.shared.state.lock();
+        state.oldest = state.revision;
+        state.history.clear();
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.shared.state.lock().calls
+    }
+}
+
+impl Contents {
+    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+        self.revision += 1;
+        let object = json!({
+            "metadata": {"name": name, "revision": self.revision, "createdAt": 1, "finalizers": [], "deleting": false},
+            "spec": spec, "status": null,
+        });
+        self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        let event = json!({"deleted": false, "object": object});
+        self.history.push((self.revision, kind.to_owned(), event));
+        object
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) -> bool {
+        let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return false;
+        };
+        self.revision += 1;
+        let event = json!({"deleted": true, "object": object});
+        self.history.push((self.revision, kind.to_owned(), event));
+        true
+    }
+}
+
+/// Counts a call and treats it by the store's mood.
+async fn admit(shared: &Shared) -> Result<(), Answer> {
+    let mood = {
+        let mut state = shared.state.lock();
+        state.calls += 1;
+        state.mood
+    };
+    match mood {
+        Mood::Well => Ok(()),
+        Mood::Refusing(status) => {
+            Err(Custom(Status::from_code(status).expect("a status"), Json(Value::Null)))
+        }
+        Mood::Silent => {
+            time::sleep(Duration::from_secs(3600)).await;
+            Err(Custom(Status::ServiceUnavailable, Json(Value::Null)))
+        }
+    }
+}
+
+fn ok(value: Value) -> Answer {
+    Custom(Status::Ok, Json(value))
+}
+
+#[get("/<kind>?<watch>&<after>&<waitMs>")]
+#[expect(non_snake_case, reason = "the name of the query parameter on the wire")]
+async fn list(
+    shared: &State<Arc<Shared>>,
+    kind: &str,
+    watch: Option<u64>,
+    after: Option<&str>,
+    waitMs: Option<u64>,
+) -> Answer {
+    /// Objects on a page.
+    const PAGE: usize = 2;
+    if let Err(refusal) = admit(shared).await {
+        return refusal;
+    }
+    let Some(since) = watch else {
+        let state = shared.state.lock();
+        let of_kind = state
+            .objects
+            .iter()
+            .filter(|((k, name), _)| k == kind && after.is_none_or(|after| name.as_str() > after));
+        let mut items: Vec<Value> = of_kind.map(|(_, object)| object.clone()).collect();
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        return ok(json!({"items": items, "hasMore": more, "asOf": state.revision}));
+    };
+    let deadline = time::Instant::now() + Duration::from_millis(waitMs.unwrap_or(0));
+    loop {
+        let changed = shared.changed.notified();
+        {
+            let state = shared.state.lock();
+            if state.mood != Mood::Well {
+                return Custom(Status::ServiceUnavailable, Json(Value::Null));
+            }
+            if since < state.oldest {
+                return Custom(Status::Gone, Json(Value::Null));
+            }
+            let newer = state.history.iter().filter(|(at, k, _)| *at > since && k == kind);
+            let events: Vec<Value> = newer.map(|(_, _, event)| event.clone()).collect();
+            if !events.is_empty() || time::Instant::now() >= deadline {
+                return ok(json!({"events": events, "asOf": state.revision}));
+            }
+        }
+        let _ = time::timeout_at(deadline, changed).await;
+    }
+}
+
+#[get("/<kind>/<name>")]
+async fn one(shared: &State<Arc<Shared>>, kind: &str, name: &str) -> Answer {
+    if let Err(refusal) = admit(shared).await {
+        return refusal;
+    }
+    match shared.state.lock().objects.get(&(kind.to_owned(), name.to_owned())) {
+        Some(object) => ok(object.clone()),
+        None => Custom(Status::NotFound, Json(Value::Null)),
+    }
+}
+
+#[post("/<kind>", data = "<body>")]
+async fn create(shared: &State<Arc<Shared>>, kind: &str, body: Json<Value>) -> Answer {
+    if let Err(refusal) = admit(shared).await {
+        return refusal;
+    }
+    let name = body["metadata"]["name"].as_str().expect("a name").to_owned();
+    let mut state = shared.state.lock();
+    if let Some(object) = state.objects.get(&(kind.to_owned(), name.clone())) {
+        return Custom(Status::Conflict, Json(object.clone()));
+    }
+    ok(state.write(kind, &name, body["spec"].clone()))
+}
+
+#[put("/<kind>/<name>", data = "<body>")]
+async fn replace(shared: &State<Arc<Shared>>, kind: &str, name: &str, body: Json<Value>) -> Answer {
+    if let Err(refusal) = admit(shared).await {
+        return refusal;
+    }
+    ok(shared.state.lock().write(kind, name, body["spec"].clone()))
+}
+
+#[delete("/<kind>/<name>")]
+async fn remove(shared: &State<Arc<Shared>>, kind: &str, name: &str) -> Answer {
+    if let Err(refusal) = admit(shared).await {
+        return refusal;
+    }
+    let found = shared.state.lock().remove(kind, name);
+    Custom(if found { Status::Ok } else { Status::NotFound }, Json(Value::Null))
+}
--- /dev/null
+++ b/crates/citron-gateway/tests/support/target.rs
@@ -0,0 +1,262 @@
+//! A stand-in target over raw sockets, so that it can break the protocol as real ones do.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+/// What the target does with a request.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Act {
+    Serve,
+    /// Serves after so many milliseconds.
+    ServeAfter(u64),
+    /// Serves with an answer in chunks.
+    ServeChunked,
+    /// Serves with an answer that ends with its connection.
+    ServeUnframed,
+    /// Serves, and says that it closes the connection.
+    ServeAndClose,
+    /// Answers with a failure of its own.
+    Fail,
+    /// Says that it did not run the request.
+    Shed,
+    /// Says that it is another target.
+    Misdirect,
+    /// Runs the request and answers nothing.
+    Hang,
+    /// Runs the request and resets the connection.
+    Reset,
+    /// Runs the request and breaks off in the middle of the body.
+    CutBody,
+    /// Runs the request and resets in the middle of a body that ends with its connection.
+    ResetUnframed,
+    /// Answers with the id of another request.
+    WrongId,
+    /// Answers without its signature.
+    Unsigned,
+    /// Sends bytes that are no answer.
+    Garbage,
+    /// Serves, and sends a second answer after the first.
+    ServeTwice,
+    /// Sends a longer body than callers hold in memory.
+    ServeLong,
+}
+
+/// The bytes of a long answer.
+pub const LONG_BYTES: usize = 300_000;
+
+/// A request as the target read it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub first_line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+/// A running target.
+pub struct Target {
+    pub id: String,
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    id: String,
+    act: Mutex<Act>,
+    seen: Mutex<Vec<Seen>>,
+    left: Mutex<Vec<String>>,
+    connections: Mutex<u32>,
+}
+
+impl Target {
+    pub async fn bind(id: &str) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            act: Mutex::new(Act::Serve),
+            seen: Mutex::default(),
+            left: Mutex::default(),
+            connections: Mutex::default(),
+        });
+        let accepting = Arc::clone(&shared);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                *accepting.connections.lock() += 1;
+                tokio::spawn(serve(stream, Arc::clone(&accepting)));
+            }
+        });
+        Self { id: id.to_owned(), addr, shared }
+    }
+
+    /// Returns the target's own entry in the store.
+    pub fn entry(&self, state: &str) -> Value {
+        json!({"address": self.addr, "born": 1_000,
+               "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 3},
+               "status": {"state": state, "sequence": 1, "warmupLeftS": 0}})
+    }
+
+    pub fn set(&self, act: Act) {
+        *self.shared.act.lock() = act;
+    }
+
+    /// Returns the requests that it ran.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.seen.lock().clone()
+    }
+
+    /// Returns how often it ran the request with this id.
+    pub fn runs(&self, id: &str) -> usize {
+        let seen = self.shared.seen.lock();
+        seen.iter().filter(|s| s.headers.get("attempt-id").is_some_and(|i| i == id)).count()
+    }
+
+    /// Returns the ids of the requests whose connection closed while it was at work.
+    pub fn left(&self) -> Vec<String> {
+        self.shared.left.lock().clone()
+    }
+
+    pub fn connections(&self) -> u32 {
+        *self.shared.connections.lock()
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
+    let mut buffer = Vec::new();
+    while let Some(seen) = read(&mut stream, &mut buffer).await {
+        let act = *shared.act.lock();
+        if act == Act::Shed || act == Act::Misdirect {
+            let head = if act == Act::Shed {
+                "503 Service Unavailable\r\nNot-Executed: 1"
+            } else {
+                "421 Misdirected Request\r\nInstance-Id: i-other"
+            };
+            let text = format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n");
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        shared.seen.lock().push(seen.clone());
+        if !answer(&mut stream, &shared, act, &seen).await {
+            return;
+        }
+    }
+}
+
+/// Answers one request; returns false if the connection ends.
+async fn answer(stream: &mut TcpStream, shared: &Shared, act: Act, seen: &Seen) -> bool {
+    let id = seen.headers.get("attempt-id").cloned().unwrap_or_default();
+    let body = format!("{} by {}", seen.first_line, shared.id);
+    let signature = format!("Upstream-Signature: sig-{}\r\n", shared.id);
+    let head = |status: &str, id: &str, signature: &str, rest: &str| {
+        format!("HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\n{signature}{rest}\r\n")
+    };
+    let length = format!("Content-Length: {}\r\n", body.len());
+    let text = match act {
+        Act::ServeAfter(millis) => {
+            let mut byte = [0];
+            let wait = Duration::from_millis(millis);
+            if time::timeout(wait, stream.read(&mut byte)).await.is_ok() {
+                shared.left.lock().push(id);
+                return false;
+            }
+            head("200 OK", &id, &signature, &length) + &body
+        }
+        Act::Serve => head("200 OK", &id, &signature, &length) + &body,
+        Act::ServeTwice => {
+            let one = head("200 OK", &id, &signature, &length) + &body;
+            one.clone() + &one
+        }
+        Act::ServeChunked => {
+            let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+            head("200 OK", &id, &signature, "Transfer-Encoding: chunked\r\n") + &chunk
+        }
+        Act::ServeAndClose => {
+            let rest = format!("{length}Connection: close\r\n");
+            let text = head("200 OK", &id, &signature, &rest) + &body;
+            let _ = stream.write_all(text.as_bytes()).await;
+            return false;
+        }
+        Act::ServeUnframed => {
+            let text = head("200 OK", &id, &signature, "") + &body;
+            let _ = stream.write_all(text.as_bytes()).await;
+            return false;
+        }
+        Act::ServeLong => {
+            let rest = format!("Content-Length: {LONG_BYTES}\r\n");
+            head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES)
+        }
+        Act::Fail => head("500 Internal Server Error", &id, &signature, &length) + &body,
+        Act::WrongId => head("200 OK", "another", &signature, &length) + &body,
+        Act::Unsigned => head("200 OK", &id, "", &length) + &body,
+        Act::Garbage => "\u{1}\u{2} this is no answer\r\n\r\n".to_owned(),
+        Act::Hang => {
+            let mut byte = [0];
+            let _ = stream.read(&mut byte).await;
+            shared.left.lock().push(id);
+            return false;
+        }
+        Act::Reset => {
+            reset(stream);
+            return false;
+        }
+        Act::CutBody => {
+            let rest = format!("Content-Length: {}\r\n", body.len() + 100);
+            let text = head("200 OK", &id, &signature, &rest) + &body;
+            let _ = stream.write_all(text.as_bytes()).await;
+            return false;
+        }
+        Act::ResetUnframed => {
+            let text = head("200 OK", &id, &signature, "") + &body;
+            let _ = stream.write_all(text.as_bytes()).await;
+            time::sleep(Duration::from_millis(50)).await;
+            reset(stream);
+            return false;
+        }
+        Act::Shed | Act::Misdirect => unreachable!("answered before the request runs"),
+    };
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
+
+/// Makes the connection end with a reset.
+fn reset(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).expect("a socket option");
+}
+
+/// Reads one request; returns `None` when the connection ends.
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+            let mut lines = head.split("\r\n");
+            let first_line = lines.next().unwrap_or_default().to_owned();
+            let pairs = lines.filter_map(|line| line.split_once(':'));
+            let headers: BTreeMap<String, String> =
+                pairs.map(|(n, v)| (n.trim().to_ascii_lowercase(), v.trim().to_owned())).collect();
+            let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            if buffer.len() >= end + 4 + length {
+                let body = String::from_utf8_lossy(&buffer[end + 4..end + 4 + length]).into_owned();
+                buffer.drain(..end + 4 + length);
+                return Some(Seen { first_line, headers, body });
+            }
+        }
+        let mut part = [0; 4096];
+        match stream.read(&mut part).await {
+            Ok(count) if count > 0 => buffer.extend_from_slice(&part[..count]),
+            _ => return None,
+        }
+    }
+}
--- a/crates/citron-proxy/src/admit.rs
+++ b/crates/citron-proxy/src/admit.rs
@@ -53,6 +53,7 @@
         keyed: intake.key.is_some(),
         deadline: now + intake.time_left.map_or(longest, |left| left.min(longest)),
         attempts: ATTEMPT_LIMIT,
+        unconnected: 0,
     };
     Ok(Admission {
         service: Arc::clone(service),
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -15,9 +15,6 @@
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
 
-/// The most attempts of one request that may fail to connect and be followed by another.
-const UNSENT_LIMIT: u32 = 3;
-
 /// What is certain about a request at its end.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Display, IntoStaticStr, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
@@ -84,6 +81,8 @@
     pub deadline: Duration,
     /// The most attempts, at least 1.
     pub attempts: u32,
+    /// The most attempts besides that may fail to connect; they are not paid for.
+    pub unconnected: u32,
 }
 
 /// Why a request ends without an answer.
@@ -176,7 +175,11 @@
             return Step::Wait;
         }
         if let Some(cause) = self.stop {
-            return if cause == Cause::CallerGone { self.refuse(cause) } else { self.give_up(cause) };
+            return if cause == Cause::CallerGone {
+                self.refuse(cause)
+            } else {
+                self.give_up(cause)
+            };
         }
         if now >= self.rules.deadline {
             return self.give_up(Cause::DeadlinePassed);
@@ -190,7 +193,7 @@
             }
         }
         if let Some(&last) = self.endings.last()
-            && !(self.may_repeat() && (last == Ending::NotConnected || pay()))
+            && !(self.may_repeat() && (self.is_free(last) || pay()))
         {
             return self.give_up(cause_of(last));
         }
@@ -242,10 +245,19 @@
         self.stop = Some(Cause::CallerGone);
     }
 
-    /// Returns the number of attempts so far that may have reached a target.
+    /// Returns the number of attempts so far, without those that failed to connect as far as the
+    /// rules allow them.
     pub fn attempts(&self) -> u32 {
-        let ended = self.endings.iter().filter(|&&ending| ending != Ending::NotConnected);
-        ended.count() as u32 + self.under_way
+        self.endings.len() as u32 + self.under_way - self.unconnected().min(self.rules.unconnected)
+    }
+
+    fn unconnected(&self) -> u32 {
+        self.endings.iter().filter(|&&ending| ending == Ending::NotConnected).count() as u32
+    }
+
+    /// Returns true if nothing need be paid for a repetition after this ending.
+    fn is_free(&self, last: Ending) -> bool {
+        last == Ending::NotConnected && self.unconnected() <= self.rules.unconnected
     }
 
     /// Passes the target's own failure on if that is how the last attempt ended.
@@ -255,8 +267,7 @@
 
     fn may_repeat(&self) -> bool {
         let safe = self.rules.idempotent || self.is_not_run();
-        let unsent = self.endings.iter().filter(|&&e| e == Ending::NotConnected).count() as u32;
-        safe && self.repeatable && self.attempts() < self.rules.attempts && unsent <= UNSENT_LIMIT
+        safe && self.repeatable && self.attempts() < self.rules.attempts
     }
 
     fn is_not_run(&self) -> bool {
--- a/crates/citron/src/attempt/window.rs
+++ b/crates/citron/src/attempt/window.rs
@@ -40,8 +40,7 @@
     /// Counts a repetition if the budget allows one, else returns false.
     pub fn withdraw(&mut self, share: Share, now: Duration) -> bool {
         let (requests, repeats) = self.totals(share, now);
-        let allowed =
-            share.ratio * f64::from(requests) + share.slack / share.hosts.max(1) as f64;
+        let allowed = share.ratio * f64::from(requests) + share.slack / share.hosts.max(1) as f64;
         if f64::from(repeats + 1) > allowed {
             return false;
         }
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     choice::{Candidate, Demand, choose},
-    view::{Choice, Key, Load, View},
+    view::{Choice, Key, Load, View, key},
 };
 
 use std::time::Duration;
@@ -31,9 +31,7 @@
 pub const NEWSWORTHY: f64 = 0.05;
 
 /// What one request said about its target.
-#[derive(
-    Debug, Copy, Clone, Eq, PartialEq, Hash, Display, IntoStaticStr, EnumIter, FromRepr,
-)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Display, IntoStaticStr, EnumIter, FromRepr)]
 #[strum(serialize_all = "kebab-case")]
 #[repr(u8)]
 pub enum Verdict {
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -213,7 +213,8 @@
 
     /// Returns the state of a target's lifetime; an earlier lifetime is forgotten.
     fn state(&mut self, target: &Target, now: Duration) -> &mut State {
-        let state = self.states.entry(Arc::clone(&target.id)).or_insert_with(|| State::new(target, now));
+        let state =
+            self.states.entry(Arc::clone(&target.id)).or_insert_with(|| State::new(target, now));
         if state.born_ms < target.born_ms {
             *state = State::new(target, now);
         }
--- /dev/null
+++ b/crates/citron/tests/catalog.rs
@@ -0,0 +1,125 @@
+//! The list of targets: what is newer wins, what leaves stays out, what lapsed is held for a while.
+
+use std::{sync::Arc, time::Duration};
+
+use citron::catalog::{Catalog, Change, Snapshot, Target};
+
+const BORN_MS: u64 = 1000;
+
+fn target(id: &str, born_ms: u64, leaving: bool) -> Target {
+    Target {
+        id: Arc::from(id),
+        born_ms,
+        service: Arc::from("desk"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: Arc::from("a"),
+        slots: 3,
+        leaving,
+        warmup_ms: 0,
+    }
+}
+
+fn listed(ids: &[&str]) -> Catalog {
+    let mut catalog = Catalog::default();
+    let targets = ids.iter().map(|id| target(id, BORN_MS, false)).collect();
+    assert!(catalog.replace(Snapshot { revision: 10, targets }, Duration::ZERO));
+    catalog
+}
+
+fn serving(catalog: &Catalog) -> Vec<String> {
+    catalog.serving("desk").map(|target| target.id.to_string()).collect()
+}
+
+fn gone(id: &str) -> Vec<Change> {
+    vec![Change::Gone(Arc::from(id))]
+}
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut catalog = listed(&["x", "y"]);
+    let old = Snapshot { revision: 10, targets: vec![target("z", BORN_MS, false)] };
+    assert!(!catalog.replace(old, Duration::ZERO));
+    assert!(!catalog.apply(9, gone("x"), Duration::ZERO));
+    assert_eq!(serving(&catalog), ["x", "y"]);
+}
+
+#[test]
+fn a_leaving_target_gets_no_work() {
+    let mut catalog = listed(&["x", "y"]);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
+    assert_eq!(serving(&catalog), ["y"]);
+}
+
+#[test]
+fn a_target_that_left_does_not_come_back_in_the_same_lifetime() {
+    let mut catalog = listed(&["x"]);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
+    catalog.apply(12, gone("x"), Duration::ZERO);
+    catalog.apply(13, vec![Change::Put(target("x", BORN_MS, false))], Duration::ZERO);
+    assert!(serving(&catalog).is_empty());
+    catalog.apply(14, vec![Change::Put(target("x", BORN_MS + 1, false))], Duration::ZERO);
+    assert_eq!(serving(&catalog), ["x"], "a new lifetime is another target");
+}
+
+#[test]
+fn an_entry_that_vanishes_is_gone_at_once() {
+    let mut catalog = listed(&["x", "y"]);
+    catalog.apply(11, gone("x"), Duration::ZERO);
+    assert_eq!(serving(&catalog), ["y"]);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_held_until_two_seconds_after_it() {
+    let mut catalog = listed(&["x", "y"]);
+    catalog.store_lost();
+    catalog.store_regained(at(5000));
+    let list = Snapshot { revision: 20, targets: vec![target("y", BORN_MS, false)] };
+    assert!(catalog.replace(list, at(5100)));
+    assert_eq!(serving(&catalog), ["x", "y"]);
+    assert!(catalog.is_lapsed("x") && !catalog.is_lapsed("y"));
+    assert!(catalog.expire(at(6900)).is_empty());
+    assert_eq!(catalog.expire(at(7000)).len(), 1);
+    assert_eq!(serving(&catalog), ["y"]);
+}
+
+#[test]
+fn a_held_entry_that_is_back_stays() {
+    let mut catalog = listed(&["x"]);
+    catalog.store_lost();
+    catalog.store_regained(at(5000));
+    catalog.apply(20, gone("x"), at(5100));
+    catalog.apply(21, vec![Change::Put(target("x", BORN_MS, false))], at(5500));
+    assert!(catalog.expire(at(9000)).is_empty());
+    assert_eq!(serving(&catalog), ["x"]);
+}
+
+#[test]
+fn an_entry_that_vanishes_long_after_an_outage_is_gone_at_once() {
+    let mut catalog = listed(&["x"]);
+    catalog.store_lost();
+    catalog.store_regained(at(5000));
+    catalog.apply(20, gone("x"), at(7100));
+    assert!(serving(&catalog).is_empty());
+}
+
+#[test]
+fn a_leaving_target_is_not_held_in_an_outage() {
+    let mut catalog = listed(&["x"]);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
+    catalog.store_lost();
+    catalog.apply(12, gone("x"), at(100));
+    assert!(catalog.is_empty());
+}
+
+#[test]
+fn held_entries_are_not_passed_on() {
+    let mut catalog = listed(&["x", "y"]);
+    catalog.store_lost();
+    catalog.apply(12, gone("x"), at(100));
+    let passed: Vec<_> = catalog.snapshot().targets.into_iter().map(|target| target.id).collect();
+    assert_eq!(passed, [Arc::from("y")]);
+}
--- /dev/null
+++ b/crates/citron/tests/gateways.rs
@@ -0,0 +1,86 @@
+//! The gateways of the fleet: who is given to callers, and who is ahead.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use citron::gateways::{Gateways, Report};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn report(domain: &str, port: u16, ready: bool) -> Report {
+    Report {
+        born_ms: 1,
+        domain: Arc::from(domain),
+        callers: address(port),
+        peers: address(port + 1),
+        ready,
+        routes_version: u64::from(port),
+        targets_revision: 5,
+    }
+}
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn fleet() -> Gateways {
+    let mut gateways = Gateways::default();
+    for (host, domain, port) in [("a1", "a", 10), ("a2", "a", 20), ("b1", "b", 30)] {
+        gateways.hear(host, address(port + 2), report(domain, port, true), at(0));
+    }
+    gateways
+}
+
+#[test]
+fn callers_stay_in_a_domain_with_gateways_enough() {
+    let gateways = fleet();
+    assert_eq!(gateways.addresses(None, "a", at(100)), [address(10), address(20)]);
+    let own = Some(("b", address(40)));
+    assert_eq!(gateways.addresses(own, "b", at(100)), [address(30), address(40)]);
+}
+
+#[test]
+fn callers_of_a_small_domain_get_all() {
+    assert_eq!(fleet().addresses(None, "b", at(100)).len(), 3);
+    assert_eq!(fleet().addresses(None, "elsewhere", at(100)).len(), 3);
+}
+
+#[test]
+fn a_silent_gateway_is_not_given_to_callers() {
+    let mut gateways = fleet();
+    gateways.hear("a1", address(12), report("a", 10, true), at(4000));
+    gateways.hear("a2", address(22), report("a", 20, true), at(4000));
+    assert_eq!(gateways.addresses(None, "b", at(4100)), [address(10), address(20)]);
+}
+
+#[test]
+fn a_leaving_gateway_is_not_given_to_callers() {
+    let mut gateways = fleet();
+    gateways.hear("a1", address(12), report("a", 10, false), at(50));
+    assert_eq!(gateways.addresses(None, "x", at(100)), [address(20), address(30)]);
+}
+
+#[test]
+fn the_gateway_that_is_furthest_ahead_is_asked() {
+    let gateways = fleet();
+    assert_eq!(gateways.newer_routes(10, at(100)), Some(address(31)));
+    assert_eq!(gateways.newer_routes(30, at(100)), None);
+    assert_eq!(gateways.newer_targets(5, at(100)), None);
+    assert_eq!(gateways.newer_routes(10, at(20_000)), None, "not one that is silent");
+}
+
+#[test]
+fn a_gateway_that_is_silent_for_long_is_forgotten() {
+    let mut gateways = fleet();
+    assert!(gateways.expire(at(60_000)).is_empty());
+    assert_eq!(gateways.expire(at(120_000)).len(), 3);
+}
+
+#[test]
+fn a_gateway_that_comes_back_is_told_apart() {
+    let mut gateways = fleet();
+    assert!(!gateways.hear("a1", address(12), report("a", 10, true), at(1000)));
+    assert!(gateways.hear("a1", address(12), report("a", 10, true), at(20_000)));
+    assert!(!gateways.learn("a1", address(99), at(20_000)), "a report tells more than hearsay");
+}
--- /dev/null
+++ b/crates/citron/tests/gray.rs
@@ -0,0 +1,210 @@
+//! Beliefs about failing targets, and the choice of the next target.
+
+use std::{sync::Arc, time::Duration};
+
+use citron::{
+    catalog::{Catalog, Change, Snapshot, Target},
+    gray::{Belief, Demand, SUSPECT, Verdict, View, key},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use strum::IntoEnumIterator;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn target(id: &str, domain: &str) -> Target {
+    Target {
+        id: Arc::from(id),
+        born_ms: 1,
+        service: Arc::from("desk"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: Arc::from(domain),
+        slots: 3,
+        leaving: false,
+        warmup_ms: 0,
+    }
+}
+
+/// A view of `count` targets in the gateway's own failure domain.
+struct World {
+    catalog: Catalog,
+    view: View,
+    rng: ChaCha8Rng,
+}
+
+impl World {
+    fn new(targets: Vec<Target>) -> Self {
+        let mut catalog = Catalog::default();
+        catalog.replace(Snapshot { revision: 1, targets }, Duration::ZERO);
+        Self { catalog, view: View::new("a"), rng: ChaCha8Rng::seed_from_u64(1) }
+    }
+
+    fn near(count: usize) -> Self {
+        Self::new((0..count).map(|n| target(&format!("t{n}"), "a")).collect())
+    }
+
+    fn pick(&mut self, demand: Demand, now: Duration) -> Option<Target> {
+        self.pick_besides(&[], demand, now)
+    }
+
+    fn pick_besides(
+        &mut self,
+        tried: &[Arc<str>],
+        demand: Demand,
+        now: Duration,
+    ) -> Option<Target> {
+        let choice =
+            self.view.begin(&self.catalog, "desk", tried, demand, |_| true, &mut self.rng, now);
+        choice.map(|choice| choice.target)
+    }
+
+    fn get(&self, id: &str) -> Target {
+        self.catalog.get(id).cloned().expect("a listed target")
+    }
+}
+
+#[test]
+fn one_failure_makes_a_target_suspected() {
+    let mut belief = Belief::new(at(0));
+    belief.observe(Verdict::Failed, 1.0, at(10));
+    assert!(belief.sick(at(10)) > SUSPECT);
+}
+
+#[test]
+fn one_failure_among_many_answers_is_forgiven_soon() {
+    let mut belief = Belief::new(at(0));
+    for _ in 0..50 {
+        belief.observe(Verdict::Served, 1.0, at(10));
+    }
+    belief.observe(Verdict::Failed, 1.0, at(20));
+    belief.observe(Verdict::Served, 1.0, at(30));
+    assert!(belief.sick(at(30)) < SUSPECT);
+}
+
+#[test]
+fn a_sick_target_is_believed_to_recover_with_time() {
+    let mut belief = Belief::new(at(0));
+    for _ in 0..5 {
+        belief.observe(Verdict::Failed, 1.0, at(0));
+    }
+    assert!(belief.sick(at(0)) > 0.95);
+    assert!(belief.sick(at(30_000)) < SUSPECT);
+}
+
+#[test]
+fn a_sound_target_stays_sound_while_nothing_is_heard() {
+    let belief = Belief::new(at(0));
+    assert_eq!(belief.sick(at(60_000)), belief.sick(at(0)));
+}
+
+#[test]
+fn a_weight_of_zero_changes_nothing() {
+    for verdict in Verdict::iter() {
+        let mut belief = Belief::new(at(0));
+        belief.observe(verdict, 0.0, at(0));
+        assert!((belief.sick(at(0)) - Belief::new(at(0)).sick(at(0))).abs() < 1e-9, "{verdict}");
+    }
+}
+
+#[test]
+fn random_beliefs_stay_probabilities() {
+    for seed in 1..=50 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut belief = Belief::new(at(0));
+        let mut now = at(0);
+        for _ in 0..500 {
+            now += at(rng.random_range(0..2000));
+            let verdicts: Vec<Verdict> = Verdict::iter().collect();
+            let verdict = verdicts[rng.random_range(0..verdicts.len())];
+            belief.observe(verdict, rng.random(), now);
+            let sick = belief.sick(now + at(rng.random_range(0..5000)));
+            assert!((0.0..1.0).contains(&sick), "seed {seed}: {sick}");
+        }
+    }
+}
+
+#[test]
+fn a_failure_told_by_a_peer_counts_like_ones_own() {
+    let mut world = World::near(2);
+    let sick = world.get("t0");
+    world.view.hear(&sick, Verdict::Failed, at(0));
+    for n in 0..20 {
+        let chosen = world.pick(Demand::Any, at(n)).expect("a target");
+        assert_eq!(&*chosen.id, "t1");
+        world.view.end(&chosen, None, at(n));
+    }
+}
+
+#[test]
+fn answers_of_unsuspected_targets_are_no_news() {
+    let mut world = World::near(1);
+    let sound = world.get("t0");
+    assert!(!world.view.end(&sound, Some(Verdict::Served), at(0)));
+    assert!(world.view.end(&sound, Some(Verdict::Failed), at(1)), "failures are told");
+    assert!(world.view.end(&sound, Some(Verdict::Served), at(2)), "so is what clears a suspect");
+}
+
+#[test]
+fn an_unreachable_target_is_a_matter_of_ones_own_path() {
+    let mut world = World::near(2);
+    let cut = world.get("t0");
+    assert!(!world.view.end(&cut, Some(Verdict::Unreachable), at(0)), "peers are not told");
+    let chosen = world.pick(Demand::Any, at(1)).expect("a target");
+    assert_eq!(&*chosen.id, "t1");
+}
+
+#[test]
+fn a_suspected_target_is_tested_once_in_a_while_by_requests_that_can_be_repeated() {
+    let mut world = World::near(2);
+    let sick = world.get("t0");
+    world.view.hear(&sick, Verdict::Failed, at(0));
+    assert_eq!(&*world.pick(Demand::Test, at(500)).expect("a target").id, "t1", "too early");
+    assert_eq!(&*world.pick(Demand::Test, at(1100)).expect("a target").id, "t0");
+    assert_eq!(&*world.pick(Demand::Test, at(1200)).expect("a target").id, "t1", "one at a time");
+    assert_eq!(&*world.pick(Demand::Any, at(9000)).expect("a target").id, "t1", "never an order");
+}
+
+#[test]
+fn the_load_of_other_gateways_counts() {
+    let mut world = World::near(2);
+    let load = [(key("t0"), 3)].into_iter().collect();
+    world.view.hear_load(&Arc::from("other"), load, at(0));
+    assert_eq!(&*world.pick(Demand::Any, at(10)).expect("a target").id, "t1");
+    assert_eq!(world.pick_besides(&[Arc::from("t1")], Demand::Free, at(10)), None);
+    assert!(
+        world.pick_besides(&[Arc::from("t1")], Demand::Free, at(5000)).is_some(),
+        "a load that is not reported again is forgotten"
+    );
+}
+
+#[test]
+fn requests_cross_to_another_domain_only_when_their_own_is_busy() {
+    let mut world = World::new(vec![target("near", "a"), target("far", "b")]);
+    let first: Vec<_> =
+        (0..2).map(|_| world.pick(Demand::Any, at(0)).expect("a target").id).collect();
+    assert!(first.iter().all(|id| &**id == "near"), "{first:?}");
+    let later: Vec<_> =
+        (0..3).map(|_| world.pick(Demand::Any, at(0)).expect("a target").id).collect();
+    assert!(later.iter().any(|id| &**id == "far"), "{later:?}");
+}
+
+#[test]
+fn a_new_lifetime_starts_without_a_past() {
+    let mut world = World::near(1);
+    let old = world.get("t0");
+    world.view.hear(&old, Verdict::Failed, at(0));
+    let reborn = Target { born_ms: 2, ..old };
+    world.catalog.apply(2, vec![Change::Put(reborn.clone())], at(1));
+    world.view.hear(&reborn, Verdict::Served, at(1));
+    assert!(world.view.sick("t0", at(1)) < SUSPECT);
+}
+
+#[test]
+fn a_target_at_whose_address_another_answered_is_not_chosen_again() {
+    let mut world = World::near(1);
+    let moved = world.get("t0");
+    world.view.misplace(&moved, at(0));
+    assert_eq!(world.pick(Demand::Any, at(0)), None);
+}
--- /dev/null
+++ b/crates/citron/tests/route.rs
@@ -0,0 +1,86 @@
+//! The table of routes: which route serves a path, and how requests spread over its services.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use citron::route::{Limits, Part, Route, Split, Table};
+use smallvec::SmallVec;
+
+fn route(name: &str, prefix: &str, parts: &[(&str, u32)]) -> Route {
+    Route {
+        name: Arc::from(name),
+        prefix: prefix.to_owned(),
+        idempotent: true,
+        attempts: 2,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(600),
+        priority: 1,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| Part { service: Arc::from(*service), weight: *weight })
+            .collect::<SmallVec<_>>(),
+    }
+}
+
+fn table(routes: Vec<(&str, Route)>) -> Table {
+    let limits = Limits {
+        head_bytes: 1024,
+        body_bytes: 1024,
+        head_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    let routes = routes.into_iter().map(|(host, route)| (host.to_owned(), route));
+    Table::new(7, BTreeMap::new(), limits, routes)
+}
+
+macro_rules! finds {
+    ($name:ident, $host:literal, $path:literal, $found:expr) => {
+        #[test]
+        fn $name() {
+            let table = table(vec![
+                ("one.example", route("all", "/", &[("a", 1)])),
+                ("one.example", route("lots", "/lots/", &[("a", 1)])),
+                ("one.example", route("lots-green", "/lots/green/", &[("a", 1)])),
+                ("two.example", route("maps", "/maps/", &[("b", 1)])),
+            ]);
+            let found: Option<&str> = $found;
+            assert_eq!(table.find($host, $path).map(|route| &*route.name), found);
+        }
+    };
+}
+
+finds!(longest_prefix_wins, "one.example", "/lots/green/7", Some("lots-green"));
+finds!(a_prefix_ends_with_its_slash, "one.example", "/lots/greenish", Some("lots"));
+finds!(the_root_serves_the_rest, "one.example", "/other", Some("all"));
+finds!(the_port_of_a_host_is_not_compared, "one.example:8080", "/lots/1", Some("lots"));
+finds!(the_case_of_a_host_is_not_compared, "One.Example", "/lots/1", Some("lots"));
+finds!(a_query_is_not_part_of_the_path, "two.example", "/maps?x=/maps/", None);
+finds!(routes_of_other_hosts_do_not_serve, "two.example", "/lots/1", None);
+finds!(an_unknown_host_has_no_route, "three.example", "/", None);
+
+#[test]
+fn parts_get_their_shares() {
+    let route = route("r", "/", &[("a", 90), ("b", 10)]);
+    let mut split = Split::default();
+    let mut counts: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+    for _ in 0..200 {
+        *counts.entry(split.next(&route)).or_default() += 1;
+    }
+    assert_eq!(counts.get("a"), Some(&180));
+    assert_eq!(counts.get("b"), Some(&20));
+}
+
+#[test]
+fn a_small_part_is_not_served_in_a_row() {
+    let route = route("r", "/", &[("a", 3), ("b", 1)]);
+    let mut split = Split::default();
+    let chosen: Vec<_> = (0..8).map(|_| split.next(&route).to_string()).collect();
+    assert!(chosen.windows(2).all(|pair| pair != ["b", "b"]), "{chosen:?}");
+}
+
+#[test]
+fn a_split_follows_new_services() {
+    let mut split = Split::default();
+    split.next(&route("r", "/", &[("a", 1), ("b", 1)]));
+    let next = split.next(&route("r", "/", &[("c", 1), ("d", 0)]));
+    assert_eq!(&*next, "c");
+}
