Spread news by one relay for each failure domain, and lists as changes

Now a datagram goes to the own domain and to one relay in each other one; only the first to know tells at once; a gateway whose store answers asks a peer only after 0.9 s, for the changes since its revision, and in its own domain first.

--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::{catalog::Snapshot, route::Table};
+use citron::{catalog::Update, route::Table};
 use citron_adapter::ingress::{ADDRESSES_LIMIT, Resolved};
 use citron_daemon::Server;
 use eyre::WrapErr;
@@ -74,8 +74,11 @@
     shared.routes().map(|table| Json((*table).clone())).ok_or(Status::ServiceUnavailable)
 }
 
-#[get("/targets")]
-fn peer_targets(shared: &State<Arc<Shared>>) -> Answer<Snapshot> {
-    let snapshot = shared.targets.lock().catalog.snapshot();
-    if snapshot.revision > 0 { Ok(Json(snapshot)) } else { Err(Status::ServiceUnavailable) }
+#[get("/targets?<since>")]
+fn peer_targets(shared: &State<Arc<Shared>>, since: u64) -> Answer<Update> {
+    let targets = shared.targets.lock();
+    if targets.catalog.revision() == 0 {
+        return Err(Status::ServiceUnavailable);
+    }
+    Ok(Json(targets.catalog.since(since)))
 }
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -1,6 +1,10 @@
 //! Follows the store: the operator's routes, the targets' entries and the gateways' addresses.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use citron::catalog::Snapshot;
 use citron_adapter::{
@@ -83,6 +87,7 @@
             Ok(next) => {
                 if pause.failed() {
                     log::info!("event=store-regained call={kind} failures={}", pause.failures);
+                    shared.store_lost.fetch_sub(1, Ordering::Relaxed);
                     shared.targets.lock().catalog.store_regained(shared.clock.now());
                 }
                 pause = Pause::default();
@@ -94,6 +99,9 @@
             }
             Err(error) => {
                 shared.metrics.store_calls.with_label_values(&[kind, "failed"]).inc();
+                if !pause.failed() {
+                    shared.store_lost.fetch_add(1, Ordering::Relaxed);
+                }
                 shared.targets.lock().catalog.store_lost();
                 pause.after(&shared, kind, &error).await;
             }
@@ -148,7 +156,7 @@
             let deleted = events.iter().any(|event| event.deleted);
             let newest = events.iter().map(|event| event.object.revision).max().unwrap_or(as_of);
             let content = if deleted { as_of } else { newest };
-            shared.change_targets(content, targets::decode_events(&events));
+            shared.change_targets(content, targets::decode_events(&events), "store");
         }
     }
     Ok(Some(as_of))
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -4,12 +4,13 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use citron::{
-    gateways::{Gateway, Report},
+    catalog::Update,
+    gateways::{Receiver, Report},
     gray::{self, Verdict},
 };
 use prost::Message;
@@ -25,18 +26,18 @@
 const NEWS_GAP: Duration = Duration::from_millis(5);
 /// The time between two reports of a load that changes, to gateways of the same failure domain.
 const LOAD_GAP: Duration = Duration::from_millis(50);
-/// Gateways of other failure domains get each such report after so many.
+/// Other failure domains get each such report after so many.
 const LOAD_FAR_EVERY: u32 = 2;
 /// A load that does not change is reported again after so many gaps.
 const LOAD_REPEAT_EVERY: u32 = 10;
-/// The most gateways that one datagram is sent to.
-const FANOUT: usize = 64;
 /// The most outcomes in one datagram.
 const OUTCOMES_LIMIT: usize = 24;
 /// The most gateways that an answer to a newcomer names.
 const KNOWN_LIMIT: usize = 16;
-/// How long a gateway may be behind a peer before it asks that peer.
-const PULL_DELAY: Duration = Duration::from_millis(250);
+/// How long a gateway whose store answers may be behind a peer before it asks that peer.
+const PULL_DELAY: Duration = Duration::from_millis(900);
+/// The same while the store does not answer.
+const PULL_DELAY_ALONE: Duration = Duration::from_millis(50);
 /// How long a pull from a peer may take.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -65,17 +66,20 @@
 /// Sends this gateway's state at least every [`REPORT_GAP`], and at once when it changes.
 pub async fn report(shared: Arc<Shared>, socket: Arc<UdpSocket>, born_ms: u64) {
     let port = shared.settings().internal_port;
+    let own = socket.local_addr().map_or_else(|_| String::new(), |address| address.to_string());
     let mut asks = true;
     loop {
         let now = shared.clock.now();
-        let datagram = state(&shared, born_ms, asks).encode_to_vec();
-        for address in receivers(&shared, |_| true) {
-            send(&shared, &socket, &datagram, address).await;
+        let datagram = state(&shared, born_ms, asks, &own);
+        spread(&shared, &socket, datagram.clone(), |_| true).await;
+        let bytes = datagram.encode_to_vec();
+        for address in unheard(&shared, now) {
+            send(&shared, &socket, &bytes, address).await;
         }
         let alone = shared.gateways.lock().alive(now).next().is_none();
         if alone {
             for seed in &shared.settings().seeds {
-                send(&shared, &socket, &datagram, SocketAddr::new(seed.ip(), port)).await;
+                send(&shared, &socket, &bytes, SocketAddr::new(seed.ip(), port)).await;
             }
         }
         asks = alone;
@@ -93,24 +97,17 @@
         shared.news_waits.notified().await;
         time::sleep(NEWS_GAP).await;
         let outcomes = std::mem::take(&mut *shared.news.lock());
-        let now = shared.clock.now();
-        let alive = receivers(&shared, |gateway| {
-            gateway.report.is_some() && gateway.heard_at + REPORT_GAP * 10 > now
-        });
         for part in outcomes.chunks(OUTCOMES_LIMIT) {
             let datagram =
                 Datagram { host: host.clone(), outcomes: part.to_vec(), ..Datagram::default() };
-            let bytes = datagram.encode_to_vec();
-            for &address in &alive {
-                send(&shared, &socket, &bytes, address).await;
-            }
+            spread(&shared, &socket, datagram, |_| true).await;
         }
     }
 }
 
 /// Tells the peers of this gateway's requests at targets while they change.
 pub async fn report_load(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let (host, domain) = (shared.settings().host.clone(), shared.settings().domain.clone());
+    let host = shared.settings().host.clone();
     let mut sent = [gray::Load::new(), gray::Load::new()];
     for tick in 0_u32.. {
         time::sleep(LOAD_GAP).await;
@@ -121,16 +118,9 @@
         if !near && !far {
             continue;
         }
-        let datagram =
-            Datagram { host: host.clone(), load: Some(encode_load(&load)), ..Datagram::default() };
-        let bytes = datagram.encode_to_vec();
-        let wanted = |gateway: &Gateway| {
-            let is_near = gateway.report.as_ref().is_some_and(|r| *r.domain == *domain);
-            if is_near { near } else { far }
-        };
-        for address in receivers(&shared, wanted) {
-            send(&shared, &socket, &bytes, address).await;
-        }
+        let load_sent = Some(encode_load(&load));
+        let datagram = Datagram { host: host.clone(), load: load_sent, ..Datagram::default() };
+        spread(&shared, &socket, datagram, |to| if to.relays { far } else { near }).await;
         if far {
             sent[1] = load.clone();
         }
@@ -138,6 +128,45 @@
     }
 }
 
+/// Sends a datagram to the gateways of the own failure domain, and to one of each other domain,
+/// which passes it on there.
+async fn spread(
+    shared: &Shared,
+    socket: &UdpSocket,
+    mut datagram: Datagram,
+    wanted: impl Fn(&Receiver) -> bool,
+) {
+    let domain = shared.settings().domain.clone();
+    let now = shared.clock.now();
+    let receivers = shared.gateways.lock().spread(&domain, now, &mut rand::rng());
+    let near = datagram.encode_to_vec();
+    datagram.relays = true;
+    let far = datagram.encode_to_vec();
+    for receiver in receivers.into_iter().filter(wanted) {
+        let bytes = if receiver.relays { &far } else { &near };
+        send(shared, socket, bytes, receiver.address).await;
+    }
+}
+
+/// Passes a datagram of another failure domain on in this one.
+async fn relay(shared: &Shared, socket: &UdpSocket, datagram: &Datagram) {
+    let domain = shared.settings().domain.clone();
+    let now = shared.clock.now();
+    let receivers = shared.gateways.lock().spread(&domain, now, &mut rand::rng());
+    let bytes = Datagram { relays: false, ..datagram.clone() }.encode_to_vec();
+    for receiver in receivers.into_iter().filter(|receiver| !receiver.relays) {
+        send(shared, socket, &bytes, receiver.address).await;
+    }
+}
+
+/// Returns some of the gateways that are known and were not heard lately.
+fn unheard(shared: &Shared, now: Duration) -> Vec<SocketAddr> {
+    let gateways = shared.gateways.lock();
+    let silent =
+        gateways.iter().filter(|(_, g)| g.report.is_none() || g.heard_at + REPORT_GAP * 10 <= now);
+    silent.map(|(_, g)| g.address).choose_multiple(&mut rand::rng(), KNOWN_LIMIT)
+}
+
 fn encode_load(load: &gray::Load) -> message::Load {
     let (keys, counts) = load.iter().copied().unzip();
     message::Load { keys, counts }
@@ -154,6 +183,9 @@
         return;
     }
     let now = shared.clock.now();
+    if datagram.relays {
+        relay(shared, socket, &datagram).await;
+    }
     hear_outcomes(shared, &datagram.outcomes, now);
     if let Some(load) = &datagram.load {
         let host = Arc::from(datagram.host.as_str());
@@ -173,14 +205,15 @@
         shared.metrics.datagrams_bad.inc();
         return;
     };
+    let address = state.datagrams.parse().unwrap_or(from);
     let ahead = is_ahead(shared, &report);
-    if shared.gateways.lock().hear(&datagram.host, from, report, now) {
-        log::info!("event=gateway-heard host={} address={from}", datagram.host);
+    if shared.gateways.lock().hear(&datagram.host, address, report, now) {
+        log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
-    if state.asks {
+    if state.asks && address == from {
         answer(shared, socket, from).await;
     }
-    if ahead {
+    if ahead && !shared.pulling.swap(true, Ordering::Relaxed) {
         tokio::spawn(pull(Arc::clone(shared), http.clone()));
     }
 }
@@ -224,23 +257,30 @@
     send(shared, socket, &datagram, to).await;
 }
 
-/// Takes newer routes and targets from a peer if the store has not brought them meanwhile.
+/// Takes newer routes and targets from a peer if the store does not bring them in time.
 async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
-    time::sleep(PULL_DELAY).await;
+    let alone = shared.store_lost.load(Ordering::Relaxed) > 0;
+    time::sleep(if alone { PULL_DELAY_ALONE } else { PULL_DELAY }).await;
+    shared.pulling.store(false, Ordering::Relaxed);
     let now = shared.clock.now();
+    let domain = shared.settings().domain.clone();
     let version = shared.routes().map_or(0, |routes| routes.version);
-    let newer = shared.gateways.lock().newer_routes(version, now);
+    let newer = shared.gateways.lock().newer_routes(version, &domain, now);
     if let Some(peer) = newer
-        && let Some(table) = fetch(&shared, &http, peer, "routes").await
+        && let Some(table) = fetch(&shared, &http, peer, "routes", "routes").await
     {
         shared.take_routes(table, "peer");
     }
     let revision = shared.targets.lock().catalog.revision();
-    let newer = shared.gateways.lock().newer_targets(revision, now);
-    if let Some(peer) = newer
-        && let Some(snapshot) = fetch(&shared, &http, peer, "targets").await
-    {
-        shared.take_targets(snapshot, "peer");
+    let newer = shared.gateways.lock().newer_targets(revision, &domain, now);
+    let Some(peer) = newer else { return };
+    let path = format!("targets?since={revision}");
+    match fetch(&shared, &http, peer, "targets", &path).await {
+        Some(Update::Whole(snapshot)) => shared.take_targets(snapshot, "peer"),
+        Some(Update::Changes(revision, changes)) => {
+            shared.change_targets(revision, changes, "peer");
+        }
+        None => {}
     }
 }
 
@@ -249,8 +289,9 @@
     http: &reqwest::Client,
     peer: SocketAddr,
     what: &str,
+    path: &str,
 ) -> Option<T> {
-    let url = format!("http://{peer}/{what}");
+    let url = format!("http://{peer}/{path}");
     let result = async {
         http.get(url).timeout(PULL_TIMEOUT).send().await?.error_for_status()?.json().await
     };
@@ -267,7 +308,7 @@
     }
 }
 
-fn state(shared: &Shared, born_ms: u64, asks: bool) -> Datagram {
+fn state(shared: &Shared, born_ms: u64, asks: bool, own: &str) -> Datagram {
     let settings = shared.settings();
     let state = State {
         born_ms,
@@ -278,6 +319,7 @@
         routes_version: shared.routes().map_or(0, |routes| routes.version),
         targets_revision: shared.targets.lock().catalog.revision(),
         asks,
+        datagrams: own.to_owned(),
     };
     Datagram { host: settings.host.clone(), state: Some(state), ..Datagram::default() }
 }
@@ -294,13 +336,6 @@
     })
 }
 
-/// Returns at most [`FANOUT`] gateways to send to.
-fn receivers(shared: &Shared, wanted: impl Fn(&Gateway) -> bool) -> Vec<SocketAddr> {
-    let gateways = shared.gateways.lock();
-    let wanted = gateways.iter().map(|(_, gateway)| gateway).filter(|gateway| wanted(gateway));
-    wanted.map(|gateway| gateway.address).choose_multiple(&mut rand::rng(), FANOUT)
-}
-
 async fn send(shared: &Shared, socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
     if let Err(error) = socket.send_to(bytes, to).await {
         shared.metrics.datagrams_unsent.inc();
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -20,6 +20,9 @@
     /// Other gateways that the sender knows.
     #[prost(message, repeated, tag = "4")]
     pub known: Vec<Known>,
+    /// Whether the receiver is to pass the datagram on in its failure domain.
+    #[prost(bool, tag = "6")]
+    pub relays: bool,
     /// The sender's requests at targets; replaces what it reported before.
     #[prost(message, optional, tag = "5")]
     pub load: Option<Load>,
@@ -60,6 +63,9 @@
     /// The revision of the target list in force, 0 if none.
     #[prost(uint64, tag = "7")]
     pub targets_revision: u64,
+    /// Where it receives datagrams, `ip:port`.
+    #[prost(string, tag = "9")]
+    pub datagrams: String,
     /// Whether the sender asks for an answer with the gateways that the receiver knows.
     #[prost(bool, tag = "8")]
     pub asks: bool,
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -63,6 +63,12 @@
     pub left: Notify,
     splits: Mutex<HashMap<Arc<str>, Split>>,
     leaving: AtomicBool,
+    /// Whether the peers were told that callers may be sent here.
+    told_ready: AtomicBool,
+    /// Whether the store answers, by follower.
+    pub store_lost: AtomicUsize,
+    /// Whether a pull from a peer is due already.
+    pub pulling: AtomicBool,
     in_flight: AtomicUsize,
 }
 
@@ -103,6 +109,9 @@
             left: Notify::new(),
             splits: Mutex::default(),
             leaving: AtomicBool::new(false),
+            told_ready: AtomicBool::new(false),
+            store_lost: AtomicUsize::new(0),
+            pulling: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
     }
@@ -139,7 +148,7 @@
             );
         }
         self.metrics.routes_version.set(version as i64);
-        self.state_changed.notify_one();
+        self.tell_if_first();
     }
 
     /// Takes a whole target list from `source`; one that is not newer changes nothing.
@@ -155,11 +164,11 @@
         drop(targets);
         log::info!("event=targets-taken revision={revision} targets={count} source={source}");
         self.metrics.targets_revision.set(revision as i64);
-        self.state_changed.notify_one();
+        self.tell_if_first();
     }
 
-    /// Takes changes of the target list from the store.
-    pub fn change_targets(&self, revision: u64, changes: Vec<Change>) {
+    /// Takes changes of the target list from `source`.
+    pub fn change_targets(&self, revision: u64, changes: Vec<Change>, source: &str) {
         let now = self.clock.now();
         let text: Vec<String> = changes.iter().map(describe).collect();
         let mut targets = self.targets.lock();
@@ -168,9 +177,25 @@
         }
         targets.forget_unlisted();
         drop(targets);
-        log::info!("event=targets-changed revision={revision} changes={}", text.join(","));
+        log::info!(
+            "event=targets-changed revision={revision} changes={} source={source}",
+            text.join(",")
+        );
         self.metrics.targets_revision.set(revision as i64);
-        self.state_changed.notify_one();
+        self.tell_if_first();
+    }
+
+    /// Tells the peers of this gateway's state at once unless another has told the same already.
+    fn tell_if_first(&self) {
+        let version = self.routes().map_or(0, |routes| routes.version);
+        let revision = self.targets.lock().catalog.revision();
+        let now = self.clock.now();
+        if !self.told_ready.load(Ordering::Relaxed)
+            || self.gateways.lock().leads(version, revision, now)
+        {
+            self.told_ready.store(self.is_ready(), Ordering::Relaxed);
+            self.state_changed.notify_one();
+        }
     }
 
     /// Returns the service for the next request of a route.
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -1,6 +1,11 @@
 //! The targets that the platform lists, at one revision.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -31,8 +36,11 @@
     pub warmup_ms: u64,
 }
 
+/// The changes that are remembered for peers that are behind.
+const LOG_CAPACITY: usize = 1024;
+
 /// One change of the list.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Change {
     /// The entry is new or has changed.
     Put(Target),
@@ -49,6 +57,15 @@
     pub targets: Vec<Target>,
 }
 
+/// What a peer that is behind needs to catch up.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Update {
+    /// The changes up to a revision.
+    Changes(u64, Vec<Change>),
+    /// The whole list.
+    Whole(Snapshot),
+}
+
 /// The list in force; its revision never goes back.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -58,6 +75,10 @@
     lapsed: BTreeMap<Arc<str>, Duration>,
     /// The lifetimes that were seen to leave.
     departed: BTreeMap<Arc<str>, u64>,
+    /// The identities that changed, with the revision that the change came with, oldest first.
+    log: VecDeque<(u64, Arc<str>)>,
+    /// The revision from which on the log is complete.
+    log_from: u64,
     outage: Outage,
 }
 
@@ -86,6 +107,8 @@
             self.remove(&id, now);
         }
         self.revision = snapshot.revision;
+        self.log.clear();
+        self.log_from = self.revision;
         true
     }
 
@@ -95,6 +118,7 @@
             return false;
         }
         for change in changes {
+            self.note(revision, &change);
             match change {
                 Change::Put(target) => self.put(target),
                 Change::Gone(id) => self.remove(&id, now),
@@ -171,6 +195,33 @@
         Snapshot { revision: self.revision, targets: listed.cloned().collect() }
     }
 
+    /// Returns what a peer needs that is at `revision`; entries that are only held are left out.
+    pub fn since(&self, revision: u64) -> Update {
+        if revision < self.log_from {
+            return Update::Whole(self.snapshot());
+        }
+        let newer = self.log.iter().filter(|(at, _)| *at > revision);
+        let changed: BTreeSet<&Arc<str>> = newer.map(|(_, id)| id).collect();
+        let change = |id: &Arc<str>| match self.targets.get(id).filter(|_| !self.is_lapsed(id)) {
+            Some(target) => Change::Put(target.clone()),
+            None => Change::Gone(Arc::clone(id)),
+        };
+        Update::Changes(self.revision, changed.into_iter().map(change).collect())
+    }
+
+    fn note(&mut self, revision: u64, change: &Change) {
+        let id = match change {
+            Change::Put(target) => &target.id,
+            Change::Gone(id) => id,
+        };
+        self.log.push_back((revision, Arc::clone(id)));
+        if self.log.len() > LOG_CAPACITY
+            && let Some((dropped, _)) = self.log.pop_front()
+        {
+            self.log_from = dropped;
+        }
+    }
+
     fn put(&mut self, mut target: Target) {
         if self.departed.get(&target.id) == Some(&target.born_ms) {
             target.leaving = true;
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -2,6 +2,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use rand::{
+    Rng,
+    seq::{IndexedRandom, SliceRandom},
+};
+
 /// After this long without a report a gateway is not given to callers.
 const FRESH: Duration = Duration::from_millis(3500);
 /// After this long without a report a gateway counts as gone for all else.
@@ -11,6 +16,18 @@
 /// A failure domain with so many ready gateways serves its callers alone.
 const DOMAIN_MIN: usize = 2;
 
+/// The most gateways of one failure domain that one gateway tells something.
+const FANOUT: usize = 32;
+
+/// Whom to send a datagram.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct Receiver {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Whether the receiver is to pass it on in its failure domain.
+    pub relays: bool,
+}
+
 /// What a gateway reports about itself.
 #[derive(Debug, Clone, Eq, PartialEq)]
 pub struct Report {
@@ -111,21 +128,54 @@
         ready.into_iter().map(|(_, address)| address).collect()
     }
 
-    /// Returns the gateway with the newest routes above `version`, if any.
-    pub fn newer_routes(&self, version: u64, now: Duration) -> Option<SocketAddr> {
-        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
-        reports
-            .filter(|report| report.routes_version > version)
-            .max_by_key(|report| report.routes_version)
-            .map(|report| report.peers)
+    /// Returns a gateway with routes above `version`, one in `domain` if there is one.
+    pub fn newer_routes(&self, version: u64, domain: &str, now: Duration) -> Option<SocketAddr> {
+        self.ahead(domain, now, |report| report.routes_version.checked_sub(version + 1))
+    }
+
+    /// Returns a gateway with a target list above `revision`, one in `domain` if there is one.
+    pub fn newer_targets(&self, revision: u64, domain: &str, now: Duration) -> Option<SocketAddr> {
+        self.ahead(domain, now, |report| report.targets_revision.checked_sub(revision + 1))
     }
 
-    /// Returns the gateway with the newest target list above `revision`, if any.
-    pub fn newer_targets(&self, revision: u64, now: Duration) -> Option<SocketAddr> {
+    /// Returns true if no gateway has reported both this version and this revision yet.
+    pub fn leads(&self, version: u64, revision: u64, now: Duration) -> bool {
+        let mut reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        !reports.any(|r| r.routes_version >= version && r.targets_revision >= revision)
+    }
+
+    /// Returns whom to tell what all should know: every gateway of `domain`, and one of each other
+    /// failure domain, which passes it on there.
+    pub fn spread(&self, domain: &str, now: Duration, rng: &mut impl Rng) -> Vec<Receiver> {
+        let mut near = Vec::new();
+        let mut far: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        for (_, gateway) in self.alive(now) {
+            match gateway.report.as_ref().map(|report| &*report.domain) {
+                Some(other) if other != domain => {
+                    far.entry(other).or_default().push(gateway.address);
+                }
+                _ => near.push(Receiver { address: gateway.address, relays: false }),
+            }
+        }
+        near.shuffle(rng);
+        near.truncate(FANOUT);
+        let relays = far.into_values().filter_map(|addresses| addresses.choose(rng).copied());
+        near.extend(relays.map(|address| Receiver { address, relays: true }));
+        near
+    }
+
+    fn ahead(
+        &self,
+        domain: &str,
+        now: Duration,
+        by: impl Fn(&Report) -> Option<u64>,
+    ) -> Option<SocketAddr> {
         let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
         reports
-            .filter(|report| report.targets_revision > revision)
-            .max_by_key(|report| report.targets_revision)
-            .map(|report| report.peers)
+            .filter_map(|report| {
+                by(report).map(|by| ((&*report.domain == domain, by), report.peers))
+            })
+            .max_by_key(|(rank, _)| *rank)
+            .map(|(_, peers)| peers)
     }
 }
--- a/crates/citron/tests/catalog.rs
+++ b/crates/citron/tests/catalog.rs
@@ -2,7 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citron::catalog::{Catalog, Change, Snapshot, Target};
+use assert_matches::assert_matches;
+use citron::catalog::{Catalog, Change, Snapshot, Target, Update};
 
 const BORN_MS: u64 = 1000;
 
@@ -123,3 +124,26 @@
     let passed: Vec<_> = catalog.snapshot().targets.into_iter().map(|target| target.id).collect();
     assert_eq!(passed, [Arc::from("y")]);
 }
+
+#[test]
+fn a_peer_that_is_a_little_behind_gets_only_what_changed() {
+    let mut catalog = listed(&["x", "y", "z"]);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
+    catalog.apply(12, gone("y"), Duration::ZERO);
+    catalog.apply(13, gone("x"), Duration::ZERO);
+    assert_matches!(catalog.since(10), Update::Changes(13, changes) if changes.len() == 2);
+    assert_matches!(catalog.since(12), Update::Changes(13, changes) => {
+        assert_matches!(changes.as_slice(), [Change::Gone(id)] if &**id == "x");
+    });
+    assert_matches!(catalog.since(9), Update::Whole(list) if list.targets.len() == 1);
+}
+
+#[test]
+fn a_peer_that_is_far_behind_gets_the_whole_list() {
+    let mut catalog = listed(&["x"]);
+    for revision in 11..3000 {
+        catalog.apply(revision, vec![Change::Put(target("x", revision, false))], Duration::ZERO);
+    }
+    assert_matches!(catalog.since(11), Update::Whole(_));
+    assert_matches!(catalog.since(2990), Update::Changes(2999, changes) if changes.len() == 1);
+}
