--- a/crates/citron-daemon/src/admin.rs
+++ b/crates/citron-daemon/src/admin.rs
@@ -38,6 +38,14 @@
 
 #[get("/metrics")]
 fn metrics(registry: &State<Registry>) -> Result<(ContentType, Vec<u8>), String> {
+    encode(registry)
+}
+
+/// Encodes the metrics of a registry as text, with the content type of the format.
+///
+/// # Errors
+/// Fails if a metric cannot be encoded.
+pub fn encode(registry: &Registry) -> Result<(ContentType, Vec<u8>), String> {
     let mut text = Vec::new();
     TextEncoder::new().encode(&registry.gather(), &mut text).map_err(|error| error.to_string())?;
     Ok((ContentType::new("text", "plain").with_params(("version", "0.0.4")), text))
--- a/crates/citron-daemon/src/journal.rs
+++ b/crates/citron-daemon/src/journal.rs
@@ -10,17 +10,20 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use parking_lot::Mutex;
-use serde_json::json;
 
 use crate::Clock;
 
-/// The most bytes that wait to be written.
-const BUFFER_LIMIT_BYTES: usize = 512 * 1024;
+/// The most bytes of ordinary lines in one second.
+const INFO_BYTES_PER_S: usize = 256 * 1024;
+/// The most bytes of lines about failures in one second, besides.
+const WARN_BYTES_PER_S: usize = 256 * 1024;
+/// The time over which the bytes are counted.
+const SECOND: Duration = Duration::from_secs(1);
 /// The time between two writes.
 const WRITE_GAP: Duration = Duration::from_millis(100);
 
@@ -37,9 +40,13 @@
     closed: AtomicBool,
 }
 
+/// Lines that wait to be written, and what this second's lines took of their budgets.
 #[derive(Debug, Default)]
 struct Buffer {
     bytes: Vec<u8>,
+    second: Option<Instant>,
+    info: usize,
+    warn: usize,
     dropped: u64,
 }
 
@@ -58,7 +65,10 @@
     }
 }
 
-/// Sends log records of at least `level` to standard output, one JSON object a line.
+/// Sends log records of at least `level` to standard output, a line of `key=value` pairs each.
+///
+/// Lines at `info` have a budget of bytes in each second, those about failures another; what is over
+/// is dropped, and a line says how much.
 ///
 /// # Errors
 /// Fails if a logger is already set or the writer cannot be started.
@@ -71,27 +81,27 @@
     let shared = Arc::new(Shared::default());
     let sink: Box<dyn Log> = Box::new(Sink(Arc::clone(&shared)));
     let host = host.to_owned();
+    let name = format!("host={host} program={program}");
     fern::Dispatch::new()
         .level(level.min(LevelFilter::Warn))
         .level_for("citron_gateway", level)
         .level_for("citron_adapter", level)
         .level_for("rocket", LevelFilter::Off)
         .format(move |out, message, record| {
-            let line = json!({
-                "wall_ms": clock.wall_ms(),
-                "level": record.level().as_str(),
-                "host": host,
-                "program": program,
-                "message": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
+            out.finish(format_args!(
+                "wall_ms={} level={} host={host} program={program} {message}",
+                clock.wall_ms(),
+                record.level(),
+            ));
         })
         .chain(sink)
         .apply()
         .map_err(io::Error::other)?;
     let writer = {
         let shared = Arc::clone(&shared);
-        thread::Builder::new().name("journal".to_owned()).spawn(move || write(&shared))?
+        thread::Builder::new()
+            .name("journal".to_owned())
+            .spawn(move || write(&shared, &clock, &name))?
     };
     Ok(Journal { shared, writer })
 }
@@ -102,30 +112,64 @@
     }
 
     fn log(&self, record: &Record<'_>) {
-        let mut buffer = self.0.buffer.lock();
-        if buffer.bytes.len() >= BUFFER_LIMIT_BYTES {
-            buffer.dropped += 1;
-            return;
+        self.0.buffer.lock().put(record);
+    }
+
+    fn flush(&self) {}
+}
+
+impl Buffer {
+    fn put(&mut self, record: &Record<'_>) {
+        let now = Instant::now();
+        if self.second.is_none_or(|start| now - start >= SECOND) {
+            (self.second, self.info, self.warn) = (Some(now), 0, 0);
         }
+        let before = self.bytes.len();
         // Writing to memory cannot fail.
-        let _ = writeln!(buffer.bytes, "{}", record.args());
+        let _ = writeln!(self.bytes, "{}", record.args());
+        let length = self.bytes.len() - before;
+        let (used, limit) = if record.level() <= Level::Warn {
+            (&mut self.warn, WARN_BYTES_PER_S)
+        } else {
+            (&mut self.info, INFO_BYTES_PER_S)
+        };
+        if *used + length > limit {
+            self.bytes.truncate(before);
+            self.dropped += 1;
+        } else {
+            *used += length;
+        }
+        // A reader that has stopped must not make the buffer grow from second to second.
+        if self.bytes.len() > INFO_BYTES_PER_S + WARN_BYTES_PER_S {
+            self.bytes.truncate(before);
+            self.dropped += 1;
+        }
     }
 
-    fn flush(&self) {}
+    /// Takes the lines that wait, with a line on those that were dropped.
+    fn take(&mut self, clock: &Clock, name: &str) -> Vec<u8> {
+        let mut bytes = std::mem::take(&mut self.bytes);
+        let dropped = std::mem::take(&mut self.dropped);
+        if dropped > 0 {
+            let wall_ms = clock.wall_ms();
+            let _ = writeln!(
+                bytes,
+                "wall_ms={wall_ms} level=WARN {name} event=log-lines-dropped count={dropped}"
+            );
+        }
+        bytes
+    }
 }
 
-fn write(shared: &Shared) {
+fn write(shared: &Shared, clock: &Clock, name: &str) {
     let mut out = io::stdout();
     loop {
         let closed = shared.closed.load(Ordering::Relaxed);
-        let Buffer { bytes, dropped } = std::mem::take(&mut *shared.buffer.lock());
-        if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
+        let bytes = shared.buffer.lock().take(clock, name);
+        if !bytes.is_empty() && out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
             // Nobody reads the log any more; there is no other place to say so.
             return;
         }
-        if dropped > 0 {
-            log::warn!("event=log-lines-dropped count={dropped}");
-        }
         if closed {
             return;
         }
--- a/crates/citron-daemon/src/lib.rs
+++ b/crates/citron-daemon/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod setting;
 
 pub use self::{
-    admin::{Admin, bind as bind_admin},
+    admin::{Admin, bind as bind_admin, encode as encode_metrics},
     clock::Clock,
     journal::{Journal, init as init_journal},
     log::init as init_log,
--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -6,7 +6,7 @@
 use citron::{
     attempt::{Ending, Rules, Series, Step},
     catalog::Target,
-    gray::{Choice, Demand, Verdict},
+    gray::{Choice, Demand, Need, Verdict},
     route::Route,
 };
 use citron_adapter::header;
@@ -16,6 +16,7 @@
     HeaderMap, Method, Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue},
 };
+use log::Level;
 use tokio::time;
 
 use crate::{
@@ -122,12 +123,15 @@
     let (reply, attempts) = carrier.run().await;
     let took = shared.clock.now().saturating_sub(arrived);
     shared.metrics.request(&route.name, reply.status.as_u16(), took);
-    log::info!(
-        "event=request id={id} route={} service={} status={} attempts={attempts} took_ms={} routes={}",
+    let level = if reply.status.is_server_error() { Level::Warn } else { Level::Info };
+    log::log!(
+        level,
+        "event=request id={id} route={} service={} status={} attempts={attempts} took_ms={} given_ms={} routes={}",
         route.name,
         carrier.service,
         reply.status.as_u16(),
         took.as_millis(),
+        given.min(route.timeout).as_millis(),
         routes.version
     );
     reply
@@ -171,7 +175,7 @@
                     return (reply, series.attempts());
                 }
                 Step::Refuse { outcome, cause } => {
-                    log::info!(
+                    log::warn!(
                         "event=refused id={} outcome={outcome} reason={cause} attempts={}",
                         self.id,
                         series.attempts()
@@ -184,26 +188,44 @@
     }
 
     fn pay(&self, now: Duration) -> bool {
-        self.shared.budgets.withdraw(&self.service, self.shared.share(), now)
+        let share = self.shared.share();
+        let paid = self.shared.budgets.withdraw(&self.service, share, now);
+        if !paid {
+            log::warn!(
+                "event=not-repeated id={} service={} reason=budget-spent hosts={}",
+                self.id,
+                self.service,
+                share.hosts
+            );
+            self.shared.metrics.unpaid.with_label_values(&[&*self.service]).inc();
+        }
+        paid
     }
 
     /// Chooses a target that was not tried yet.
     fn place(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
         let may_test = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
         let demand = if may_test { Demand::Test } else { Demand::Any };
-        let choice = self.shared.begin(&self.service, tried, demand)?;
+        let choice = self.shared.begin(Need { service: &self.service, tried, demand })?;
         tried.push(Arc::clone(&choice.target.id));
         Some(choice)
     }
 
     /// Chooses a free target for an attempt beside an overdue one, if that may be repeated.
     fn hedge(&self, series: &mut Series, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
-        let choice = self.shared.begin(&self.service, tried, Demand::Free)?;
+        let choice =
+            self.shared.begin(Need { service: &self.service, tried, demand: Demand::Free })?;
         let now = self.shared.clock.now();
         if series.hedge(now, || self.pay(now)).is_none() {
             self.shared.end(&choice.target, None);
             return None;
         }
+        log::info!(
+            "event=hedged id={} target={} service={}",
+            self.id,
+            choice.target.id,
+            self.service
+        );
         tried.push(Arc::clone(&choice.target.id));
         Some(choice)
     }
@@ -237,15 +259,20 @@
         begun.verdict = attempt.verdict;
         begun.ended = true;
         self.shared.metrics.attempt(attempt.ending.into());
-        log::info!(
-            "event=attempt id={} target={} sick={:.3} busy={} age_ms={} candidates={} ending={} took_ms={}",
+        let level = if attempt.ending == Ending::Answered { Level::Info } else { Level::Warn };
+        log::log!(
+            level,
+            "event=attempt id={} target={} address={} sick={:.3} busy={} age_ms={} candidates={} targets={} ending={} status={} took_ms={}",
             self.id,
             target.id,
+            target.address,
             choice.sick,
             choice.busy,
             choice.age.map_or(-1, |age| age.as_millis() as i64),
             choice.candidates,
+            choice.revision,
             attempt.ending,
+            attempt.reply.as_ref().map_or(0, |reply| reply.status.as_u16()),
             took.as_millis()
         );
         attempt
@@ -264,7 +291,7 @@
             None => match Channel::connect(target.address, CONNECT_TIMEOUT).await {
                 Ok(channel) => channel,
                 Err(error) => {
-                    log::info!(
+                    log::warn!(
                         "event=connect-failed id={} target={} address={} reason={:?}",
                         self.id,
                         target.id,
@@ -389,7 +416,7 @@
 
 /// Returns the idle time that a target promises.
 fn keep_alive(value: &str) -> Option<Duration> {
-    let parts = value.split(',').filter_map(|part| part.trim().split_once('='));
-    let timeout = parts.filter(|(name, _)| name.trim().eq_ignore_ascii_case("timeout")).next();
+    let mut parts = value.split(',').filter_map(|part| part.trim().split_once('='));
+    let timeout = parts.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
     timeout.and_then(|(_, seconds)| seconds.trim().parse().ok()).map(Duration::from_secs)
 }
--- a/crates/citron-gateway/src/channel.rs
+++ b/crates/citron-gateway/src/channel.rs
@@ -40,7 +40,6 @@
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
     driver: Option<Driver>,
-    used: bool,
 }
 
 impl fmt::Debug for Channel {
@@ -72,12 +71,7 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), used: false })
-    }
-
-    /// Returns true if the connection carried a request before.
-    pub fn is_used(&self) -> bool {
-        self.used
+        Ok(Self { sender, driver: Some(Box::pin(driver)) })
     }
 
     /// Returns true if the connection is open and nothing came on it since its last answer.
@@ -94,19 +88,14 @@
         mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Exchange>, Error> {
-        self.used = true;
         let mut pending = Box::pin(self.sender.send_request(request));
         let result = poll_fn(|cx| {
             if let Poll::Ready(result) = pending.as_mut().poll(cx) {
                 return Poll::Ready(result);
             }
-            let ended = self.drive(cx).is_err();
-            match pending.as_mut().poll(cx) {
-                Poll::Ready(result) => Poll::Ready(result),
-                // The connection answers a request that it still held when it ended.
-                Poll::Pending if ended => Poll::Pending,
-                Poll::Pending => Poll::Pending,
-            }
+            // A connection that ends answers the request that it held.
+            let _ = self.drive(cx);
+            pending.as_mut().poll(cx)
         })
         .await;
         drop(pending);
--- a/crates/citron-gateway/src/channel/pool.rs
+++ b/crates/citron-gateway/src/channel/pool.rs
@@ -12,11 +12,14 @@
 /// Share of the time that a target promises to keep an idle connection.
 const PROMISE_SHARE: f64 = 0.6;
 
+/// A target's identity and the start of its lifetime.
+type Lifetime = (Arc<str>, u64);
+
 /// Idle connections by target lifetime.
 #[derive(Debug)]
 pub struct Pool {
     keep: Duration,
-    idle: Mutex<HashMap<(Arc<str>, u64), Vec<Idle>>>,
+    idle: Mutex<HashMap<Lifetime, Vec<Idle>>>,
 }
 
 #[derive(Debug)]
@@ -72,11 +75,6 @@
         self.idle.lock().values().map(Vec::len).sum()
     }
 
-    /// Returns true if no connection is kept.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     fn pop(&self, id: &Arc<str>, born_ms: u64) -> Option<Idle> {
         self.idle.lock().get_mut(&(Arc::clone(id), born_ms))?.pop()
     }
--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -7,7 +7,12 @@
 use citron_adapter::ingress::{ADDRESSES_LIMIT, Resolved};
 use citron_daemon::Server;
 use eyre::WrapErr;
-use rocket::{Build, Rocket, State, get, http::Status, routes, serde::json::Json};
+use rocket::{
+    Build, Rocket, State, get,
+    http::{ContentType, Status},
+    routes,
+    serde::json::Json,
+};
 
 use crate::shared::Shared;
 
@@ -40,6 +45,14 @@
     serve(shared, addr, |rocket| rocket.mount("/", routes![peer_routes, peer_targets])).await
 }
 
+/// Starts to serve the metrics.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn bind_metrics(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
+    serve(shared, addr, |rocket| rocket.mount("/", routes![metrics])).await
+}
+
 async fn serve(
     shared: &Arc<Shared>,
     addr: SocketAddr,
@@ -82,3 +95,11 @@
     }
     Ok(Json(targets.catalog.since(since)))
 }
+
+#[get("/metrics")]
+fn metrics(shared: &State<Arc<Shared>>) -> Result<(ContentType, Vec<u8>), Status> {
+    citron_daemon::encode_metrics(&shared.metrics.registry).map_err(|error| {
+        log::error!("event=metrics-failed reason={error:?}");
+        Status::InternalServerError
+    })
+}
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -1,6 +1,10 @@
 //! The running gateway.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use citron::leave::{Action, Departure};
 use citron_adapter::{settings::Settings, store::Store};
@@ -26,15 +30,19 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     accept: JoinHandle<()>,
-    servers: [Server; 3],
+    servers: Vec<Server>,
 }
 
 impl Gateway {
-    /// Binds all addresses of `settings` and begins to serve.
+    /// Binds all addresses of `settings` and begins to serve; metrics are served only with a port.
     ///
     /// # Errors
     /// Fails if an address cannot be bound.
-    pub async fn bind(settings: Settings, clock: Clock) -> eyre::Result<Self> {
+    pub async fn bind(
+        settings: Settings,
+        metrics_port: Option<u16>,
+        clock: Clock,
+    ) -> eyre::Result<Self> {
         let metrics = Metrics::open().wrap_err("cannot set up the metrics")?;
         let store = Store::open(settings.store).wrap_err("cannot set up the store's client")?;
         let listener = TcpListener::bind(settings.callers)
@@ -51,7 +59,12 @@
         let directory = directory::bind(&shared, addresses.directory).await?;
         let ready = directory::bind_ready(&shared, addresses.ready).await?;
         let peers = directory::bind_peers(&shared, addresses.peers).await?;
-        shared.listen_at(directory.addr(), ready.addr(), peers.addr());
+        let mut servers = vec![peers];
+        if let Some(port) = metrics_port {
+            let addr = SocketAddr::new(own.ip(), port);
+            servers.push(directory::bind_metrics(&shared, addr).await?);
+        }
+        shared.listen_at(directory.addr(), ready.addr(), servers[0].addr());
         tokio::spawn(follow::routes(Arc::clone(&shared), store.clone()));
         tokio::spawn(follow::targets(Arc::clone(&shared), store.clone()));
         tokio::spawn(follow::gateways(Arc::clone(&shared), store, own));
@@ -68,7 +81,8 @@
         tokio::spawn(peer::tell(Arc::clone(&shared), socket));
         reload::spawn(Arc::clone(&shared)).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
-        Ok(Self { shared, accept, servers: [directory, ready, peers] })
+        servers.extend([directory, ready]);
+        Ok(Self { shared, accept, servers })
     }
 
     /// Returns where callers connect.
@@ -124,9 +138,21 @@
     loop {
         time::sleep(SWEEP_GAP).await;
         shared.pool.sweep();
+        measure(&shared);
         let over = shared.targets.lock().expire(shared.clock.now());
         for target in over {
             log::info!("event=target-gone target={target} reason=not-back-after-outage");
         }
     }
 }
+
+/// Brings the gauges up to date.
+fn measure(shared: &Shared) {
+    let now = shared.clock.now();
+    let metrics = &shared.metrics;
+    metrics.in_flight.set(shared.in_flight() as i64);
+    metrics.gateways.set(shared.gateways.lock().alive(now).count() as i64);
+    metrics.suspected.set(shared.targets.lock().view.suspected(now) as i64);
+    metrics.idle_channels.set(shared.pool.len() as i64);
+    metrics.store_lost.set(shared.store_lost.load(Ordering::Relaxed) as i64);
+}
--- a/crates/citron-gateway/src/main.rs
+++ b/crates/citron-gateway/src/main.rs
@@ -15,21 +15,27 @@
 
 /// The variable that sets the least severe records that are logged.
 const LOG_VARIABLE: &str = "CITRON_LOG";
+/// The variable that sets the port of the metrics.
+const METRICS_VARIABLE: &str = "CITRON_METRICS_PORT";
 
 /// What the command line asks for.
 enum Command {
-    Run(LevelFilter),
+    Run(Options),
     Help,
     Version,
 }
 
+/// What the command line and the environment set.
+struct Options {
+    level: LevelFilter,
+    metrics_port: Option<u16>,
+}
+
 fn main() -> ExitCode {
-    let level = match command(std::env::args_os().skip(1)) {
-        Ok(Command::Run(level)) => level,
+    let options = match command(std::env::args_os().skip(1)) {
+        Ok(Command::Run(options)) => options,
         Ok(Command::Help) => {
-            println!(
-                "citron-gateway [--log LEVEL]\n\nRuns a gateway with the settings file that {PATH_VARIABLE} names.\n\n  --log LEVEL  least severe log records: off, error, warn, info, debug, trace ({LOG_VARIABLE}, info)\n  --help       prints this\n  --version    prints the version"
-            );
+            print!("{}", help());
             return ExitCode::SUCCESS;
         }
         Ok(Command::Version) => {
@@ -42,12 +48,28 @@
         Ok(settings) => settings,
         Err(error) => return fail(2, &error.into()),
     };
-    match run(settings, level) {
+    match run(settings, &options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(1, &error),
     }
 }
 
+fn help() -> String {
+    format!(
+        "citron-gateway [--log LEVEL] [--metrics-port PORT]
+
+Runs a gateway with the settings file that {PATH_VARIABLE} names.
+
+  --log LEVEL          least severe log records: off, error, warn, info, debug, trace
+                       ({LOG_VARIABLE}, info)
+  --metrics-port PORT  port of the host's address on which /metrics is served
+                       ({METRICS_VARIABLE}, not served)
+  --help               prints this
+  --version            prints the version
+"
+    )
+}
+
 fn fail(code: u8, error: &eyre::Report) -> ExitCode {
     eprintln!("citron-gateway: {error:#}");
     ExitCode::from(code)
@@ -55,10 +77,12 @@
 
 fn command(args: impl IntoIterator<Item = OsString>) -> eyre::Result<Command> {
     let mut level = std::env::var(LOG_VARIABLE).ok();
+    let mut port = std::env::var(METRICS_VARIABLE).ok();
     let mut parser = lexopt::Parser::from_args(args);
     while let Some(arg) = parser.next()? {
         match arg {
             Long("log") => level = Some(parser.value()?.string()?),
+            Long("metrics-port") => port = Some(parser.value()?.string()?),
             Long("help") => return Ok(Command::Help),
             Long("version") => return Ok(Command::Version),
             other => return Err(other.unexpected().into()),
@@ -68,21 +92,28 @@
     let level = level.parse().wrap_err_with(|| {
         format!("{level:?} is not a log level; use off, error, warn, info, debug or trace")
     })?;
-    Ok(Command::Run(level))
+    let metrics_port = port
+        .map(|port| match port.parse() {
+            Ok(port) if port > 0 => Ok(port),
+            _ => Err(eyre::eyre!("{port:?} is not a port; use a number from 1 to 65535")),
+        })
+        .transpose()?;
+    Ok(Command::Run(Options { level, metrics_port }))
 }
 
-fn run(settings: Settings, level: LevelFilter) -> eyre::Result<()> {
+fn run(settings: Settings, options: &Options) -> eyre::Result<()> {
     let runtime = match settings.cores {
         1 => runtime::Builder::new_current_thread().enable_all().build(),
         cores => runtime::Builder::new_multi_thread().worker_threads(cores).enable_all().build(),
     };
-    runtime.wrap_err("cannot start the runtime")?.block_on(serve(settings, level))
+    runtime.wrap_err("cannot start the runtime")?.block_on(serve(settings, options))
 }
 
-async fn serve(settings: Settings, level: LevelFilter) -> eyre::Result<()> {
+async fn serve(settings: Settings, options: &Options) -> eyre::Result<()> {
     let clock = Clock::start();
-    let journal = citron_daemon::init_journal(level, &settings.host, "citron-gateway", clock)
-        .wrap_err("cannot start the log")?;
+    let journal =
+        citron_daemon::init_journal(options.level, &settings.host, "citron-gateway", clock)
+            .wrap_err("cannot start the log")?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
     log::info!(
@@ -92,7 +123,7 @@
         settings.callers,
         settings.store
     );
-    let gateway = Gateway::bind(settings, clock).await?;
+    let gateway = Gateway::bind(settings, options.metrics_port, clock).await?;
     log::info!("event=started");
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -19,12 +19,24 @@
     pub store_calls: IntCounterVec,
     /// Pulls from peers, by subject and outcome.
     pub pulls: IntCounterVec,
+    /// Repetitions that the budget did not allow, by service.
+    pub unpaid: IntCounterVec,
     /// Outcomes that peers were not told of, as too many waited.
     pub news_dropped: IntCounter,
     /// Datagrams that could not be read.
     pub datagrams_bad: IntCounter,
     /// Datagrams that could not be sent.
     pub datagrams_unsent: IntCounter,
+    /// Requests being carried.
+    pub in_flight: IntGauge,
+    /// Other gateways that reported lately.
+    pub gateways: IntGauge,
+    /// Targets believed to be sick.
+    pub suspected: IntGauge,
+    /// Idle connections to targets.
+    pub idle_channels: IntGauge,
+    /// Followers whose last call to the store failed.
+    pub store_lost: IntGauge,
     /// The version of the routes in force.
     pub routes_version: IntGauge,
     /// The revision of the target list in force.
@@ -87,6 +99,11 @@
                 "State taken from peers, by subject and outcome",
                 &["subject", "outcome"],
             )?,
+            unpaid: counters(
+                "citron_repetitions_denied_total",
+                "Repetitions that the budget did not allow, by service",
+                &["service"],
+            )?,
             requests: counters(
                 "citron_requests_total",
                 "Answered requests, by route and status",
@@ -104,6 +121,14 @@
                 "citron_datagrams_unsent_total",
                 "Datagrams to peers that could not be sent",
             )?,
+            in_flight: gauge("citron_requests_in_flight", "Requests being carried")?,
+            gateways: gauge("citron_gateways_alive", "Other gateways that reported lately")?,
+            suspected: gauge("citron_targets_suspected", "Targets believed to be sick")?,
+            idle_channels: gauge("citron_idle_connections", "Idle connections to targets")?,
+            store_lost: gauge(
+                "citron_store_followers_lost",
+                "Followers whose last call to the store failed",
+            )?,
             routes_version: gauge("citron_routes_version", "Version of the routes in force")?,
             targets_revision: gauge(
                 "citron_targets_revision",
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -14,7 +14,7 @@
     attempt::Share,
     catalog::{Catalog, Change, Snapshot, Target},
     gateways::Gateways,
-    gray::{Choice, Demand, Verdict, View},
+    gray::{Choice, Need, Verdict, View},
     home,
     route::{Route, Split, Table},
 };
@@ -208,16 +208,16 @@
     }
 
     /// Chooses a target for an attempt and counts it as begun.
-    pub fn begin(&self, service: &str, tried: &[Arc<str>], demand: Demand) -> Option<Choice> {
+    pub fn begin(&self, need: Need<'_>) -> Option<Choice> {
         let now = self.clock.now();
-        let testers = if demand.tests() { self.live_hosts(now) } else { Vec::new() };
+        let testers = if need.demand.tests() { self.live_hosts(now) } else { Vec::new() };
         let own = self.settings().host.clone();
         let is_tester = |id: &str| {
             let best = testers.iter().max_by_key(|host| home::weight(&[id], host));
             best.is_none_or(|best| home::weight(&[id], best) <= home::weight(&[id], &own))
         };
         let Targets { catalog, view, rng } = &mut *self.targets.lock();
-        view.begin(catalog, service, tried, demand, is_tester, rng, now)
+        view.begin(catalog, need, is_tester, rng, now)
     }
 
     /// Takes how an attempt ended and tells the peers what they should know.
--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -144,17 +144,73 @@
 }
 
 #[tokio::test]
-async fn a_gateway_that_the_store_turns_away_takes_the_state_from_its_peer() {
+async fn gateways_find_each_other_by_the_store() {
     let world = World::start(1).await;
-    // The second gateway learns of the first by the store, and is turned away afterwards.
     let other = gateway("entry-2", &world.store).await;
-    eventually("the second is ready", async || ready(&other).await == 200).await;
+    eventually("they know each other", async || {
+        let both = [resolve(&world.gateway).await, resolve(&other).await];
+        both.iter().all(|(_, answer)| answer["addresses"].as_array().is_some_and(|a| a.len() == 2))
+    })
+    .await;
+}
+
+/// Starts a gateway that knows of the first one of `world`, and whose store turns it away.
+async fn turned_away(world: &World) -> (Store, citron_gateway::Gateway) {
+    let store = Store::bind().await;
+    let first = world.store.get("citron-gateways", "entry-1").expect("an entry");
+    store.put("citron-gateways", "entry-1", first);
+    let other = gateway("entry-2", &store).await;
+    eventually("it is registered", async || store.get("citron-gateways", "entry-2").is_some())
+        .await;
+    time::sleep(Duration::from_millis(300)).await;
+    store.set(Mood::Refusing(429));
+    (store, other)
+}
+
+#[tokio::test]
+async fn a_gateway_that_the_store_turns_away_takes_the_state_from_its_peer() {
+    let world = World::start(2).await;
+    let (_store, other) = turned_away(&world).await;
+    eventually("the other is ready", async || ready(&other).await == 200).await;
+    let leaving = &world.targets[0];
+    let mut spec = config("r9", 1.0);
+    spec["hosts"][0]["paths"][0]["pathPrefix"] = "/moved/".into();
+    world.store.put("config", "main", spec);
+    world.store.put("servers", &leaving.id, leaving.entry("draining"));
+    time::sleep(Duration::from_millis(1600)).await;
+    for n in 0..10 {
+        let id = format!("id-{n}");
+        let request = Request { path: "/moved/1", ..lookup(&id) };
+        let mut caller = support::caller::Caller::connect(other.callers()).await;
+        caller.send(&request.text()).await;
+        assert_eq!(caller.answer().await.status, 200);
+        assert_eq!(leaving.runs(&id), 0, "the target leaves");
+    }
+}
+
+#[tokio::test]
+async fn orders_avoid_a_target_that_failed_at_another_gateway() {
+    let world = World::start(3).await;
+    let other = gateway("entry-2", &world.store).await;
     eventually("they know each other", async || {
         resolve(&other).await.1["addresses"].as_array().is_some_and(|all| all.len() == 2)
     })
     .await;
-    let (_, answer) = resolve(&world.gateway).await;
-    assert_eq!(answer["addresses"].as_array().map(Vec::len), Some(2));
+    world.targets[0].set(support::target::Act::Fail);
+    let mut failed = 0;
+    for n in 0..20 {
+        failed += u32::from(world.ask(&order(&format!("id-{n}"))).await.status == 500);
+    }
+    time::sleep(Duration::from_millis(50)).await;
+    world.targets[0].set(support::target::Act::Serve);
+    assert!(failed <= 1, "{failed} orders failed at the first gateway");
+    for n in 0..20 {
+        let id = format!("other-{n}");
+        let mut caller = support::caller::Caller::connect(other.callers()).await;
+        caller.send(&order(&id).text()).await;
+        assert_eq!(caller.answer().await.status, 200);
+        assert!(failed == 0 || world.targets[0].runs(&id) == 0, "it was told of the failure");
+    }
 }
 
 #[tokio::test]
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -137,7 +137,7 @@
         keep_limit: Duration::from_secs(5),
         grace: Duration::from_secs(6),
     };
-    Gateway::bind(settings, Clock::start()).await.expect("a gateway")
+    Gateway::bind(settings, None, Clock::start()).await.expect("a gateway")
 }
 
 /// Asks a gateway whether it is ready and returns the status.
--- a/crates/citron-gateway/tests/support/store.rs
+++ b/crates/citron-gateway/tests/support/store.rs
@@ -73,7 +73,7 @@
 
     /// Writes an object as its owner does.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.shared.state.lock().write(kind, name, spec);
+        self.shared.state.lock().write(kind, name, &spec);
         self.shared.changed.notify_waiters();
     }
 
@@ -96,13 +96,19 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns what an object says.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.shared.state.lock().objects.get(&key).map(|object| object["spec"].clone())
+    }
+
     pub fn calls(&self) -> u64 {
         self.shared.state.lock().calls
     }
 }
 
 impl Contents {
-    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+    fn write(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         self.revision += 1;
         let object = json!({
             "metadata": {"name": name, "revision": self.revision, "createdAt": 1, "finalizers": [], "deleting": false},
@@ -215,7 +221,7 @@
     if let Some(object) = state.objects.get(&(kind.to_owned(), name.clone())) {
         return Custom(Status::Conflict, Json(object.clone()));
     }
-    ok(state.write(kind, &name, body["spec"].clone()))
+    ok(state.write(kind, &name, &body["spec"]))
 }
 
 #[put("/<kind>/<name>", data = "<body>")]
@@ -223,7 +229,7 @@
     if let Err(refusal) = admit(shared).await {
         return refusal;
     }
-    ok(shared.state.lock().write(kind, name, body["spec"].clone()))
+    ok(shared.state.lock().write(kind, name, &body["spec"]))
 }
 
 #[delete("/<kind>/<name>")]
--- a/crates/citron-proxy/src/health.rs
+++ b/crates/citron-proxy/src/health.rs
@@ -127,7 +127,7 @@
             Ending::NotConnected => End::ConnectFailed,
             Ending::Shed => End::Shed,
             Ending::Foreign => End::Foreign,
-            Ending::Broken => End::Error,
+            Ending::Broken | Ending::Failed => End::Error,
             // A caller that waits for a short time only proves nothing about the target.
             Ending::TimedOut if took < patience => End::Cancelled,
             Ending::TimedOut => End::TimedOut,
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -10,7 +10,7 @@
 
 pub use self::{
     choice::{Candidate, Demand, choose},
-    view::{Choice, Key, Load, View, key},
+    view::{Choice, Key, Load, Need, View, key},
 };
 
 use std::time::Duration;
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Belief, Candidate, Demand, NEWSWORTHY, Verdict, choose};
+use super::{Belief, Candidate, Demand, NEWSWORTHY, SUSPECT, Verdict, choose};
 use crate::catalog::{Catalog, Target};
 
 /// How long a target that shed is held back.
@@ -46,6 +46,17 @@
     misplaced: bool,
 }
 
+/// What an attempt needs.
+#[derive(Debug, Copy, Clone)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The targets that the request was sent to before.
+    pub tried: &'a [Arc<str>],
+    /// What it asks of its target.
+    pub demand: Demand,
+}
+
 /// The target chosen for an attempt, with what decided it.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -59,6 +70,8 @@
     pub candidates: usize,
     /// The requests at the target that all gateways report.
     pub busy: u32,
+    /// The revision of the list that named it.
+    pub revision: u64,
 }
 
 impl Choice {
@@ -79,20 +92,19 @@
         Self { domain: Arc::from(domain), states: HashMap::new(), loads: HashMap::new() }
     }
 
-    /// Chooses a target of `service` that is not in `tried` and counts the attempt as begun.
+    /// Chooses a target that meets `need` and counts the attempt as begun.
     ///
     /// A request that may test is sent to a suspected target when its test is due and `is_tester`
     /// says that this gateway tests it.
     pub fn begin(
         &mut self,
         catalog: &Catalog,
-        service: &str,
-        tried: &[Arc<str>],
-        demand: Demand,
+        need: Need<'_>,
         is_tester: impl Fn(&str) -> bool,
         rng: &mut impl Rng,
         now: Duration,
     ) -> Option<Choice> {
+        let Need { service, tried, demand } = need;
         let targets: Vec<&Target> = catalog
             .serving(service)
             .filter(|target| !tried.contains(&target.id))
@@ -117,6 +129,7 @@
             age: state.belief.age(now),
             candidates: candidates.len(),
             busy: candidates[index].load.0,
+            revision: catalog.revision(),
         })
     }
 
@@ -184,6 +197,11 @@
         self.states.get(id).map_or(0.0, |state| state.sick(now))
     }
 
+    /// Returns the number of targets that are suspected.
+    pub fn suspected(&self, now: Duration) -> usize {
+        self.states.values().filter(|state| state.sick(now) > SUSPECT).count()
+    }
+
     fn is_due(&self, target: &Target, now: Duration) -> bool {
         let Some(state) = self.states.get(&target.id) else { return false };
         let gap = |at: Duration| now.saturating_sub(at) >= TEST_GAP;
--- a/crates/citron/src/route.rs
+++ b/crates/citron/src/route.rs
@@ -86,7 +86,7 @@
             hosts.entry(host.to_ascii_lowercase()).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
-            routes.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         Self { version, services, limits, hosts }
     }
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -4,7 +4,7 @@
 
 use citron::{
     catalog::{Catalog, Change, Snapshot, Target},
-    gray::{Belief, Demand, SUSPECT, Verdict, View, key},
+    gray::{Belief, Demand, Need, SUSPECT, Verdict, View, key},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -55,8 +55,8 @@
         demand: Demand,
         now: Duration,
     ) -> Option<Target> {
-        let choice =
-            self.view.begin(&self.catalog, "desk", tried, demand, |_| true, &mut self.rng, now);
+        let need = Need { service: "desk", tried, demand };
+        let choice = self.view.begin(&self.catalog, need, |_| true, &mut self.rng, now);
         choice.map(|choice| choice.target)
     }
 
