--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -6,6 +6,8 @@
 
 /// The cost of a failed request, the unit of all costs here.
 const FAILURE_COST: f64 = 1.0;
+/// Targets below this belief count as equally sound, so that all of them get work.
+const SOUND: f64 = 0.06;
 /// The cost of a target whose slots are all taken but the last.
 const LOAD_COST: f64 = 0.05;
 /// The cost of waiting for a slot, for each request ahead and slot.
@@ -65,7 +67,8 @@
     fn cost(&self) -> f64 {
         let (busy, slots) = (f64::from(self.load.0), f64::from(self.load.1.max(1)));
         let ahead = (busy + 1.0 - slots).max(0.0);
-        self.sick * FAILURE_COST
+        let sick = if self.sick < SOUND { 0.0 } else { self.sick };
+        sick * FAILURE_COST
             + busy / slots * LOAD_COST
             + ahead / slots * QUEUE_COST
             + if self.near { 0.0 } else { DOMAIN_COST }
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -1,6 +1,6 @@
 //! Beliefs about failing targets, and the choice of the next target.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use citron::{
     catalog::{Catalog, Change, Snapshot, Target},
@@ -208,3 +208,23 @@
     world.view.misplace(&moved, at(0));
     assert_eq!(world.pick(Demand::Any, at(0)), None);
 }
+
+/// Traffic must not gather on the targets that were proven first: the others would never be seen
+/// to be sound, and their capacity would be missing.
+#[test]
+fn all_sound_targets_of_a_domain_get_work() {
+    let mut world = World::near(25);
+    for n in 0..7 {
+        let proven = world.get(&format!("t{n}"));
+        for _ in 0..20 {
+            world.view.hear(&proven, Verdict::Served, at(0));
+        }
+    }
+    let mut chosen = BTreeSet::new();
+    for n in 0..160 {
+        let target = world.pick(Demand::Any, at(n * 12)).expect("a target");
+        world.view.end(&target, Some(Verdict::Served), at(n * 12 + 10));
+        chosen.insert(target.id.to_string());
+    }
+    assert!(chosen.len() >= 23, "{} of 25 targets got work", chosen.len());
+}
