Hold vanished entries only for an outage of the store that others saw too

Ruled out: a stale watch (the log shows the peers' changes being taken). What a peer reports as gone is final; a gateway holds entries only if no peer's store answered all the while; entries that are held are told to peers as such. The catalog's three new tests fail without the change.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -1,12 +1,8 @@
 //! Follows the store: the operator's routes, the targets' entries and the gateways' addresses.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::catalog::Snapshot;
+use citron::catalog::{Snapshot, Source};
 use citron_adapter::{
     gateways, routes,
     store::{Error, Store, Watched},
@@ -87,10 +83,10 @@
             Ok(next) => {
                 if pause.failed() {
                     log::info!("event=store-regained call={kind} failures={}", pause.failures);
-                    shared.store_lost.fetch_sub(1, Ordering::Relaxed);
-                    shared.targets.lock().catalog.store_regained(shared.clock.now());
+                    shared.regain_store();
                 }
                 pause = Pause::default();
+                shared.link.answer(shared.clock.now());
                 shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
                 cursor = next;
                 if cursor.is_some() {
@@ -100,9 +96,8 @@
             Err(error) => {
                 shared.metrics.store_calls.with_label_values(&[kind, "failed"]).inc();
                 if !pause.failed() {
-                    shared.store_lost.fetch_add(1, Ordering::Relaxed);
+                    shared.lose_store();
                 }
-                shared.targets.lock().catalog.store_lost();
                 pause.after(&shared, kind, &error).await;
             }
         }
@@ -124,7 +119,10 @@
         }
         Subject::Targets => {
             let targets = targets::decode_list(&list.objects);
-            shared.take_targets(Snapshot { revision: list.revision, targets }, "store");
+            shared.take_targets(
+                Snapshot { revision: list.revision, targets, lapsed: Vec::new() },
+                Source::Store,
+            );
         }
     }
     Ok(Some(list.revision))
@@ -156,7 +154,7 @@
             let deleted = events.iter().any(|event| event.deleted);
             let newest = events.iter().map(|event| event.object.revision).max().unwrap_or(as_of);
             let content = if deleted { as_of } else { newest };
-            shared.change_targets(content, targets::decode_events(&events), "store");
+            shared.change_targets(content, targets::decode_events(&events), Source::Store);
         }
     }
     Ok(Some(as_of))
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -154,5 +154,5 @@
     metrics.gateways.set(shared.gateways.lock().alive(now).count() as i64);
     metrics.suspected.set(shared.targets.lock().view.suspected(now) as i64);
     metrics.idle_channels.set(shared.pool.len() as i64);
-    metrics.store_lost.set(shared.store_lost.load(Ordering::Relaxed) as i64);
+    metrics.store_lost.set(i64::from(shared.link.is_lost()));
 }
--- a/crates/citron-gateway/src/lib.rs
+++ b/crates/citron-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod gateway;
 mod http1;
+mod link;
 mod metrics;
 mod peer;
 mod refusal;
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -35,7 +35,7 @@
     pub suspected: IntGauge,
     /// Idle connections to targets.
     pub idle_channels: IntGauge,
-    /// Followers whose last call to the store failed.
+    /// 1 while the last call to the store failed, else 0.
     pub store_lost: IntGauge,
     /// The version of the routes in force.
     pub routes_version: IntGauge,
@@ -126,8 +126,8 @@
             suspected: gauge("citron_targets_suspected", "Targets believed to be sick")?,
             idle_channels: gauge("citron_idle_connections", "Idle connections to targets")?,
             store_lost: gauge(
-                "citron_store_followers_lost",
-                "Followers whose last call to the store failed",
+                "citron_store_lost",
+                "1 while the last call to the store failed, else 0",
             )?,
             routes_version: gauge("citron_routes_version", "Version of the routes in force")?,
             targets_revision: gauge(
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -9,7 +9,7 @@
 };
 
 use citron::{
-    catalog::Update,
+    catalog::{Source, Update},
     gateways::{Receiver, Report},
     gray::{self, Verdict},
 };
@@ -259,7 +259,7 @@
 
 /// Takes newer routes and targets from a peer if the store does not bring them in time.
 async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
-    let alone = shared.store_lost.load(Ordering::Relaxed) > 0;
+    let alone = shared.link.is_lost();
     time::sleep(if alone { PULL_DELAY_ALONE } else { PULL_DELAY }).await;
     shared.pulling.store(false, Ordering::Relaxed);
     let now = shared.clock.now();
@@ -276,9 +276,9 @@
     let Some(peer) = newer else { return };
     let path = format!("targets?since={revision}");
     match fetch(&shared, &http, peer, "targets", &path).await {
-        Some(Update::Whole(snapshot)) => shared.take_targets(snapshot, "peer"),
+        Some(Update::Whole(snapshot)) => shared.take_targets(snapshot, Source::Peer),
         Some(Update::Changes(revision, changes)) => {
-            shared.change_targets(revision, changes, "peer");
+            shared.change_targets(revision, changes, Source::Peer);
         }
         None => {}
     }
@@ -320,6 +320,7 @@
         targets_revision: shared.targets.lock().catalog.revision(),
         asks,
         datagrams: own.to_owned(),
+        store_answers_for_ms: shared.link.answers_for(shared.clock.now()).as_millis() as u64,
     };
     Datagram { host: settings.host.clone(), state: Some(state), ..Datagram::default() }
 }
@@ -333,6 +334,7 @@
         ready: state.ready,
         routes_version: state.routes_version,
         targets_revision: state.targets_revision,
+        store_answers_for: Duration::from_millis(state.store_answers_for_ms),
     })
 }
 
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -63,6 +63,10 @@
     /// The revision of the target list in force, 0 if none.
     #[prost(uint64, tag = "7")]
     pub targets_revision: u64,
+    /// How long the store has answered the sender without a break, in milliseconds; 0 if it does
+    /// not answer.
+    #[prost(uint64, tag = "10")]
+    pub store_answers_for_ms: u64,
     /// Where it receives datagrams, `ip:port`.
     #[prost(string, tag = "9")]
     pub datagrams: String,
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -12,7 +12,7 @@
 
 use citron::{
     attempt::Share,
-    catalog::{Catalog, Change, Snapshot, Target},
+    catalog::{Catalog, Change, Snapshot, Source, Target},
     gateways::Gateways,
     gray::{Choice, Need, Verdict, View},
     home,
@@ -25,7 +25,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Notify;
 
-use crate::{budget::Budgets, channel::Pool, metrics::Metrics, peer::message::Outcome};
+use crate::{budget::Budgets, channel::Pool, link::Link, metrics::Metrics, peer::message::Outcome};
 
 /// How long an idle connection to a target is kept.
 const KEEP_IDLE: Duration = Duration::from_secs(6);
@@ -65,8 +65,8 @@
     leaving: AtomicBool,
     /// Whether the peers were told that callers may be sent here.
     told_ready: AtomicBool,
-    /// Whether the store answers, by follower.
-    pub store_lost: AtomicUsize,
+    /// Whether the store answers.
+    pub link: Link,
     /// Whether a pull from a peer is due already.
     pub pulling: AtomicBool,
     in_flight: AtomicUsize,
@@ -110,7 +110,7 @@
             splits: Mutex::default(),
             leaving: AtomicBool::new(false),
             told_ready: AtomicBool::new(false),
-            store_lost: AtomicUsize::new(0),
+            link: Link::default(),
             pulling: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
@@ -152,11 +152,11 @@
     }
 
     /// Takes a whole target list from `source`; one that is not newer changes nothing.
-    pub fn take_targets(&self, snapshot: Snapshot, source: &str) {
+    pub fn take_targets(&self, snapshot: Snapshot, source: Source) {
         let revision = snapshot.revision;
         let now = self.clock.now();
         let mut targets = self.targets.lock();
-        if !targets.catalog.replace(snapshot, now) {
+        if !targets.catalog.replace(snapshot, source, now) {
             return;
         }
         let count = targets.catalog.len();
@@ -168,11 +168,11 @@
     }
 
     /// Takes changes of the target list from `source`.
-    pub fn change_targets(&self, revision: u64, changes: Vec<Change>, source: &str) {
+    pub fn change_targets(&self, revision: u64, changes: Vec<Change>, source: Source) {
         let now = self.clock.now();
         let text: Vec<String> = changes.iter().map(describe).collect();
         let mut targets = self.targets.lock();
-        if !targets.catalog.apply(revision, changes, now) {
+        if !targets.catalog.apply(revision, changes, source, now) {
             return;
         }
         targets.forget_unlisted();
@@ -185,6 +185,26 @@
         self.tell_if_first();
     }
 
+    /// Takes that the store does not answer a follower.
+    pub fn lose_store(&self) {
+        self.link.lose(self.clock.now());
+        self.targets.lock().catalog.store_lost();
+    }
+
+    /// Takes that the store answers a follower again.
+    pub fn regain_store(&self) {
+        let now = self.clock.now();
+        let Some(lost_at) = self.link.regain(now) else { return };
+        let others = self.gateways.lock().store_answered_since(lost_at, now);
+        log::info!(
+            "event=link-regained lost_ms={} answered_others={others}",
+            now.saturating_sub(lost_at).as_millis()
+        );
+        let mut targets = self.targets.lock();
+        targets.catalog.store_regained(others, now);
+        targets.expire(now);
+    }
+
     /// Tells the peers of this gateway's state at once unless another has told the same already.
     fn tell_if_first(&self) {
         let version = self.routes().map_or(0, |routes| routes.version);
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -8,6 +8,7 @@
 };
 
 use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
 
 /// How long an entry that vanished around an outage of the store is kept after the store's return.
 const LAPSE_HOLD: Duration = Duration::from_secs(2);
@@ -55,6 +56,19 @@
     pub revision: u64,
     /// All usable targets.
     pub targets: Vec<Target>,
+    /// Those of them whose entries vanished around an outage and are only held.
+    #[serde(default)]
+    pub lapsed: Vec<Arc<str>>,
+}
+
+/// Where a list or a change comes from.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// Another gateway, which has judged already whether a vanished entry is only to be held.
+    Peer,
 }
 
 /// What a peer that is behind needs to catch up.
@@ -93,7 +107,7 @@
 
 impl Catalog {
     /// Takes a whole list; returns false if it is not newer than the list in force.
-    pub fn replace(&mut self, snapshot: Snapshot, now: Duration) -> bool {
+    pub fn replace(&mut self, snapshot: Snapshot, source: Source, now: Duration) -> bool {
         if snapshot.revision <= self.revision {
             return false;
         }
@@ -104,7 +118,12 @@
         }
         for (id, target) in gone {
             self.targets.insert(Arc::clone(&id), target);
-            self.remove(&id, now);
+            self.remove(&id, source, now);
+        }
+        for id in snapshot.lapsed {
+            if self.targets.contains_key(&id) {
+                self.lapsed.insert(id, now + LAPSE_HOLD);
+            }
         }
         self.revision = snapshot.revision;
         self.log.clear();
@@ -113,7 +132,13 @@
     }
 
     /// Takes the changes up to `revision`; returns false if they are not newer.
-    pub fn apply(&mut self, revision: u64, changes: Vec<Change>, now: Duration) -> bool {
+    pub fn apply(
+        &mut self,
+        revision: u64,
+        changes: Vec<Change>,
+        source: Source,
+        now: Duration,
+    ) -> bool {
         if revision <= self.revision {
             return false;
         }
@@ -121,7 +146,7 @@
             self.note(revision, &change);
             match change {
                 Change::Put(target) => self.put(target),
-                Change::Gone(id) => self.remove(&id, now),
+                Change::Gone(id) => self.remove(&id, source, now),
             }
         }
         self.revision = revision;
@@ -133,14 +158,16 @@
         self.outage = Outage::Since;
     }
 
-    /// Takes that the store answers again.
-    pub fn store_regained(&mut self, now: Duration) {
+    /// Takes that the store answers again; `others` tells whether it answered other gateways
+    /// all the while, so that no entry can have lapsed for want of the store.
+    pub fn store_regained(&mut self, others: bool, now: Duration) {
         if self.outage != Outage::Since {
             return;
         }
-        self.outage = Outage::Until(now);
+        self.outage = if others { Outage::None } else { Outage::Until(now) };
+        let hold = if others { Duration::ZERO } else { LAPSE_HOLD };
         for until in self.lapsed.values_mut() {
-            *until = now + LAPSE_HOLD;
+            *until = now + hold;
         }
     }
 
@@ -189,20 +216,24 @@
         self.targets.is_empty()
     }
 
-    /// Returns the list as it is passed to other hosts; entries that are only held are left out.
+    /// Returns the list as it is passed to other hosts.
     pub fn snapshot(&self) -> Snapshot {
-        let listed = self.targets.values().filter(|target| !self.is_lapsed(&target.id));
-        Snapshot { revision: self.revision, targets: listed.cloned().collect() }
+        Snapshot {
+            revision: self.revision,
+            targets: self.targets.values().cloned().collect(),
+            lapsed: self.lapsed.keys().cloned().collect(),
+        }
     }
 
-    /// Returns what a peer needs that is at `revision`; entries that are only held are left out.
+    /// Returns what a peer needs that is at `revision`; it keeps what is only held here.
     pub fn since(&self, revision: u64) -> Update {
         if revision < self.log_from {
             return Update::Whole(self.snapshot());
         }
         let newer = self.log.iter().filter(|(at, _)| *at > revision);
-        let changed: BTreeSet<&Arc<str>> = newer.map(|(_, id)| id).collect();
-        let change = |id: &Arc<str>| match self.targets.get(id).filter(|_| !self.is_lapsed(id)) {
+        let changed: BTreeSet<&Arc<str>> =
+            newer.map(|(_, id)| id).filter(|id| !self.is_lapsed(id)).collect();
+        let change = |id: &Arc<str>| match self.targets.get(id) {
             Some(target) => Change::Put(target.clone()),
             None => Change::Gone(Arc::clone(id)),
         };
@@ -233,10 +264,10 @@
         self.targets.insert(Arc::clone(&target.id), target);
     }
 
-    fn remove(&mut self, id: &Arc<str>, now: Duration) {
+    fn remove(&mut self, id: &Arc<str>, source: Source, now: Duration) {
         let Some(target) = self.targets.get(id) else { return };
         let hold_until = match self.outage {
-            _ if target.leaving => None,
+            _ if target.leaving || source == Source::Peer => None,
             Outage::None => None,
             Outage::Since => Some(Duration::MAX),
             Outage::Until(at) if now < at + LAPSE_HOLD => Some(at + LAPSE_HOLD),
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -13,6 +13,8 @@
 const ALIVE: Duration = Duration::from_secs(10);
 /// After this long without a report a gateway is forgotten.
 const FORGET: Duration = Duration::from_secs(120);
+/// How long a gateway may take to notice that the store does not answer.
+const STORE_NEWS: Duration = Duration::from_secs(2);
 /// A failure domain with so many ready gateways serves its callers alone.
 const DOMAIN_MIN: usize = 2;
 
@@ -45,6 +47,8 @@
     pub routes_version: u64,
     /// The revision of its target list, 0 if it has none.
     pub targets_revision: u64,
+    /// How long the store has answered it without a break, zero if it does not answer.
+    pub store_answers_for: Duration,
 }
 
 /// What is known of one gateway.
@@ -144,6 +148,16 @@
         !reports.any(|r| r.routes_version >= version && r.targets_revision >= revision)
     }
 
+    /// Returns true if the store has answered some gateway all the while since `lost_at`, as this
+    /// gateway heard later than that.
+    pub fn store_answered_since(&self, lost_at: Duration, now: Duration) -> bool {
+        let later = self.alive(now).filter(|(_, gateway)| gateway.heard_at > lost_at + STORE_NEWS);
+        later.into_iter().any(|(_, gateway)| {
+            let answers_for = gateway.report.as_ref().map(|report| report.store_answers_for);
+            answers_for.is_some_and(|time| gateway.heard_at <= lost_at + time)
+        })
+    }
+
     /// Returns whom to tell what all should know: every gateway of `domain`, and one of each other
     /// failure domain, which passes it on there.
     pub fn spread(&self, domain: &str, now: Duration, rng: &mut impl Rng) -> Vec<Receiver> {
--- a/crates/citron/tests/catalog.rs
+++ b/crates/citron/tests/catalog.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use assert_matches::assert_matches;
-use citron::catalog::{Catalog, Change, Snapshot, Target, Update};
+use citron::catalog::{Catalog, Change, Snapshot, Source, Target, Update};
 
 const BORN_MS: u64 = 1000;
 
@@ -23,10 +23,14 @@
 fn listed(ids: &[&str]) -> Catalog {
     let mut catalog = Catalog::default();
     let targets = ids.iter().map(|id| target(id, BORN_MS, false)).collect();
-    assert!(catalog.replace(Snapshot { revision: 10, targets }, Duration::ZERO));
+    assert!(catalog.replace(list(10, targets), Source::Store, Duration::ZERO));
     catalog
 }
 
+fn list(revision: u64, targets: Vec<Target>) -> Snapshot {
+    Snapshot { revision, targets, lapsed: Vec::new() }
+}
+
 fn serving(catalog: &Catalog) -> Vec<String> {
     catalog.serving("desk").map(|target| target.id.to_string()).collect()
 }
@@ -42,34 +46,44 @@
 #[test]
 fn an_older_list_changes_nothing() {
     let mut catalog = listed(&["x", "y"]);
-    let old = Snapshot { revision: 10, targets: vec![target("z", BORN_MS, false)] };
-    assert!(!catalog.replace(old, Duration::ZERO));
-    assert!(!catalog.apply(9, gone("x"), Duration::ZERO));
+    let old = list(10, vec![target("z", BORN_MS, false)]);
+    assert!(!catalog.replace(old, Source::Store, Duration::ZERO));
+    assert!(!catalog.apply(9, gone("x"), Source::Store, Duration::ZERO));
     assert_eq!(serving(&catalog), ["x", "y"]);
 }
 
 #[test]
 fn a_leaving_target_gets_no_work() {
     let mut catalog = listed(&["x", "y"]);
-    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Source::Store, Duration::ZERO);
     assert_eq!(serving(&catalog), ["y"]);
 }
 
 #[test]
 fn a_target_that_left_does_not_come_back_in_the_same_lifetime() {
     let mut catalog = listed(&["x"]);
-    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
-    catalog.apply(12, gone("x"), Duration::ZERO);
-    catalog.apply(13, vec![Change::Put(target("x", BORN_MS, false))], Duration::ZERO);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Source::Store, Duration::ZERO);
+    catalog.apply(12, gone("x"), Source::Store, Duration::ZERO);
+    catalog.apply(
+        13,
+        vec![Change::Put(target("x", BORN_MS, false))],
+        Source::Store,
+        Duration::ZERO,
+    );
     assert!(serving(&catalog).is_empty());
-    catalog.apply(14, vec![Change::Put(target("x", BORN_MS + 1, false))], Duration::ZERO);
+    catalog.apply(
+        14,
+        vec![Change::Put(target("x", BORN_MS + 1, false))],
+        Source::Store,
+        Duration::ZERO,
+    );
     assert_eq!(serving(&catalog), ["x"], "a new lifetime is another target");
 }
 
 #[test]
 fn an_entry_that_vanishes_is_gone_at_once() {
     let mut catalog = listed(&["x", "y"]);
-    catalog.apply(11, gone("x"), Duration::ZERO);
+    catalog.apply(11, gone("x"), Source::Store, Duration::ZERO);
     assert_eq!(serving(&catalog), ["y"]);
 }
 
@@ -77,9 +91,9 @@
 fn an_entry_that_lapsed_in_an_outage_is_held_until_two_seconds_after_it() {
     let mut catalog = listed(&["x", "y"]);
     catalog.store_lost();
-    catalog.store_regained(at(5000));
-    let list = Snapshot { revision: 20, targets: vec![target("y", BORN_MS, false)] };
-    assert!(catalog.replace(list, at(5100)));
+    catalog.store_regained(false, at(5000));
+    let newer = list(20, vec![target("y", BORN_MS, false)]);
+    assert!(catalog.replace(newer, Source::Store, at(5100)));
     assert_eq!(serving(&catalog), ["x", "y"]);
     assert!(catalog.is_lapsed("x") && !catalog.is_lapsed("y"));
     assert!(catalog.expire(at(6900)).is_empty());
@@ -91,9 +105,9 @@
 fn a_held_entry_that_is_back_stays() {
     let mut catalog = listed(&["x"]);
     catalog.store_lost();
-    catalog.store_regained(at(5000));
-    catalog.apply(20, gone("x"), at(5100));
-    catalog.apply(21, vec![Change::Put(target("x", BORN_MS, false))], at(5500));
+    catalog.store_regained(false, at(5000));
+    catalog.apply(20, gone("x"), Source::Store, at(5100));
+    catalog.apply(21, vec![Change::Put(target("x", BORN_MS, false))], Source::Store, at(5500));
     assert!(catalog.expire(at(9000)).is_empty());
     assert_eq!(serving(&catalog), ["x"]);
 }
@@ -102,35 +116,64 @@
 fn an_entry_that_vanishes_long_after_an_outage_is_gone_at_once() {
     let mut catalog = listed(&["x"]);
     catalog.store_lost();
-    catalog.store_regained(at(5000));
-    catalog.apply(20, gone("x"), at(7100));
+    catalog.store_regained(false, at(5000));
+    catalog.apply(20, gone("x"), Source::Store, at(7100));
     assert!(serving(&catalog).is_empty());
 }
 
 #[test]
 fn a_leaving_target_is_not_held_in_an_outage() {
     let mut catalog = listed(&["x"]);
-    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Source::Store, Duration::ZERO);
     catalog.store_lost();
-    catalog.apply(12, gone("x"), at(100));
+    catalog.apply(12, gone("x"), Source::Store, at(100));
     assert!(catalog.is_empty());
 }
 
 #[test]
-fn held_entries_are_not_passed_on() {
+fn a_peer_is_told_which_entries_are_only_held() {
     let mut catalog = listed(&["x", "y"]);
     catalog.store_lost();
-    catalog.apply(12, gone("x"), at(100));
-    let passed: Vec<_> = catalog.snapshot().targets.into_iter().map(|target| target.id).collect();
-    assert_eq!(passed, [Arc::from("y")]);
+    catalog.apply(12, gone("x"), Source::Store, at(100));
+    assert_eq!(catalog.snapshot().lapsed, [Arc::from("x")]);
+    assert_matches!(catalog.since(10), Update::Changes(12, changes) if changes.is_empty());
+    let mut other = Catalog::default();
+    other.replace(catalog.snapshot(), Source::Peer, at(200));
+    assert!(other.is_lapsed("x"));
+    assert_eq!(other.expire(at(2300)).len(), 1);
+}
+
+/// The gateway is cut off from a store that answers its peers: a target that a peer saw leave and
+/// vanish must not be held here until the gateway's own way to the store is back.
+#[test]
+fn an_entry_that_a_peer_saw_vanish_is_gone_at_once() {
+    let mut catalog = listed(&["x", "y", "z"]);
+    catalog.store_lost();
+    catalog.apply(11, gone("x"), Source::Peer, at(100));
+    assert_eq!(serving(&catalog), ["y", "z"]);
+    let whole = list(12, vec![target("z", BORN_MS, false)]);
+    assert!(catalog.replace(whole, Source::Peer, at(200)));
+    assert_eq!(serving(&catalog), ["z"]);
+}
+
+#[test]
+fn nothing_lapsed_if_the_store_answered_others_all_the_while() {
+    let mut catalog = listed(&["x", "y", "z"]);
+    catalog.store_lost();
+    catalog.apply(15, gone("z"), Source::Store, at(4900));
+    catalog.store_regained(true, at(5000));
+    assert_eq!(catalog.expire(at(5000)), [Arc::from("z")]);
+    let newer = list(20, vec![target("y", BORN_MS, false)]);
+    assert!(catalog.replace(newer, Source::Store, at(5100)));
+    assert_eq!(serving(&catalog), ["y"]);
 }
 
 #[test]
 fn a_peer_that_is_a_little_behind_gets_only_what_changed() {
     let mut catalog = listed(&["x", "y", "z"]);
-    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Duration::ZERO);
-    catalog.apply(12, gone("y"), Duration::ZERO);
-    catalog.apply(13, gone("x"), Duration::ZERO);
+    catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Source::Store, Duration::ZERO);
+    catalog.apply(12, gone("y"), Source::Store, Duration::ZERO);
+    catalog.apply(13, gone("x"), Source::Store, Duration::ZERO);
     assert_matches!(catalog.since(10), Update::Changes(13, changes) if changes.len() == 2);
     assert_matches!(catalog.since(12), Update::Changes(13, changes) => {
         assert_matches!(changes.as_slice(), [Change::Gone(id)] if &**id == "x");
@@ -142,7 +185,12 @@
 fn a_peer_that_is_far_behind_gets_the_whole_list() {
     let mut catalog = listed(&["x"]);
     for revision in 11..3000 {
-        catalog.apply(revision, vec![Change::Put(target("x", revision, false))], Duration::ZERO);
+        catalog.apply(
+            revision,
+            vec![Change::Put(target("x", revision, false))],
+            Source::Store,
+            Duration::ZERO,
+        );
     }
     assert_matches!(catalog.since(11), Update::Whole(_));
     assert_matches!(catalog.since(2990), Update::Changes(2999, changes) if changes.len() == 1);
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -19,6 +19,7 @@
         ready,
         routes_version: u64::from(port),
         targets_revision: 5,
+        store_answers_for: at(60_000),
     }
 }
 
@@ -112,3 +113,19 @@
     assert!(gateways.hear("a1", address(12), report("a", 10, true), at(20_000)));
     assert!(!gateways.learn("a1", address(99), at(20_000)), "a report tells more than hearsay");
 }
+
+#[test]
+fn a_store_that_answers_a_peer_all_the_while_is_not_away() {
+    let mut gateways = fleet();
+    assert!(!gateways.store_answered_since(at(3000), at(9000)), "nothing was heard since");
+    gateways.hear("a1", address(12), report("a", 10, true), at(9000));
+    assert!(gateways.store_answered_since(at(3000), at(9000)));
+}
+
+#[test]
+fn a_store_that_is_back_for_a_peer_was_away() {
+    let mut gateways = fleet();
+    let back = Report { store_answers_for: at(500), ..report("a", 10, true) };
+    gateways.hear("a1", address(12), back, at(9000));
+    assert!(!gateways.store_answered_since(at(3000), at(9000)));
+}
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use citron::{
-    catalog::{Catalog, Change, Snapshot, Target},
+    catalog::{Catalog, Change, Snapshot, Source, Target},
     gray::{Belief, Demand, Need, SUSPECT, Verdict, View, key},
 };
 use rand::{Rng, SeedableRng};
@@ -37,7 +37,8 @@
 impl World {
     fn new(targets: Vec<Target>) -> Self {
         let mut catalog = Catalog::default();
-        catalog.replace(Snapshot { revision: 1, targets }, Duration::ZERO);
+        let list = Snapshot { revision: 1, targets, lapsed: Vec::new() };
+        catalog.replace(list, Source::Store, Duration::ZERO);
         Self { catalog, view: View::new("a"), rng: ChaCha8Rng::seed_from_u64(1) }
     }
 
@@ -196,7 +197,7 @@
     let old = world.get("t0");
     world.view.hear(&old, Verdict::Failed, at(0));
     let reborn = Target { born_ms: 2, ..old };
-    world.catalog.apply(2, vec![Change::Put(reborn.clone())], at(1));
+    world.catalog.apply(2, vec![Change::Put(reborn.clone())], Source::Store, at(1));
     world.view.hear(&reborn, Verdict::Served, at(1));
     assert!(world.view.sick("t0", at(1)) < SUSPECT);
 }
