Ask the store without a wait after a failure, so that its return is noticed at once

Cause: the first call after a failure was a watch that waits for a change. Ruled out: late news (all gateways took the change within 0.31 s). The new test answers 200 before, 503 after.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -29,6 +29,15 @@
     Targets,
 }
 
+impl Subject {
+    fn kind(self) -> &'static str {
+        match self {
+            Self::Routes => routes::KIND,
+            Self::Targets => targets::KIND,
+        }
+    }
+}
+
 /// Follows the routes until the process ends.
 pub async fn routes(shared: Arc<Shared>, store: Store) {
     follow(shared, store, Subject::Routes).await;
@@ -68,16 +77,17 @@
 }
 
 async fn follow(shared: Arc<Shared>, store: Store, subject: Subject) {
-    let kind = match subject {
-        Subject::Routes => routes::KIND,
-        Subject::Targets => targets::KIND,
-    };
+    let kind = subject.kind();
     let mut pause = Pause::default();
     let mut cursor = None;
     loop {
         let step = match cursor {
-            None => list(&shared, &store, subject, kind).await,
-            Some(revision) => watch(&shared, &store, subject, kind, revision).await,
+            None => list(&shared, &store, subject).await,
+            // After a failure the return of the store must not wait for the next change.
+            Some(revision) => {
+                let wait = if pause.failed() { Duration::ZERO } else { WATCH_WAIT };
+                watch(&shared, &store, subject, revision, wait).await
+            }
         };
         match step {
             Ok(next) => {
@@ -104,13 +114,8 @@
     }
 }
 
-async fn list(
-    shared: &Shared,
-    store: &Store,
-    subject: Subject,
-    kind: &str,
-) -> Result<Option<u64>, Error> {
-    let list = store.list(kind).await?;
+async fn list(shared: &Shared, store: &Store, subject: Subject) -> Result<Option<u64>, Error> {
+    let list = store.list(subject.kind()).await?;
     match subject {
         Subject::Routes => {
             for object in list.objects.iter().filter(|object| object.name == routes::NAME) {
@@ -132,10 +137,11 @@
     shared: &Shared,
     store: &Store,
     subject: Subject,
-    kind: &str,
     revision: u64,
+    wait: Duration,
 ) -> Result<Option<u64>, Error> {
-    let (as_of, events) = match store.watch(kind, revision, WATCH_WAIT).await? {
+    let kind = subject.kind();
+    let (as_of, events) = match store.watch(kind, revision, wait).await? {
         Watched::HistoryGone => {
             log::info!("event=history-gone kind={kind} revision={revision}");
             return Ok(None);
--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -120,6 +120,21 @@
     }
 }
 
+/// The return of the store must be noticed at once, not with the next change that a watch brings:
+/// what vanishes long after the outage did not lapse in it.
+#[tokio::test]
+async fn a_target_that_vanishes_long_after_an_outage_gets_no_work() {
+    let world = World::start(1).await;
+    world.store.set(Mood::Refusing(503));
+    time::sleep(Duration::from_millis(400)).await;
+    world.store.set(Mood::Well);
+    time::sleep(Duration::from_millis(3500)).await;
+    world.store.delete("servers", "t0");
+    time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(world.ask(&lookup("id-1")).await.status, 503);
+    assert_eq!(world.targets[0].runs("id-1"), 0);
+}
+
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_away() {
     for mood in [Mood::Refusing(503), Mood::Refusing(429), Mood::Silent] {
