Test targets in mild doubt too, by a gateway of their own failure domain

Ruled out: stale lists, reused addresses, held entries. All doubted targets are now tested, by a gateway of the target's own domain (bytes between zones). The new test fails without the change.

--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -230,11 +230,19 @@
     /// Chooses a target for an attempt and counts it as begun.
     pub fn begin(&self, need: Need<'_>) -> Option<Choice> {
         let now = self.clock.now();
+        let settings = self.settings();
         let testers = if need.demand.tests() { self.live_hosts(now) } else { Vec::new() };
-        let own = self.settings().host.clone();
-        let is_tester = |id: &str| {
-            let best = testers.iter().max_by_key(|host| home::weight(&[id], host));
-            best.is_none_or(|best| home::weight(&[id], best) <= home::weight(&[id], &own))
+        let is_tester = |target: &Target| {
+            let weight = |host: &str| home::weight(&[&target.id], host);
+            let is_near = |domain: &str| domain == &*target.domain;
+            // Gateways of the target's own failure domain test it, all others only in their place.
+            let near = testers.iter().any(|(_, domain)| is_near(domain));
+            if near && !is_near(&settings.domain) {
+                return false;
+            }
+            let own_near = is_near(&settings.domain);
+            let mut rivals = testers.iter().filter(|(_, domain)| !own_near || is_near(domain));
+            rivals.all(|(host, _)| weight(host) < weight(&settings.host))
         };
         let Targets { catalog, view, rng } = &mut *self.targets.lock();
         view.begin(catalog, need, is_tester, rng, now)
@@ -305,8 +313,14 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    fn live_hosts(&self, now: Duration) -> Vec<Arc<str>> {
-        self.gateways.lock().alive(now).map(|(host, _)| Arc::clone(host)).collect()
+    /// Returns the other live gateways with their failure domains.
+    fn live_hosts(&self, now: Duration) -> Vec<(Arc<str>, Arc<str>)> {
+        let gateways = self.gateways.lock();
+        let alive = gateways.alive(now).filter_map(|(host, gateway)| {
+            let report = gateway.report.as_ref()?;
+            Some((Arc::clone(host), Arc::clone(&report.domain)))
+        });
+        alive.collect()
     }
 }
 
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -6,7 +6,8 @@
 
 /// The cost of a failed request, the unit of all costs here.
 const FAILURE_COST: f64 = 1.0;
-/// Targets below this belief count as equally sound, so that all of them get work.
+/// Targets below this belief count as equally sound, so that all of them get work; those above it
+/// are tested.
 const SOUND: f64 = 0.06;
 /// The cost of a target whose slots are all taken but the last.
 const LOAD_COST: f64 = 0.05;
@@ -49,7 +50,7 @@
 pub enum Demand {
     /// Any target.
     Any,
-    /// Any target, also a suspected one whose test is due: the request can be repeated elsewhere,
+    /// Any target, also a doubted one whose test is due: the request can be repeated elsewhere,
     /// and only its outcome tells whether the target has recovered.
     Test,
     /// Only a target with a slot free that is not suspected.
@@ -81,7 +82,7 @@
 /// Returns the index of the candidate to send to, or `None` if none meets the demand.
 pub fn choose(candidates: &[Candidate], demand: Demand, rng: &mut impl Rng) -> Option<usize> {
     if demand.tests() {
-        let due = candidates.iter().position(|c| c.due && c.sick > SUSPECT && c.own == 0);
+        let due = candidates.iter().position(|c| c.due && c.sick >= SOUND && c.own == 0);
         if due.is_some() {
             return due;
         }
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -94,13 +94,13 @@
 
     /// Chooses a target that meets `need` and counts the attempt as begun.
     ///
-    /// A request that may test is sent to a suspected target when its test is due and `is_tester`
+    /// A request that may test is sent to a doubted target when its test is due and `is_tester`
     /// says that this gateway tests it.
     pub fn begin(
         &mut self,
         catalog: &Catalog,
         need: Need<'_>,
-        is_tester: impl Fn(&str) -> bool,
+        is_tester: impl Fn(&Target) -> bool,
         rng: &mut impl Rng,
         now: Duration,
     ) -> Option<Choice> {
@@ -113,7 +113,7 @@
         let candidates: Vec<Candidate> = targets
             .iter()
             .map(|target| {
-                let due = demand.tests() && self.is_due(target, now) && is_tester(&target.id);
+                let due = demand.tests() && self.is_due(target, now) && is_tester(target);
                 self.candidate(catalog, target, due, now)
             })
             .collect();
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -229,3 +229,17 @@
     }
     assert!(chosen.len() >= 23, "{} of 25 targets got work", chosen.len());
 }
+
+/// A belief that decayed is neither low enough for ordinary work nor high: only a test clears it.
+#[test]
+fn a_target_in_mild_doubt_is_tested_too() {
+    let mut world = World::near(2);
+    let doubted = world.get("t0");
+    world.view.hear(&doubted, Verdict::Failed, at(0));
+    assert!(world.view.sick("t0", at(60_000)) < SUSPECT);
+    assert_eq!(&*world.pick(Demand::Test, at(60_000)).expect("a target").id, "t0");
+    world.view.end(&doubted, Some(Verdict::Served), at(60_100));
+    let chosen: BTreeSet<_> =
+        (0..20).map(|n| world.pick(Demand::Any, at(60_200 + n)).expect("a target").id).collect();
+    assert_eq!(chosen.len(), 2, "one answer makes it a target like others");
+}
