--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -1,10 +1,6 @@
 //! The running gateway.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use citron::leave::{Action, Departure};
 use citron_adapter::{settings::Settings, store::Store};
--- /dev/null
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -0,0 +1,70 @@
+//! Takes the state in force from a peer that is ahead.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use citron::catalog::{Source, Update};
+use tokio::time;
+
+use crate::shared::Shared;
+
+/// How long a gateway whose store answers may be behind a peer before it asks that peer.
+const PULL_DELAY: Duration = Duration::from_millis(900);
+/// The same while the store does not answer.
+const PULL_DELAY_ALONE: Duration = Duration::from_millis(50);
+/// How long a pull from a peer may take.
+const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Takes newer routes and targets from a peer if the store does not bring them in time.
+pub async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
+    let alone = shared.link.is_lost();
+    time::sleep(if alone { PULL_DELAY_ALONE } else { PULL_DELAY }).await;
+    shared.pulling.store(false, Ordering::Relaxed);
+    let now = shared.clock.now();
+    let domain = shared.settings().domain.clone();
+    let version = shared.routes().map_or(0, |routes| routes.version);
+    let newer = shared.gateways.lock().newer_routes(version, &domain, now);
+    if let Some(peer) = newer
+        && let Some(table) = fetch(&shared, &http, peer, "routes", "routes").await
+    {
+        shared.take_routes(table, "peer");
+    }
+    let revision = shared.targets.lock().catalog.revision();
+    let newer = shared.gateways.lock().newer_targets(revision, &domain, now);
+    let Some(peer) = newer else { return };
+    let path = format!("targets?since={revision}");
+    match fetch(&shared, &http, peer, "targets", &path).await {
+        Some(Update::Whole(snapshot)) => shared.take_targets(snapshot, Source::Peer),
+        Some(Update::Changes(revision, changes)) => {
+            shared.change_targets(revision, changes, Source::Peer);
+        }
+        None => {}
+    }
+}
+
+async fn fetch<T: serde::de::DeserializeOwned>(
+    shared: &Shared,
+    http: &reqwest::Client,
+    peer: SocketAddr,
+    what: &str,
+    path: &str,
+) -> Option<T> {
+    let url = format!("http://{peer}/{path}");
+    let result = async {
+        http.get(url).timeout(PULL_TIMEOUT).send().await?.error_for_status()?.json().await
+    };
+    match result.await {
+        Ok(value) => {
+            shared.metrics.pulls.with_label_values(&[what, "ok"]).inc();
+            Some(value)
+        }
+        Err(error) => {
+            shared.metrics.pulls.with_label_values(&[what, "failed"]).inc();
+            log::warn!("event=pull-failed what={what} peer={peer} reason={:?}", error.to_string());
+            None
+        }
+    }
+}
--- a/crates/citron-gateway/tests/support/store.rs
+++ b/crates/citron-gateway/tests/support/store.rs
@@ -1,6 +1,7 @@
 //! A stand-in of the platform's store that speaks its published protocol.
 
 use std::{
+    borrow::Borrow,
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
@@ -72,8 +73,8 @@
     }
 
     /// Writes an object as its owner does.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.shared.state.lock().write(kind, name, &spec);
+    pub fn put(&self, kind: &str, name: &str, spec: impl Borrow<Value>) {
+        self.shared.state.lock().write(kind, name, spec.borrow());
         self.shared.changed.notify_waiters();
     }
 
