--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -231,7 +231,7 @@
 #[tokio::test]
 async fn a_leaving_gateway_answers_what_it_read_and_closes() {
     let world = World::start(1).await;
-    world.targets[0].set(support::target::Act::ServeAfter(500));
+    world.targets[0].set(support::target::Act::ServeAfter(950));
     let mut caller = world.caller().await;
     let mut idle = world.caller().await;
     caller.send(&order("id-1").text()).await;
@@ -240,6 +240,8 @@
     let addr = world.gateway.callers();
     let leave = tokio::spawn(world.gateway.leave());
     assert!(idle.is_closed().await, "an idle connection is closed");
+    time::sleep(Duration::from_millis(750)).await;
+    assert!(!leave.is_finished(), "it waits for the request, longer than it accepts");
     let answer = caller.answer().await;
     assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
     leave.await.expect("an orderly end");
