Expire held targets in one place, name sources by type, and miss no wake-up at a stop

Found on reading the whole change. Held entries expired in two places, one of them without its log line. The source of routes was a string beside the type for that of targets. The hedge's timer was switched off by a far date instead of a flag. A caller's connection looked at the stop before it made its wake-up, so that with several threads a stop in between was missed. The own weight in the choice of a tester was computed for each rival.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -89,10 +89,11 @@
         let shared = Arc::clone(&self.shared);
         loop {
             self.advance().await?;
+            // Made before the look at the stop, so that a stop in between still wakes it.
+            let left = shared.left.notified();
             if self.is_over() {
                 return self.writer.shutdown().await;
             }
-            let left = shared.left.notified();
             let reads = self.buffer.len() < READ_AHEAD_BYTES;
             let waits = !self.carried.is_empty();
             let until = self.wait_end();
@@ -108,7 +109,7 @@
                     }
                 }
                 () = time::sleep_until(until), if !waits => return self.timed_out().await,
-                () = left, if !waits && !shared.is_leaving() => {}
+                () = left, if !waits => {}
             }
         }
     }
@@ -223,11 +224,15 @@
     }
 
     fn is_over(&self) -> bool {
-        let idle = matches!(self.reading, Reading::Head) && self.buffer.is_empty();
-        let ends = matches!(self.reading, Reading::Nothing) || (idle && self.shared.is_leaving());
+        let ends = matches!(self.reading, Reading::Nothing)
+            || (self.is_between_requests() && self.shared.is_leaving());
         self.carried.is_empty() && ends
     }
 
+    fn is_between_requests(&self) -> bool {
+        matches!(self.reading, Reading::Head) && self.buffer.is_empty()
+    }
+
     fn wait_end(&self) -> Instant {
         let limits = self.limits();
         self.since
@@ -239,7 +244,7 @@
     }
 
     async fn timed_out(&mut self) -> io::Result<()> {
-        if matches!(self.reading, Reading::Head) && self.buffer.is_empty() {
+        if self.is_between_requests() {
             return self.writer.shutdown().await;
         }
         log::info!("event=refused id=- outcome=not-run reason=request-incomplete status=408");
--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -101,7 +101,8 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut attempts = FuturesUnordered::new();
         let mut answer = None;
-        let mut hedge_at = self.shared.clock.now() + self.route.objective.mul_f64(HEDGE_SHARE);
+        let mut hedged = false;
+        let hedge_at = self.shared.clock.now() + self.route.objective.mul_f64(HEDGE_SHARE);
         loop {
             let now = self.shared.clock.now();
             match series.next(now, || self.pay(now)) {
@@ -115,8 +116,8 @@
                         series.ended(attempt.ending);
                         answer = attempt.reply.or(answer);
                     }
-                    () = time::sleep_until(self.shared.clock.instant(hedge_at)) => {
-                        hedge_at = Duration::MAX / 4;
+                    () = time::sleep_until(self.shared.clock.instant(hedge_at)), if !hedged => {
+                        hedged = true;
                         if let Some(choice) = self.hedge(&mut series, &mut tried) {
                             attempts.push(self.attempt(choice));
                         }
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -168,7 +168,7 @@
 
 fn take_routes(shared: &Shared, object: &citron_adapter::store::Object) {
     match routes::decode(object) {
-        Ok(table) => shared.take_routes(table, "store"),
+        Ok(table) => shared.take_routes(table, Source::Store),
         Err(reason) => log::error!(
             "event=routes-rejected revision={} reason={reason:?} kept=the-routes-in-force",
             object.revision
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -135,10 +135,7 @@
         time::sleep(SWEEP_GAP).await;
         shared.pool.sweep();
         measure(&shared);
-        let over = shared.targets.lock().expire(shared.clock.now());
-        for target in over {
-            log::info!("event=target-gone target={target} reason=not-back-after-outage");
-        }
+        shared.expire_targets();
     }
 }
 
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -30,7 +30,7 @@
     if let Some(peer) = newer
         && let Some(table) = fetch(&shared, &http, peer, "routes", "routes").await
     {
-        shared.take_routes(table, "peer");
+        shared.take_routes(table, Source::Peer);
     }
     let revision = shared.targets.lock().catalog.revision();
     let newer = shared.gateways.lock().newer_targets(revision, &domain, now);
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -133,7 +133,7 @@
     }
 
     /// Takes a table of routes from `source`; a version that is not higher changes nothing.
-    pub fn take_routes(&self, table: Table, source: &str) {
+    pub fn take_routes(&self, table: Table, source: Source) {
         let version = table.version;
         let count = table.len();
         {
@@ -200,9 +200,16 @@
             "event=link-regained lost_ms={} answered_others={others}",
             now.saturating_sub(lost_at).as_millis()
         );
-        let mut targets = self.targets.lock();
-        targets.catalog.store_regained(others, now);
-        targets.expire(now);
+        self.targets.lock().catalog.store_regained(others, now);
+        self.expire_targets();
+    }
+
+    /// Drops what was only held for a time: entries after an outage, loads that are not reported.
+    pub fn expire_targets(&self) {
+        let over = self.targets.lock().expire(self.clock.now());
+        for target in over {
+            log::info!("event=target-gone target={target} reason=not-back-after-outage");
+        }
     }
 
     /// Tells the peers of this gateway's state at once unless another has told the same already.
@@ -235,14 +242,14 @@
         let is_tester = |target: &Target| {
             let weight = |host: &str| home::weight(&[&target.id], host);
             let is_near = |domain: &str| domain == &*target.domain;
+            let own_near = is_near(&settings.domain);
             // Gateways of the target's own failure domain test it, all others only in their place.
-            let near = testers.iter().any(|(_, domain)| is_near(domain));
-            if near && !is_near(&settings.domain) {
+            if !own_near && testers.iter().any(|(_, domain)| is_near(domain)) {
                 return false;
             }
-            let own_near = is_near(&settings.domain);
+            let own = weight(&settings.host);
             let mut rivals = testers.iter().filter(|(_, domain)| !own_near || is_near(domain));
-            rivals.all(|(host, _)| weight(host) < weight(&settings.host))
+            rivals.all(|(host, _)| weight(host) < own)
         };
         let Targets { catalog, view, rng } = &mut *self.targets.lock();
         view.begin(catalog, need, is_tester, rng, now)
@@ -330,7 +337,7 @@
     }
 
     /// Drops the entries that were only held after an outage and whose time is over.
-    pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+    fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
         self.view.expire(now);
         let over = self.catalog.expire(now);
         if !over.is_empty() {
