Test doubted targets by rank and by the start of their newest attempt

The log shows doubted targets that answered a test and then got nothing for 2 s or more: the gap between tests ran from the last outcome, so that requests which timed out after 1.4 s put the next test off to 2.4 s; one gateway alone tested a target, also if it had no request to test with; and the first due target by name came first. Now the gap runs from the start of the newest attempt that is known of (outcomes carry how long they took), a target that answered is tested again after 50 ms, the target due for longest comes first, and each further gateway tests 250 ms later what those before it did not. Ruled out: targets excluded for a foreign answer at their address, entries only held.

--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -170,7 +170,7 @@
             self.shared.begin(Need { service: &self.service, tried, demand: Demand::Free })?;
         let now = self.shared.clock.now();
         if series.hedge(now, || self.pay(now)).is_none() {
-            self.shared.end(&choice.target, None);
+            self.shared.end(&choice.target, None, Duration::ZERO);
             return None;
         }
         log::info!(
--- a/crates/citron-gateway/src/carry/attempt.rs
+++ b/crates/citron-gateway/src/carry/attempt.rs
@@ -49,6 +49,7 @@
 struct Begun<'a> {
     shared: &'a Shared,
     choice: &'a Choice,
+    at: Duration,
     /// From when on it is overdue.
     overdue_at: Duration,
     verdict: Option<Verdict>,
@@ -57,10 +58,10 @@
 
 impl Drop for Begun<'_> {
     fn drop(&mut self) {
-        let overdue =
-            !self.ended && self.choice.was_free() && self.shared.clock.now() > self.overdue_at;
+        let now = self.shared.clock.now();
+        let overdue = !self.ended && self.choice.was_free() && now > self.overdue_at;
         let verdict = if overdue { Some(Verdict::Overdue) } else { self.verdict };
-        self.shared.end(&self.choice.target, verdict);
+        self.shared.end(&self.choice.target, verdict, now.saturating_sub(self.at));
     }
 }
 
@@ -72,6 +73,7 @@
         let mut begun = Begun {
             shared: self.shared,
             choice: &choice,
+            at: began,
             overdue_at: began + self.route.objective.mul_f64(HEDGE_SHARE),
             verdict: None,
             ended: false,
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -108,7 +108,8 @@
         let target = targets.catalog.get(&outcome.target);
         let (Some(verdict), Some(target)) = (verdict, target) else { continue };
         if target.born_ms == outcome.born_ms {
-            targets.view.hear(target, verdict, now);
+            let took = Duration::from_millis(outcome.took_ms.into());
+            targets.view.hear(target, verdict, took, now);
         }
     }
 }
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -87,6 +87,9 @@
     /// The verdict, a number of `gray::Verdict`.
     #[prost(uint32, tag = "3")]
     pub verdict: u32,
+    /// How long the attempt took, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub took_ms: u32,
 }
 
 /// A gateway that the sender knows.
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -15,7 +15,6 @@
     catalog::{Catalog, Change, Snapshot, Source, Target},
     gateways::Gateways,
     gray::{Choice, Need, Verdict, View},
-    home,
     route::{Route, Split, Table},
 };
 use citron_adapter::settings::Settings;
@@ -238,25 +237,17 @@
     pub fn begin(&self, need: Need<'_>) -> Option<Choice> {
         let now = self.clock.now();
         let settings = self.settings();
-        let testers = if need.demand.tests() { self.live_hosts(now) } else { Vec::new() };
-        let is_tester = |target: &Target| {
-            let weight = |host: &str| home::weight(&[&target.id], host);
-            let is_near = |domain: &str| domain == &*target.domain;
-            let own_near = is_near(&settings.domain);
-            // Gateways of the target's own failure domain test it, all others only in their place.
-            if !own_near && testers.iter().any(|(_, domain)| is_near(domain)) {
-                return false;
-            }
-            let own = weight(&settings.host);
-            let mut rivals = testers.iter().filter(|(_, domain)| !own_near || is_near(domain));
-            rivals.all(|(host, _)| weight(host) < own)
+        // Whoever locks both locks the gateways first.
+        let gateways = self.gateways.lock();
+        let testers_before = |target: &Target| {
+            gateways.testers_before(&settings.host, &settings.domain, target, now)
         };
         let Targets { catalog, view, rng } = &mut *self.targets.lock();
-        view.begin(catalog, need, is_tester, rng, now)
+        view.begin(catalog, need, testers_before, rng, now)
     }
 
-    /// Takes how an attempt ended and tells the peers what they should know.
-    pub fn end(&self, target: &Target, verdict: Option<Verdict>) {
+    /// Takes how an attempt ended after `took`, and tells the peers what they should know.
+    pub fn end(&self, target: &Target, verdict: Option<Verdict>, took: Duration) {
         let now = self.clock.now();
         let (news, sick) = {
             let mut targets = self.targets.lock();
@@ -274,6 +265,7 @@
             target: target.id.to_string(),
             born_ms: target.born_ms,
             verdict: u32::from(verdict as u8),
+            took_ms: took.as_millis() as u32,
         });
         self.news_waits.notify_one();
     }
@@ -319,16 +311,6 @@
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
-
-    /// Returns the other live gateways with their failure domains.
-    fn live_hosts(&self, now: Duration) -> Vec<(Arc<str>, Arc<str>)> {
-        let gateways = self.gateways.lock();
-        let alive = gateways.alive(now).filter_map(|(host, gateway)| {
-            let report = gateway.report.as_ref()?;
-            Some((Arc::clone(host), Arc::clone(&report.domain)))
-        });
-        alive.collect()
-    }
 }
 
 impl Targets {
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -7,6 +7,8 @@
     seq::{IndexedRandom, SliceRandom},
 };
 
+use crate::{catalog::Target, home};
+
 /// After this long without a report a gateway is not given to callers.
 const FRESH: Duration = Duration::from_millis(3500);
 /// After this long without a report a gateway counts as gone for all else.
@@ -148,6 +150,26 @@
         !reports.any(|r| r.routes_version >= version && r.targets_revision >= revision)
     }
 
+    /// Returns how many live gateways are to test a target before `host`, a gateway of `domain`.
+    ///
+    /// The gateways of the target's own failure domain come first, in rendezvous order each.
+    pub fn testers_before(
+        &self,
+        host: &str,
+        domain: &str,
+        target: &Target,
+        now: Duration,
+    ) -> usize {
+        let rank = |host: &str, domain: &str| {
+            (domain == &*target.domain, home::weight(&[&target.id], host))
+        };
+        let own = rank(host, domain);
+        let others = self.alive(now).filter_map(|(other, gateway)| {
+            gateway.report.as_ref().map(|report| rank(other, &report.domain))
+        });
+        others.filter(|other| *other > own).count()
+    }
+
     /// Returns true if the store has answered some gateway all the while since `lost_at`, as this
     /// gateway heard later than that.
     pub fn store_answered_since(&self, lost_at: Duration, now: Duration) -> bool {
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -1,5 +1,7 @@
 //! Chooses the target of one attempt by its expected cost.
 
+use std::time::Duration;
+
 use rand::Rng;
 
 use super::SUSPECT;
@@ -41,8 +43,8 @@
     pub lapsed: bool,
     /// Whether it shed a request a moment ago.
     pub held_back: bool,
-    /// Whether this gateway is to test it now, should it be suspected.
-    pub due: bool,
+    /// How long this gateway's test of it has been due, if it is.
+    pub due_for: Option<Duration>,
 }
 
 /// What an attempt asks of its target.
@@ -65,10 +67,15 @@
 }
 
 impl Candidate {
+    /// Returns true if the target is to be tested before it gets ordinary work.
+    pub fn is_doubted(&self) -> bool {
+        self.sick >= SOUND
+    }
+
     fn cost(&self) -> f64 {
         let (busy, slots) = (f64::from(self.load.0), f64::from(self.load.1.max(1)));
         let ahead = (busy + 1.0 - slots).max(0.0);
-        let sick = if self.sick < SOUND { 0.0 } else { self.sick };
+        let sick = if self.is_doubted() { self.sick } else { 0.0 };
         sick * FAILURE_COST
             + busy / slots * LOAD_COST
             + ahead / slots * QUEUE_COST
@@ -82,9 +89,10 @@
 /// Returns the index of the candidate to send to, or `None` if none meets the demand.
 pub fn choose(candidates: &[Candidate], demand: Demand, rng: &mut impl Rng) -> Option<usize> {
     if demand.tests() {
-        let due = candidates.iter().position(|c| c.due && c.sick >= SOUND && c.own == 0);
-        if due.is_some() {
-            return due;
+        let candidates = candidates.iter().enumerate();
+        let due = candidates.filter_map(|(index, c)| Some((c.due_for?, index))).max();
+        if let Some((_, index)) = due {
+            return Some(index);
         }
     }
     let meets = |c: &Candidate| demand != Demand::Free || (c.load.0 < c.load.1 && c.sick < SUSPECT);
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -12,8 +12,15 @@
 
 /// How long a target that shed is held back.
 const HOLD_BACK: Duration = Duration::from_millis(250);
-/// The time between two tests of a suspected target.
+/// The time between the starts of two tests of a doubted target.
 const TEST_GAP: Duration = Duration::from_millis(1000);
+/// The least time from a failure of a doubted target to its next test.
+const REST_GAP: Duration = Duration::from_millis(250);
+/// The same from an answer, so that a target which has recovered is soon proven.
+const PROOF_GAP: Duration = Duration::from_millis(50);
+/// How much later each further gateway tests a target that the ones before it did not test, for
+/// want of a request or because they are gone.
+const TESTER_STEP: Duration = Duration::from_millis(250);
 
 /// How long another gateway's load counts without a new report.
 const LOAD_FRESH: Duration = Duration::from_millis(1200);
@@ -41,7 +48,10 @@
     path: Belief,
     busy: u32,
     held_back_until: Duration,
-    tested_at: Option<Duration>,
+    /// When the newest attempt that is known of began; an outcome may come long after that.
+    begun_at: Duration,
+    /// Whether the last outcome was an answer.
+    answered: bool,
     /// Whether another target has answered at its address.
     misplaced: bool,
 }
@@ -94,13 +104,13 @@
 
     /// Chooses a target that meets `need` and counts the attempt as begun.
     ///
-    /// A request that may test is sent to a doubted target when its test is due and `is_tester`
-    /// says that this gateway tests it.
+    /// A request that may test is sent to the doubted target whose test is due for longest.
+    /// `testers_before` counts the gateways that are to test a target before this one.
     pub fn begin(
         &mut self,
         catalog: &Catalog,
         need: Need<'_>,
-        is_tester: impl Fn(&Target) -> bool,
+        testers_before: impl Fn(&Target) -> usize,
         rng: &mut impl Rng,
         now: Duration,
     ) -> Option<Choice> {
@@ -113,16 +123,17 @@
         let candidates: Vec<Candidate> = targets
             .iter()
             .map(|target| {
-                let due = demand.tests() && self.is_due(target, now) && is_tester(target);
-                self.candidate(catalog, target, due, now)
+                let mut candidate = self.candidate(catalog, target, now);
+                if demand.tests() && candidate.is_doubted() && candidate.own == 0 {
+                    candidate.due_for = self.due_for(target, &testers_before, now);
+                }
+                candidate
             })
             .collect();
         let index = choose(&candidates, demand, rng)?;
         let state = self.state(targets[index], now);
         state.busy += 1;
-        if candidates[index].due {
-            state.tested_at = Some(now);
-        }
+        state.begun_at = now;
         Some(Choice {
             target: targets[index].clone(),
             sick: candidates[index].sick,
@@ -152,8 +163,8 @@
         verdict != Verdict::Served || was > NEWSWORTHY
     }
 
-    /// Takes what another gateway reports about a target.
-    pub fn hear(&mut self, target: &Target, verdict: Verdict, now: Duration) {
+    /// Takes what another gateway reports about a target, from an attempt that took `took`.
+    pub fn hear(&mut self, target: &Target, verdict: Verdict, took: Duration, now: Duration) {
         let weight = match verdict {
             Verdict::Served | Verdict::Failed => 1.0,
             Verdict::Late => return,
@@ -161,7 +172,9 @@
             // May come from the other gateway's path.
             Verdict::Silent | Verdict::Unreachable => 0.4,
         };
-        self.state(target, now).observe(verdict, weight, now);
+        let state = self.state(target, now);
+        state.begun_at = state.begun_at.max(now.saturating_sub(took));
+        state.observe(verdict, weight, now);
     }
 
     /// Takes the requests that another gateway has at targets.
@@ -202,10 +215,27 @@
         self.states.values().filter(|state| state.sick(now) > SUSPECT).count()
     }
 
-    fn is_due(&self, target: &Target, now: Duration) -> bool {
-        let Some(state) = self.states.get(&target.id) else { return false };
-        let gap = |at: Duration| now.saturating_sub(at) >= TEST_GAP;
-        state.belief.age(now).is_none_or(|age| age >= TEST_GAP) && state.tested_at.is_none_or(gap)
+    /// Returns how long this gateway's test of a target has been due, if it is.
+    fn due_for(
+        &self,
+        target: &Target,
+        testers_before: impl Fn(&Target) -> usize,
+        now: Duration,
+    ) -> Option<Duration> {
+        let state = self.states.get(&target.id)?;
+        let rest = if state.answered { PROOF_GAP } else { REST_GAP };
+        let rested = state.belief.age(now).unwrap_or(Duration::MAX).checked_sub(rest)?;
+        let since_begin = now.saturating_sub(state.begun_at);
+        let rested = match state.answered {
+            true => rested,
+            false => rested.min(since_begin.checked_sub(TEST_GAP)?),
+        };
+        let before = testers_before(target);
+        // A test of another gateway may still be under way.
+        if before > 0 && self.elsewhere(&target.id, now) > 0 {
+            return None;
+        }
+        rested.checked_sub(TESTER_STEP * before as u32)
     }
 
     /// Returns the requests that other gateways have at a target.
@@ -215,7 +245,7 @@
         fresh.flat_map(|(_, load)| load).filter(|(k, _)| *k == key).map(|(_, busy)| busy).sum()
     }
 
-    fn candidate(&self, catalog: &Catalog, target: &Target, due: bool, now: Duration) -> Candidate {
+    fn candidate(&self, catalog: &Catalog, target: &Target, now: Duration) -> Candidate {
         let state = self.states.get(&target.id).filter(|s| s.born_ms == target.born_ms);
         Candidate {
             sick: state.map_or_else(|| Belief::new(now).sick(now), |state| state.sick(now)),
@@ -225,7 +255,7 @@
             warming: target.warmup_ms > 0,
             lapsed: catalog.is_lapsed(&target.id),
             held_back: state.is_some_and(|state| now < state.held_back_until),
-            due,
+            due_for: None,
         }
     }
 
@@ -248,13 +278,15 @@
             path: Belief::new(now),
             busy: 0,
             held_back_until: Duration::ZERO,
-            tested_at: None,
+            begun_at: Duration::ZERO,
+            answered: false,
             misplaced: false,
         }
     }
 
     fn observe(&mut self, verdict: Verdict, weight: f64, now: Duration) {
         self.belief.observe(verdict, weight, now);
+        self.answered = verdict == Verdict::Served;
         if verdict == Verdict::Shed {
             self.held_back_until = now + HOLD_BACK;
         }
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::gateways::{Gateways, Report};
+use citron::{
+    catalog::Target,
+    gateways::{Gateways, Report},
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -129,3 +132,26 @@
     gateways.hear("a1", address(12), back, at(9000));
     assert!(!gateways.store_answered_since(at(3000), at(9000)));
 }
+
+#[test]
+fn the_gateways_of_a_targets_domain_test_it_before_all_others() {
+    let gateways = fleet();
+    let target = Target {
+        id: Arc::from("t"),
+        born_ms: 1,
+        service: Arc::from("desk"),
+        address: address(9),
+        domain: Arc::from("a"),
+        slots: 3,
+        leaving: false,
+        warmup_ms: 0,
+    };
+    let before =
+        |host: &str, domain: &str, now| gateways.testers_before(host, domain, &target, now);
+    assert_eq!(before("b2", "b", at(100)).min(2), 2, "both gateways of its domain come first");
+    assert!(before("a3", "a", at(100)) <= 2, "the gateway of another domain does not");
+    assert_eq!(before("b2", "b", at(60_000)), 0, "gateways that are silent for long do not count");
+    let all = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let firsts = all.iter().filter(|(host, domain)| before(host, domain, at(100)) == 0);
+    assert_eq!(firsts.count(), 1, "just one gateway tests first");
+}
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -57,7 +57,7 @@
         now: Duration,
     ) -> Option<Target> {
         let need = Need { service: "desk", tried, demand };
-        let choice = self.view.begin(&self.catalog, need, |_| true, &mut self.rng, now);
+        let choice = self.view.begin(&self.catalog, need, |_| 0, &mut self.rng, now);
         choice.map(|choice| choice.target)
     }
 
@@ -130,7 +130,7 @@
 fn a_failure_told_by_a_peer_counts_like_ones_own() {
     let mut world = World::near(2);
     let sick = world.get("t0");
-    world.view.hear(&sick, Verdict::Failed, at(0));
+    world.view.hear(&sick, Verdict::Failed, Duration::ZERO, at(0));
     for n in 0..20 {
         let chosen = world.pick(Demand::Any, at(n)).expect("a target");
         assert_eq!(&*chosen.id, "t1");
@@ -160,7 +160,7 @@
 fn a_suspected_target_is_tested_once_in_a_while_by_requests_that_can_be_repeated() {
     let mut world = World::near(2);
     let sick = world.get("t0");
-    world.view.hear(&sick, Verdict::Failed, at(0));
+    world.view.hear(&sick, Verdict::Failed, Duration::ZERO, at(0));
     assert_eq!(&*world.pick(Demand::Test, at(500)).expect("a target").id, "t1", "too early");
     assert_eq!(&*world.pick(Demand::Test, at(1100)).expect("a target").id, "t0");
     assert_eq!(&*world.pick(Demand::Test, at(1200)).expect("a target").id, "t1", "one at a time");
@@ -195,10 +195,10 @@
 fn a_new_lifetime_starts_without_a_past() {
     let mut world = World::near(1);
     let old = world.get("t0");
-    world.view.hear(&old, Verdict::Failed, at(0));
+    world.view.hear(&old, Verdict::Failed, Duration::ZERO, at(0));
     let reborn = Target { born_ms: 2, ..old };
     world.catalog.apply(2, vec![Change::Put(reborn.clone())], Source::Store, at(1));
-    world.view.hear(&reborn, Verdict::Served, at(1));
+    world.view.hear(&reborn, Verdict::Served, Duration::ZERO, at(1));
     assert!(world.view.sick("t0", at(1)) < SUSPECT);
 }
 
@@ -218,7 +218,7 @@
     for n in 0..7 {
         let proven = world.get(&format!("t{n}"));
         for _ in 0..20 {
-            world.view.hear(&proven, Verdict::Served, at(0));
+            world.view.hear(&proven, Verdict::Served, Duration::ZERO, at(0));
         }
     }
     let mut chosen = BTreeSet::new();
@@ -235,7 +235,7 @@
 fn a_target_in_mild_doubt_is_tested_too() {
     let mut world = World::near(2);
     let doubted = world.get("t0");
-    world.view.hear(&doubted, Verdict::Failed, at(0));
+    world.view.hear(&doubted, Verdict::Failed, Duration::ZERO, at(0));
     assert!(world.view.sick("t0", at(60_000)) < SUSPECT);
     assert_eq!(&*world.pick(Demand::Test, at(60_000)).expect("a target").id, "t0");
     world.view.end(&doubted, Some(Verdict::Served), at(60_100));
@@ -243,3 +243,75 @@
         (0..20).map(|n| world.pick(Demand::Any, at(60_200 + n)).expect("a target").id).collect();
     assert_eq!(chosen.len(), 2, "one answer makes it a target like others");
 }
+
+/// A target that recovered must not wait a full gap for each answer that it takes to clear it.
+#[test]
+fn a_doubted_target_that_answered_is_tested_again_at_once() {
+    let mut world = World::near(2);
+    let doubted = world.get("t0");
+    for _ in 0..3 {
+        world.view.hear(&doubted, Verdict::Failed, Duration::ZERO, at(0));
+    }
+    let mut tests = 0;
+    for n in 0..15 {
+        let now = at(1100 + n * 100);
+        let chosen = world.pick(Demand::Test, now).expect("a target");
+        tests += u32::from(chosen.id == doubted.id);
+        world.view.end(&chosen, Some(Verdict::Served), now + at(20));
+    }
+    assert!(tests >= 4, "{tests} tests in 1.5 s");
+    assert!(world.view.sick("t0", at(2600)) < SUSPECT, "it is proven sound");
+}
+
+/// With more doubted targets than one gateway's requests can test in a gap, each has its turn.
+#[test]
+fn the_target_whose_test_is_due_for_longest_comes_first() {
+    let mut world = World::near(8);
+    for n in 0..7 {
+        let sick = world.get(&format!("t{n}"));
+        world.view.hear(&sick, Verdict::Failed, Duration::ZERO, at(0));
+    }
+    let mut tested = BTreeSet::new();
+    for n in 0..7 {
+        let now = at(1100 + n * 350);
+        let chosen = world.pick(Demand::Test, now).expect("a target");
+        world.view.end(&chosen, Some(Verdict::Failed), now + at(10));
+        tested.insert(chosen.id.to_string());
+    }
+    assert_eq!(tested.len(), 7, "{tested:?}");
+}
+
+#[test]
+fn a_gateway_tests_a_target_that_the_ones_before_it_left_out() {
+    let mut world = World::near(2);
+    let sick = world.get("t0");
+    world.view.hear(&sick, Verdict::Failed, Duration::ZERO, at(0));
+    let mut begin = |now, busy_elsewhere: bool| {
+        if busy_elsewhere {
+            let load = [(key("t0"), 1)].into_iter().collect();
+            world.view.hear_load(&Arc::from("other"), load, now);
+        }
+        let need = Need { service: "desk", tried: &[], demand: Demand::Test };
+        let choice = world.view.begin(&world.catalog, need, |_| 2, &mut world.rng, now);
+        let target = choice.expect("a target").target;
+        world.view.end(&target, None, now);
+        target.id.to_string()
+    };
+    assert_eq!(begin(at(1400), false), "t1", "the two before it have their time first");
+    assert_eq!(begin(at(1600), true), "t1", "another gateway's test is under way");
+    assert_eq!(begin(at(3000), false), "t0");
+}
+
+/// Requests that time out are heard of long after they were sent; the next test must not wait for
+/// a whole gap after that.
+#[test]
+fn a_test_is_due_by_the_start_of_the_newest_attempt() {
+    let mut world = World::near(2);
+    let silent = world.get("t0");
+    for _ in 0..3 {
+        world.view.hear(&silent, Verdict::Silent, at(1400), at(1400));
+    }
+    assert!(world.view.sick("t0", at(1400)) > SUSPECT);
+    assert_eq!(&*world.pick(Demand::Test, at(1500)).expect("a target").id, "t1", "too early");
+    assert_eq!(&*world.pick(Demand::Test, at(1700)).expect("a target").id, "t0");
+}
