Add a randomised soak of real gateways as processes

`citron-stand soak` starts gateways as processes on loopback addresses of their own, with the stand-in store, targets and callers, a relay before each target and on each gateway's way to the store, and puts in faults drawn from a seed: SIGTERM, SIGKILL (one, all), SIGSTOP, SIGHUP with changed settings, a store that refuses, is silent, slow, loses answers or writes late, history gone, links that delay, reset, cut one way or silence open connections, targets that fail in thirteen ways, targets that leave with and without a word, configurations. Fourteen promises are judged every two seconds from what callers and targets saw, and the recovery at the end.

The stand-ins of the gateway's tests move to citron-stand, so that there is one copy; the relay learns to hold back and to reset.

--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -2,9 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-pub mod caller;
-pub mod store;
-pub mod target;
+pub use citron_stand::gateway::{caller, store, target};
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
--- a/crates/citron-stand/src/command/mod.rs
+++ b/crates/citron-stand/src/command/mod.rs
@@ -5,11 +5,13 @@
 mod platform;
 mod proxy;
 mod relay;
+mod soak;
 mod target;
 
 pub use self::{
     agent::run as run_agent, load::run as run_load, platform::run as run_platform,
-    proxy::run as run_proxy, relay::run as run_relay, target::run as run_target,
+    proxy::run as run_proxy, relay::run as run_relay, soak::run as run_soak,
+    target::run as run_target,
 };
 
 use std::{env, ffi::OsString, future::Future};
--- a/crates/citron-gateway/tests/support/store.rs
+++ b/crates/citron-stand/src/gateway/store.rs
@@ -20,24 +20,34 @@
 /// How the store treats all calls.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum Mood {
+    /// Answers at once.
     Well,
     /// Refuses with this status.
     Refusing(u16),
     /// Answers nothing.
     Silent,
+    /// Answers after so many milliseconds.
+    Slow(u64),
+    /// Does what it is asked, and answers no write.
+    LosingAnswers,
+    /// Does writes so many milliseconds later, and answers none.
+    WritingLate(u64),
 }
 
 /// A running store.
+#[derive(Debug)]
 pub struct Store {
     server: Server,
     shared: Arc<Shared>,
 }
 
+#[derive(Debug)]
 struct Shared {
     state: Mutex<Contents>,
     changed: Notify,
 }
 
+#[derive(Debug)]
 struct Contents {
     revision: u64,
     oldest: u64,
@@ -50,6 +60,7 @@
 type Answer = Custom<Json<Value>>;
 
 impl Store {
+    /// Starts an empty store on a free port.
     pub async fn bind() -> Self {
         let state = Contents {
             revision: 3,
@@ -68,6 +79,7 @@
         Self { server, shared }
     }
 
+    /// Returns where it listens.
     pub fn addr(&self) -> SocketAddr {
         self.server.addr()
     }
@@ -78,11 +90,13 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Removes an object as its owner does.
     pub fn delete(&self, kind: &str, name: &str) {
         self.shared.state.lock().remove(kind, name);
         self.shared.changed.notify_waiters();
     }
 
+    /// Sets how it treats all calls.
     pub fn set(&self, mood: Mood) {
         self.shared.state.lock().mood = mood;
         self.shared.changed.notify_waiters();
@@ -103,6 +117,7 @@
         self.shared.state.lock().objects.get(&key).map(|object| object["spec"].clone())
     }
 
+    /// Returns how many calls came.
     pub fn calls(&self) -> u64 {
         self.shared.state.lock().calls
     }
@@ -140,14 +155,38 @@
         state.mood
     };
     match mood {
-        Mood::Well => Ok(()),
+        Mood::Well | Mood::LosingAnswers | Mood::WritingLate(_) => Ok(()),
+        Mood::Slow(millis) => {
+            time::sleep(Duration::from_millis(millis)).await;
+            Ok(())
+        }
         Mood::Refusing(status) => {
             Err(Custom(Status::from_code(status).expect("a status"), Json(Value::Null)))
         }
-        Mood::Silent => {
-            time::sleep(Duration::from_secs(3600)).await;
-            Err(Custom(Status::ServiceUnavailable, Json(Value::Null)))
-        }
+        Mood::Silent => Err(silence().await),
+    }
+}
+
+/// Answers nothing for as long as anybody waits.
+async fn silence() -> Answer {
+    time::sleep(Duration::from_secs(3600)).await;
+    Custom(Status::ServiceUnavailable, Json(Value::Null))
+}
+
+/// Does a write when and as the store's mood has it.
+async fn write(shared: &Shared, act: impl FnOnce(&mut Contents) -> Answer) -> Answer {
+    if let Err(refusal) = admit(shared).await {
+        return refusal;
+    }
+    let mood = shared.state.lock().mood;
+    if let Mood::WritingLate(millis) = mood {
+        time::sleep(Duration::from_millis(millis)).await;
+    }
+    let answer = act(&mut shared.state.lock());
+    shared.changed.notify_waiters();
+    match mood {
+        Mood::LosingAnswers | Mood::WritingLate(_) => silence().await,
+        _ => answer,
     }
 }
 
@@ -185,7 +224,7 @@
         let changed = shared.changed.notified();
         {
             let state = shared.state.lock();
-            if state.mood != Mood::Well {
+            if matches!(state.mood, Mood::Refusing(_) | Mood::Silent) {
                 return Custom(Status::ServiceUnavailable, Json(Value::Null));
             }
             if since < state.oldest {
@@ -214,30 +253,24 @@
 
 #[post("/<kind>", data = "<body>")]
 async fn create(shared: &State<Arc<Shared>>, kind: &str, body: Json<Value>) -> Answer {
-    if let Err(refusal) = admit(shared).await {
-        return refusal;
-    }
-    let name = body["metadata"]["name"].as_str().expect("a name").to_owned();
-    let mut state = shared.state.lock();
-    if let Some(object) = state.objects.get(&(kind.to_owned(), name.clone())) {
-        return Custom(Status::Conflict, Json(object.clone()));
-    }
-    ok(state.write(kind, &name, &body["spec"]))
+    let name = body["metadata"]["name"].as_str().unwrap_or_default();
+    write(shared, |state| match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+        Some(object) => Custom(Status::Conflict, Json(object.clone())),
+        None => ok(state.write(kind, name, &body["spec"])),
+    })
+    .await
 }
 
 #[put("/<kind>/<name>", data = "<body>")]
 async fn replace(shared: &State<Arc<Shared>>, kind: &str, name: &str, body: Json<Value>) -> Answer {
-    if let Err(refusal) = admit(shared).await {
-        return refusal;
-    }
-    ok(shared.state.lock().write(kind, name, &body["spec"]))
+    write(shared, |state| ok(state.write(kind, name, &body["spec"]))).await
 }
 
 #[delete("/<kind>/<name>")]
 async fn remove(shared: &State<Arc<Shared>>, kind: &str, name: &str) -> Answer {
-    if let Err(refusal) = admit(shared).await {
-        return refusal;
-    }
-    let found = shared.state.lock().remove(kind, name);
-    Custom(if found { Status::Ok } else { Status::NotFound }, Json(Value::Null))
+    write(shared, |state| {
+        let status = if state.remove(kind, name) { Status::Ok } else { Status::NotFound };
+        Custom(status, Json(Value::Null))
+    })
+    .await
 }
--- a/crates/citron-gateway/tests/support/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt, io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -12,12 +13,14 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time,
+    task::JoinSet,
+    time::{self, Instant},
 };
 
 /// What the target does with a request.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum Act {
+    /// Serves at once.
     Serve,
     /// Serves after so many milliseconds.
     ServeAfter(u64),
@@ -59,56 +62,115 @@
 /// A request as the target read it.
 #[derive(Debug, Clone)]
 pub struct Seen {
+    /// When it was read.
+    pub at: Instant,
+    /// Method, path and protocol.
     pub first_line: String,
+    /// The headers, by lowercase names.
     pub headers: BTreeMap<String, String>,
+    /// The body.
     pub body: String,
 }
 
-/// A running target.
+impl Seen {
+    /// Returns the id that the caller gave the request, or an empty text.
+    pub fn id(&self) -> &str {
+        self.headers.get("attempt-id").map_or("", String::as_str)
+    }
+}
+
+/// Decides what the target does with each request.
+type Plan = Box<dyn FnMut(&Seen) -> Act + Send>;
+
+/// A running target; dropping it ends it and its connections.
+#[derive(Debug)]
 pub struct Target {
+    /// Its identity.
     pub id: String,
+    service: String,
     addr: SocketAddr,
     shared: Arc<Shared>,
+    _accepting: JoinSet<()>,
 }
 
 struct Shared {
     id: String,
-    act: Mutex<Act>,
+    plan: Mutex<Plan>,
     seen: Mutex<Vec<Seen>>,
-    left: Mutex<Vec<String>>,
+    left: Mutex<Vec<(String, Instant)>>,
     connections: Mutex<u32>,
 }
 
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
 impl Target {
+    /// Starts a target of the service `desk`, which must succeed.
     pub async fn bind(id: &str) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
-        let addr = listener.local_addr().expect("an address");
+        Self::open(id, "desk").await.expect("a port")
+    }
+
+    /// Starts a target of a service.
+    ///
+    /// # Errors
+    /// Fails if no port is free.
+    pub async fn open(id: &str, service: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
             id: id.to_owned(),
-            act: Mutex::new(Act::Serve),
+            plan: Mutex::new(Box::new(|_| Act::Serve)),
             seen: Mutex::default(),
             left: Mutex::default(),
             connections: Mutex::default(),
         });
         let accepting = Arc::clone(&shared);
-        tokio::spawn(async move {
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move {
+            let mut open = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 *accepting.connections.lock() += 1;
-                tokio::spawn(serve(stream, Arc::clone(&accepting)));
+                open.spawn(serve(stream, Arc::clone(&accepting)));
+                while open.try_join_next().is_some() {}
             }
         });
-        Self { id: id.to_owned(), addr, shared }
+        let (id, service) = (id.to_owned(), service.to_owned());
+        Ok(Self { id, service, addr, shared, _accepting: tasks })
+    }
+
+    /// Returns where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns its service.
+    pub fn service(&self) -> &str {
+        &self.service
     }
 
     /// Returns the target's own entry in the store.
     pub fn entry(&self, state: &str) -> Value {
-        json!({"address": self.addr, "born": 1_000,
-               "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 3},
+        self.entry_at(self.addr, "a", state)
+    }
+
+    /// Returns its entry with the address of a relay before it, in a failure domain.
+    pub fn entry_at(&self, addr: SocketAddr, domain: &str, state: &str) -> Value {
+        json!({"address": addr, "born": 1_000,
+               "info": {"service": self.service, "version": "v1", "zone": domain, "slots": 3},
                "status": {"state": state, "sequence": 1, "warmupLeftS": 0}})
     }
 
+    /// Sets what it does with all requests.
     pub fn set(&self, act: Act) {
-        *self.shared.act.lock() = act;
+        self.set_plan(move |_| act);
+    }
+
+    /// Sets what decides about each request.
+    pub fn set_plan(&self, plan: impl FnMut(&Seen) -> Act + Send + 'static) {
+        *self.shared.plan.lock() = Box::new(plan);
     }
 
     /// Returns the requests that it ran.
@@ -118,15 +180,20 @@
 
     /// Returns how often it ran the request with this id.
     pub fn runs(&self, id: &str) -> usize {
-        let seen = self.shared.seen.lock();
-        seen.iter().filter(|s| s.headers.get("attempt-id").is_some_and(|i| i == id)).count()
+        self.shared.seen.lock().iter().filter(|seen| seen.id() == id).count()
     }
 
     /// Returns the ids of the requests whose connection closed while it was at work.
     pub fn left(&self) -> Vec<String> {
+        self.shared.left.lock().iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the same with the times.
+    pub fn left_at(&self) -> Vec<(String, Instant)> {
         self.shared.left.lock().clone()
     }
 
+    /// Returns how many connections it accepted.
     pub fn connections(&self) -> u32 {
         *self.shared.connections.lock()
     }
@@ -135,7 +202,7 @@
 async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
     let mut buffer = Vec::new();
     while let Some(seen) = read(&mut stream, &mut buffer).await {
-        let act = *shared.act.lock();
+        let act = (shared.plan.lock())(&seen);
         if act == Act::Shed || act == Act::Misdirect {
             let head = if act == Act::Shed {
                 "503 Service Unavailable\r\nNot-Executed: 1"
@@ -157,7 +224,7 @@
 
 /// Answers one request; returns false if the connection ends.
 async fn answer(stream: &mut TcpStream, shared: &Shared, act: Act, seen: &Seen) -> bool {
-    let id = seen.headers.get("attempt-id").cloned().unwrap_or_default();
+    let id = seen.id().to_owned();
     let body = format!("{} by {}", seen.first_line, shared.id);
     let signature = format!("Upstream-Signature: sig-{}\r\n", shared.id);
     let head = |status: &str, id: &str, signature: &str, rest: &str| {
@@ -169,7 +236,7 @@
             let mut byte = [0];
             let wait = Duration::from_millis(millis);
             if time::timeout(wait, stream.read(&mut byte)).await.is_ok() {
-                shared.left.lock().push(id);
+                shared.left.lock().push((id, Instant::now()));
                 return false;
             }
             head("200 OK", &id, &signature, &length) + &body
@@ -205,7 +272,7 @@
         Act::Hang => {
             let mut byte = [0];
             let _ = stream.read(&mut byte).await;
-            shared.left.lock().push(id);
+            shared.left.lock().push((id, Instant::now()));
             return false;
         }
         Act::Reset => {
@@ -233,7 +300,9 @@
 /// Makes the connection end with a reset.
 fn reset(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
-    socket.set_linger(Some(Duration::ZERO)).expect("a socket option");
+    if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+        log::warn!("a connection ends without a reset: {error}");
+    }
 }
 
 /// Reads one request; returns `None` when the connection ends.
@@ -250,7 +319,7 @@
             if buffer.len() >= end + 4 + length {
                 let body = String::from_utf8_lossy(&buffer[end + 4..end + 4 + length]).into_owned();
                 buffer.drain(..end + 4 + length);
-                return Some(Seen { first_line, headers, body });
+                return Some(Seen { at: Instant::now(), first_line, headers, body });
             }
         }
         let mut part = [0; 4096];
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod bench;
 pub mod command;
+pub mod gateway;
 pub mod load;
 pub mod metric;
 pub mod platform;
 pub mod relay;
+pub mod soak;
 pub mod target;
--- a/crates/citron-stand/src/main.rs
+++ b/crates/citron-stand/src/main.rs
@@ -12,6 +12,7 @@
     ("target", command::run_target),
     ("relay", command::run_relay),
     ("load", command::run_load),
+    ("soak", command::run_soak),
     ("agent", command::run_agent),
     ("proxy", command::run_proxy),
     ("bench", bench),
--- a/crates/citron-stand/src/relay/cut.rs
+++ b/crates/citron-stand/src/relay/cut.rs
@@ -1,12 +1,16 @@
 //! Which directions are cut, for the relay and for each of its connections.
 
-use std::sync::{
-    Arc, Weak,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 /// Which directions are cut.
 #[derive(Debug, Default, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
@@ -31,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Switch {
     all: Flags,
+    delay_ms: AtomicU64,
+    resets: Notify,
     flows: Mutex<Vec<Weak<Flow>>>,
 }
 
@@ -82,6 +88,16 @@
         }
     }
 
+    /// Sets how long each part of a stream is held back.
+    pub(super) fn delay(&self, delay: Duration) {
+        self.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// Resets the connections that are open now.
+    pub(super) fn reset(&self) {
+        self.resets.notify_waiters();
+    }
+
     /// Adds a connection.
     pub(super) fn open(self: &Arc<Self>) -> Arc<Flow> {
         let flow = Arc::new(Flow { switch: self.clone(), silent: Flags::default() });
@@ -93,6 +109,16 @@
 }
 
 impl Flow {
+    /// Returns how long a part of the stream is to be held back.
+    pub(super) fn delay(&self) -> Duration {
+        Duration::from_millis(self.switch.delay_ms.load(Ordering::SeqCst))
+    }
+
+    /// Waits until the connection is to be reset.
+    pub(super) async fn reset(&self) {
+        self.switch.resets.notified().await;
+    }
+
     /// Returns true if a datagram in this direction is dropped.
     pub(super) fn is_cut(&self, direction: Direction) -> bool {
         self.switch.all.get(direction) || self.silent.get(direction)
--- a/crates/citron-stand/src/relay/mod.rs
+++ b/crates/citron-stand/src/relay/mod.rs
@@ -6,7 +6,7 @@
 
 pub use self::cut::Cut;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -50,6 +50,16 @@
     pub fn cut(&self, cut: Cut) {
         self.switch.set(cut);
     }
+
+    /// Sets how long each part of a TCP stream is held back, in both directions.
+    pub fn delay(&self, delay: Duration) {
+        self.switch.delay(delay);
+    }
+
+    /// Resets the TCP connections that are open now.
+    pub fn reset(&self) {
+        self.switch.reset();
+    }
 }
 
 async fn bind_both(addr: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
--- a/crates/citron-stand/src/relay/tcp.rs
+++ b/crates/citron-stand/src/relay/tcp.rs
@@ -1,14 +1,17 @@
 //! Relays TCP connections.
 
-use std::{future, io, net::SocketAddr, sync::Arc};
+use std::{future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use socket2::SockRef;
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     task::JoinSet,
+    time,
 };
 
 use super::cut::{Direction, Flow, Switch};
@@ -35,26 +38,41 @@
     }
 }
 
-async fn relay(client: TcpStream, to: SocketAddr, flow: Arc<Flow>) {
-    let server = match TcpStream::connect(to).await {
+async fn relay(mut client: TcpStream, to: SocketAddr, flow: Arc<Flow>) {
+    let mut server = match TcpStream::connect(to).await {
         Ok(server) => server,
         Err(error) => return log::warn!("cannot connect to {to}: {error}"),
     };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
-    let (from_client, to_client) = client.into_split();
-    let (from_server, to_server) = server.into_split();
-    // Ends at the first failure, which closes both connections.
-    let _ = tokio::try_join!(
-        pass(from_client, to_server, Direction::ToServer, &flow),
-        pass(from_server, to_client, Direction::ToClient, &flow),
-    );
+    let is_reset = {
+        let (from_client, to_client) = client.split();
+        let (from_server, to_server) = server.split();
+        // Ends at the first failure, which closes both connections.
+        let both = async {
+            tokio::try_join!(
+                pass(from_client, to_server, Direction::ToServer, &flow),
+                pass(from_server, to_client, Direction::ToClient, &flow),
+            )
+        };
+        tokio::select! {
+            _ = both => false,
+            () = flow.reset() => true,
+        }
+    };
+    if is_reset {
+        for stream in [&client, &server] {
+            if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+                log::warn!("a connection to {to} is closed instead of reset: {error}");
+            }
+        }
+    }
 }
 
 /// Passes one direction on until it ends; a close does not pass a cut of its direction.
 async fn pass(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     direction: Direction,
     flow: &Flow,
 ) -> io::Result<()> {
@@ -68,8 +86,8 @@
 }
 
 async fn pass_bytes(
-    from: &mut OwnedReadHalf,
-    to: &mut OwnedWriteHalf,
+    from: &mut ReadHalf<'_>,
+    to: &mut WriteHalf<'_>,
     direction: Direction,
     flow: &Flow,
 ) -> io::Result<()> {
@@ -79,6 +97,10 @@
         if count == 0 {
             return Ok(());
         }
+        let delay = flow.delay();
+        if !delay.is_zero() {
+            time::sleep(delay).await;
+        }
         if !flow.drops_stream(direction) {
             to.write_all(&buffer[..count]).await?;
         }
--- /dev/null
+++ b/crates/citron-stand/src/soak/process.rs
@@ -0,0 +1,173 @@
+//! A gateway in a process of its own.
+
+use std::{
+    fs::{File, OpenOptions},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use eyre::{WrapErr, eyre};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The variable that names the settings file to the gateway.
+const SETTINGS_VARIABLE: &str = "CITRONLANDING_CONFIG";
+/// The ports that every gateway uses on its own address.
+const CALLERS_PORT: u16 = 28144;
+const READY_PORT: u16 = 28140;
+const CONTROL_PORT: u16 = 28146;
+const DIRECTORY_PORT: u16 = 28143;
+const INTERNAL_PORT: u16 = 28150;
+
+/// What a gateway's settings say.
+#[derive(Debug, Clone)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Its address, which is its own on loopback.
+    pub ip: Ipv4Addr,
+    /// Its failure domain.
+    pub domain: String,
+    /// The processors it may use at once.
+    pub cores: usize,
+    /// Where it reaches the store.
+    pub store: SocketAddr,
+    /// The control addresses of some gateways.
+    pub seeds: Vec<SocketAddr>,
+    /// The longest time that callers keep an answer of the directory; changes with each reload.
+    pub keep_limit_s: f64,
+}
+
+/// A running gateway; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Host {
+    /// Returns where it takes callers.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, CALLERS_PORT))
+    }
+
+    /// Returns where it says whether it is ready.
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, READY_PORT))
+    }
+
+    /// Returns where it answers callers that ask where to connect.
+    pub fn directory(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, DIRECTORY_PORT))
+    }
+
+    /// Returns where other gateways ask it for its state.
+    pub fn control(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, CONTROL_PORT))
+    }
+
+    /// Writes the settings file into `folder`.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written.
+    pub fn write_settings(&self, folder: &Path) -> eyre::Result<PathBuf> {
+        let path = folder.join(format!("{}.toml", self.name));
+        // A gateway must never read half a file.
+        let draft = folder.join(format!("{}.draft", self.name));
+        std::fs::write(&draft, self.settings()).wrap_err("cannot write a settings file")?;
+        std::fs::rename(&draft, &path).wrap_err("cannot write a settings file")?;
+        Ok(path)
+    }
+
+    fn settings(&self) -> String {
+        let Self { name, ip, domain, cores, store, seeds, keep_limit_s } = self;
+        let (callers, ready, control, directory) =
+            (self.callers(), self.ready(), self.control(), self.directory());
+        let seeds: Vec<String> =
+            seeds.iter().map(|seed| format!("{:?}", seed.to_string())).collect();
+        let seeds = seeds.join(",");
+        format!(
+            "[self]
+node = {name:?}
+ip = \"{ip}\"
+zone = {domain:?}
+[self.limits]
+cores = {cores}
+memoryMb = 512
+[network]
+internalPorts = [{INTERNAL_PORT},{}]
+seeds = [{seeds}]
+[network.listen]
+front = \"{callers}\"
+ready = \"{ready}\"
+control = \"{control}\"
+directory = \"{directory}\"
+[platform.platform]
+address = \"{store}\"
+[terms.bounds]
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 62
+ttl_max_s = {keep_limit_s:?}
+graceS = 6
+",
+            INTERNAL_PORT + 8
+        )
+    }
+}
+
+impl Process {
+    /// Starts the gateway of a host; its output is appended to a file in `folder`.
+    ///
+    /// # Errors
+    /// Fails if the program is not built or cannot be started.
+    pub fn spawn(host: &Host, folder: &Path) -> eyre::Result<Self> {
+        let settings = host.write_settings(folder)?;
+        let log = |suffix: &str| -> io::Result<File> {
+            let path = folder.join(format!("{}.{suffix}", host.name));
+            OpenOptions::new().create(true).append(true).open(path)
+        };
+        let child = Command::new(program()?)
+            .env(SETTINGS_VARIABLE, settings)
+            .stdin(Stdio::null())
+            .stdout(log("log")?)
+            .stderr(log("err")?)
+            .spawn()
+            .wrap_err("cannot start a gateway")?;
+        Ok(Self { child })
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// Fails if the process has ended and was waited for.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let pid = Pid::from_raw(self.child.id() as i32).ok_or_else(|| eyre!("no process id"))?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Returns how the process ended, if it has.
+    ///
+    /// # Errors
+    /// Fails if the system cannot tell.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // One that has ended already needs no kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Finds the gateway beside the running program, or one folder above it.
+fn program() -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let mut folders = own.ancestors().skip(1).take(2).map(|folder| folder.join("citron-gateway"));
+    folders
+        .find(|path| path.is_file())
+        .ok_or_else(|| eyre!("citron-gateway is not built; run cargo build --workspace --bins"))
+}
