End a gateway in time whose log nobody reads; gather a request's lines with citronctl

Cause: a new test starts a gateway whose standard output is a pipe that nobody reads. 4,000 requests were served and the dropped lines told of, as they should be, but after SIGTERM the gateway still ran after 6 s: the end waited without bound for the log's writer. It waits 500 ms now.

--- a/crates/citron-daemon/src/journal.rs
+++ b/crates/citron-daemon/src/journal.rs
@@ -24,6 +24,10 @@
 const WARN_BYTES_PER_S: usize = 256 * 1024;
 /// The time over which the bytes are counted.
 const SECOND: Duration = Duration::from_secs(1);
+/// How long an ending process waits for a reader to take the last lines.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+/// The pause between two looks at whether the last lines are written.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
 /// The time between two writes.
 const WRITE_GAP: Duration = Duration::from_millis(100);
 
@@ -55,10 +59,18 @@
 struct Sink(Arc<Shared>);
 
 impl Journal {
-    /// Writes what waits and ends the writer.
+    /// Writes what waits and ends the writer; lines that no reader takes in time are lost.
     pub fn close(self) {
         self.shared.closed.store(true, Ordering::Relaxed);
         self.writer.thread().unpark();
+        let end = Instant::now() + CLOSE_LIMIT;
+        while !self.writer.is_finished() {
+            if Instant::now() > end {
+                eprintln!("nobody reads the log; its last lines are lost");
+                return;
+            }
+            thread::sleep(CLOSE_POLL);
+        }
         if self.writer.join().is_err() {
             eprintln!("the log's writer panicked; its last lines are lost");
         }
--- a/crates/citron-stand/src/soak/process.rs
+++ b/crates/citron-stand/src/soak/process.rs
@@ -5,11 +5,12 @@
     io,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
 };
 
-use eyre::{WrapErr, eyre};
+use eyre::{WrapErr, bail, eyre};
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::net::TcpListener;
 
 /// The variable that names the settings file to the gateway.
 const SETTINGS_VARIABLE: &str = "CITRONLANDING_CONFIG";
@@ -19,6 +20,8 @@
 const CONTROL_PORT: u16 = 28146;
 const DIRECTORY_PORT: u16 = 28143;
 const INTERNAL_PORT: u16 = 28150;
+/// The port that a run holds so that no other run uses its addresses.
+const LOCK_PORT: u16 = 28199;
 
 /// What a gateway's settings say.
 #[derive(Debug, Clone)]
@@ -122,16 +125,26 @@
     /// # Errors
     /// Fails if the program is not built or cannot be started.
     pub fn spawn(host: &Host, folder: &Path) -> eyre::Result<Self> {
+        Self::start(host, folder, output(host, folder, "log")?.into())
+    }
+
+    /// Starts the gateway of a host, whose standard output the caller reads.
+    ///
+    /// # Errors
+    /// Fails if the program is not built or cannot be started.
+    pub fn spawn_piped(host: &Host, folder: &Path) -> eyre::Result<(Self, ChildStdout)> {
+        let mut process = Self::start(host, folder, Stdio::piped())?;
+        let stdout = process.child.stdout.take().ok_or_else(|| eyre!("there is no output"))?;
+        Ok((process, stdout))
+    }
+
+    fn start(host: &Host, folder: &Path, stdout: Stdio) -> eyre::Result<Self> {
         let settings = host.write_settings(folder)?;
-        let log = |suffix: &str| -> io::Result<File> {
-            let path = folder.join(format!("{}.{suffix}", host.name));
-            OpenOptions::new().create(true).append(true).open(path)
-        };
         let child = Command::new(program()?)
             .env(SETTINGS_VARIABLE, settings)
             .stdin(Stdio::null())
-            .stdout(log("log")?)
-            .stderr(log("err")?)
+            .stdout(stdout)
+            .stderr(output(host, folder, "err")?)
             .spawn()
             .wrap_err("cannot start a gateway")?;
         Ok(Self { child })
@@ -163,6 +176,25 @@
     }
 }
 
+/// Finds a block of loopback addresses, 127.BLOCK.0.0, that no other run uses, and holds it.
+///
+/// # Errors
+/// Fails if all blocks are in use.
+pub async fn free_block() -> eyre::Result<(u8, TcpListener)> {
+    for block in 10..250 {
+        let address = SocketAddr::from((Ipv4Addr::new(127, block, 0, 1), LOCK_PORT));
+        if let Ok(lock) = TcpListener::bind(address).await {
+            return Ok((block, lock));
+        }
+    }
+    bail!("no block of loopback addresses is free; end other runs first")
+}
+
+fn output(host: &Host, folder: &Path, suffix: &str) -> io::Result<File> {
+    let path = folder.join(format!("{}.{suffix}", host.name));
+    OpenOptions::new().create(true).append(true).open(path)
+}
+
 /// Finds the gateway beside the running program, or one folder above it.
 fn program() -> eyre::Result<PathBuf> {
     let own = std::env::current_exe()?;
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -22,7 +22,7 @@
 use super::{
     Settings,
     plan::Fault,
-    process::{Host, Process},
+    process::{Host, Process, free_block},
     record::{Record, Run, Trouble, Version, What},
 };
 use crate::{
@@ -39,8 +39,6 @@
 const ROUTES: [&str; 2] = ["lots", "orders"];
 /// The failure domains.
 const DOMAINS: usize = 3;
-/// The port that a run holds so that no other run uses its addresses.
-const LOCK_PORT: u16 = 28199;
 /// The time between SIGTERM and the kill.
 const GRACE: Duration = Duration::from_secs(6);
 /// How long a process that ended stays down.
@@ -477,14 +475,3 @@
         "hosts": [{"host": "one.example", "paths": paths}]
     })
 }
-
-/// Finds a block of loopback addresses that no other run uses, and holds it.
-async fn free_block() -> eyre::Result<(u8, TcpListener)> {
-    for block in 10..250 {
-        let address = SocketAddr::from((Ipv4Addr::new(127, block, 0, 1), LOCK_PORT));
-        if let Ok(lock) = TcpListener::bind(address).await {
-            return Ok((block, lock));
-        }
-    }
-    bail!("no block of loopback addresses is free; end other runs first")
-}
--- a/crates/citronctl/src/command.rs
+++ b/crates/citronctl/src/command.rs
@@ -1,6 +1,7 @@
 //! Carries out a command and words its result.
 
 mod edit;
+mod explain;
 mod host;
 mod status;
 
@@ -65,6 +66,7 @@
         Command::Status { edit } => status::show(settings, edit.as_ref()).await,
         Command::Drain { host } => host::drain(settings, host).await,
         Command::Timeline => host::timeline(settings).await,
+        Command::Explain { request, logs } => explain::show(request, logs),
     };
     let report = report.unwrap_or_else(|report| report);
     let text = match settings.output {
--- a/crates/citronctl/src/lib.rs
+++ b/crates/citronctl/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod code;
 mod command;
+mod explain;
 mod fleet;
 mod operate;
 mod setting;
@@ -10,6 +11,7 @@
 pub use self::{
     code::Code,
     command::{Output, run},
+    explain::{Line, explain},
     operate::{drive, read_policy},
     setting::{Command, Format, Settings},
 };
--- a/crates/citronctl/src/setting.rs
+++ b/crates/citronctl/src/setting.rs
@@ -16,6 +16,7 @@
   status                             shows the policy, the final say and the hosts
   drain HOST                         asks a host to leave without cutting a request
   timeline                           merges the events of all processes
+  explain REQUEST LOG...             picks from gateways' logs what explains a request
 
 Exit codes: 0 done or equal, 1 different, 2 bad setting, 3 bad lists, 4 refused,
 5 unreachable, 6 undecided, 7 failed";
@@ -137,6 +138,13 @@
     },
     /// Merges the events of all processes.
     Timeline,
+    /// Shows what explains a request.
+    Explain {
+        /// The id that its caller gave it.
+        request: String,
+        /// Files with the logs of gateways.
+        logs: Vec<PathBuf>,
+    },
 }
 
 /// The files of the two lists.
@@ -169,6 +177,7 @@
     Status,
     Drain,
     Timeline,
+    Explain,
 }
 
 impl Settings {
@@ -207,7 +216,7 @@
     /// Checks that the command has the addresses that it needs.
     fn check(&self, values: &Values) -> Result<(), Error> {
         match self.command {
-            Command::Check(_) => Ok(()),
+            Command::Check(_) | Command::Explain { .. } => Ok(()),
             Command::Drain { .. } | Command::Timeline => {
                 if self.admin.is_empty() {
                     required(values, "admin").map(drop)
@@ -230,11 +239,12 @@
         return usage(format!("there is no command {word:?}"));
     };
     let (wanted, names) = match verb {
-        Verb::Check | Verb::Diff | Verb::Apply => (2, "CUSTOMERS.toml GRANTS.toml"),
-        Verb::Drain => (1, "HOST"),
-        Verb::Handover | Verb::Sweep | Verb::Status | Verb::Timeline => (0, "no argument"),
+        Verb::Check | Verb::Diff | Verb::Apply => (2..=2, "CUSTOMERS.toml GRANTS.toml"),
+        Verb::Drain => (1..=1, "HOST"),
+        Verb::Handover | Verb::Sweep | Verb::Status | Verb::Timeline => (0..=0, "no argument"),
+        Verb::Explain => (2..=usize::MAX, "REQUEST LOG..."),
     };
-    if words.len() != wanted {
+    if !wanted.contains(&words.len()) {
         let verb: &str = verb.into();
         return usage(format!("{verb} takes {names}, not {:?}", words.join(" ")));
     }
@@ -254,6 +264,10 @@
         Verb::Status => Command::Status { edit: parse_edit(values)? },
         Verb::Drain => Command::Drain { host: words[0].clone() },
         Verb::Timeline => Command::Timeline,
+        Verb::Explain => Command::Explain {
+            request: words[0].clone(),
+            logs: words[1..].iter().map(PathBuf::from).collect(),
+        },
     })
 }
 
--- /dev/null
+++ b/tests/tests/soak.rs
@@ -0,0 +1,22 @@
+//! A short soak of the gateway with a fixed seed; `citron-stand soak` plays longer ones.
+
+use std::{path::Path, time::Duration};
+
+use citron_stand::soak::{self, Settings};
+
+/// Seeds that once failed, with their causes, are played by hand: see docs/proofs/soak.md.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_finds_nothing() -> eyre::Result<()> {
+    let settings = Settings {
+        seed: 1,
+        length: Duration::from_secs(12),
+        gateways: 4,
+        targets: 16,
+        callers: 12,
+        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+    };
+    let report = soak::run(&settings).await?;
+    assert!(report.findings.is_empty(), "{report}: {:#?}", report.findings);
+    report.clean();
+    Ok(())
+}
