--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,7 @@
 //! Harness of the whole-system tests and the demo: a fleet of separate processes on loopback.
 
 mod fleet;
+pub mod gateway;
 mod load;
 mod process;
 
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -1,93 +1,37 @@
-//! The gateway as a process: its log under a reader that stops.
+//! The gateway as a process: its log under a reader that stops, and failed requests explained from
+//! the log alone.
 
 use std::{
     io::{BufRead, BufReader},
-    net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
 use citron_stand::{
-    gateway::{caller::Caller, store::Store, target::Target},
-    soak::process::{Host, Process, free_block},
+    gateway::{caller::Caller, store::Mood, target::Act},
+    soak::process::Process,
 };
-use rustix::process::Signal;
-use serde_json::{Value, json};
-use tokio::{
-    net::TcpListener,
-    time::{Instant, sleep},
+use citron_tests::{
+    gateway::{World, ask, configuration},
+    run, wait_until,
 };
+use rustix::process::Signal;
+use tokio::time::{Instant, sleep};
 
-/// How long a gateway may take to start or to end.
+/// How long a gateway may take until something is logged.
 const LIMIT: Duration = Duration::from_secs(20);
 /// The time between SIGTERM and the kill on the users' machines.
 const GRACE: Duration = Duration::from_secs(6);
 /// Requests whose lines are more than a pipe and the gateway's buffer hold.
 const REQUESTS: usize = 4000;
 
-/// A store, a target and the host of one gateway.
-struct World {
-    host: Host,
-    folder: tempfile::TempDir,
-    _store: Store,
-    _target: Target,
-    _lock: TcpListener,
-}
-
-impl World {
-    async fn start() -> eyre::Result<Self> {
-        let (block, lock) = free_block().await?;
-        let store = Store::bind().await;
-        let target = Target::open("i-1", "desk").await?;
-        store.put("config", "main", configuration());
-        store.put("servers", &target.id, target.entry("ready"));
-        let host = Host {
-            name: "entry-1".to_owned(),
-            ip: Ipv4Addr::new(127, block, 1, 1),
-            domain: "a".to_owned(),
-            cores: 1,
-            store: store.addr(),
-            seeds: Vec::new(),
-            keep_limit_s: 2.0,
-        };
-        let folder = tempfile::tempdir()?;
-        Ok(Self { host, folder, _store: store, _target: target, _lock: lock })
-    }
-
-    async fn ready(&self) -> eyre::Result<()> {
-        let url = format!("http://{}/v1/ready", self.host.ready());
-        let end = Instant::now() + LIMIT;
-        while !reqwest::get(&url).await.is_ok_and(|answer| answer.status().is_success()) {
-            eyre::ensure!(Instant::now() < end, "the gateway is not ready in time");
-            sleep(Duration::from_millis(20)).await;
-        }
-        Ok(())
-    }
-}
-
-fn configuration() -> Value {
-    json!({
-        "version": "r1",
-        "services": [{"name": "desk", "healthPath": "/health", "maxConns": 390}],
-        "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 4096, "headerTimeoutS": 5, "idleTimeoutS": 10},
-        "hosts": [{"host": "one.example", "paths": [
-            {"name": "lots", "pathPrefix": "/lots/", "routeType": "safe", "timeoutS": 2,
-             "targetLatencyS": 0.5, "priority": 1, "maxAttempts": 2, "service": "desk"}]}]
-    })
-}
-
-async fn ask(address: SocketAddr, count: usize) -> eyre::Result<usize> {
-    let mut caller = Caller::open(address).await?;
+async fn ask_many(caller: &mut Caller, count: usize) -> usize {
     let mut served = 0;
     for n in 0..count {
         let id = format!("r{n}-{}", "x".repeat(100));
-        let text = format!(
-            "GET /lots/{n} HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: {id}\r\nDeadline-Remaining-Ms: 2000\r\n\r\n"
-        );
-        caller.try_send(&text).await?;
-        let answer = caller.try_answer(LIMIT).await;
+        let answer = ask(caller, "GET", &format!("/lots/{n}"), &id).await;
         served += usize::from(answer.is_ok_and(|answer| answer.status == 200));
     }
-    Ok(served)
+    served
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -95,13 +39,14 @@
     let world = World::start().await?;
     let (_gateway, log) = Process::spawn_piped(&world.host, world.folder.path())?;
     world.ready().await?;
-    assert_eq!(ask(world.host.callers(), REQUESTS).await?, REQUESTS, "all requests are served");
+    let mut caller = world.caller().await?;
+    assert_eq!(ask_many(&mut caller, REQUESTS).await, REQUESTS, "all requests are served");
     let dropped = tokio::task::spawn_blocking(move || {
         let lines = BufReader::new(log).lines().map_while(Result::ok);
         lines.into_iter().find(|line| line.contains("event=log-lines-dropped"))
     });
     // Another line makes the gateway write on, now that its log is read.
-    ask(world.host.callers(), 1).await?;
+    ask_many(&mut caller, 1).await;
     let line = tokio::time::timeout(LIMIT, dropped).await??.expect("a line that tells of it");
     let count = line.rsplit("count=").next().and_then(|count| count.parse::<u64>().ok());
     assert!(count.is_some_and(|count| count > 0), "{line}");
@@ -113,7 +58,7 @@
     let world = World::start().await?;
     let (mut gateway, _log) = Process::spawn_piped(&world.host, world.folder.path())?;
     world.ready().await?;
-    ask(world.host.callers(), REQUESTS).await?;
+    ask_many(&mut world.caller().await?, REQUESTS).await;
     gateway.signal(Signal::TERM)?;
     let end = Instant::now() + GRACE;
     while Instant::now() < end {
@@ -125,3 +70,95 @@
     }
     panic!("the gateway runs {GRACE:?} after SIGTERM")
 }
+
+/// A gateway whose log is explained with `citronctl explain`, as docs/OPERATIONS.md tells it.
+struct Case {
+    world: World,
+    _gateway: Process,
+}
+
+impl Case {
+    async fn start() -> eyre::Result<Self> {
+        let world = World::start().await?;
+        let gateway = Process::spawn(&world.host, world.folder.path())?;
+        world.ready().await?;
+        Ok(Self { world, _gateway: gateway })
+    }
+
+    async fn ask(&self, method: &str, path: &str, id: &str) -> eyre::Result<u16> {
+        let answer = ask(&mut self.world.caller().await?, method, path, id).await;
+        Ok(answer.map_err(|end| eyre::eyre!("no answer: {end:?}"))?.status)
+    }
+
+    /// Returns the lines that explain a request once its last line is written.
+    async fn explain(&self, id: &str) -> eyre::Result<Vec<String>> {
+        let log = self.world.folder.path().join("entry-1.log");
+        let log = log.to_string_lossy().into_owned();
+        wait_until("the request's last line", LIMIT, async || {
+            let output = run("citronctl", &["explain", id, &log]).await.ok()?;
+            let text = String::from_utf8_lossy(&output.stdout).into_owned();
+            let is_over =
+                text.lines().any(|line| line.starts_with("* ") && has(line, "event=request"));
+            is_over.then(|| text.lines().map(str::to_owned).collect())
+        })
+        .await
+    }
+
+    /// Waits until the gateway has logged a line with these words.
+    async fn logged(&self, words: &str) -> eyre::Result<()> {
+        let log = self.world.folder.path().join("entry-1.log");
+        wait_until(words, LIMIT, async || {
+            let text = std::fs::read_to_string(&log).ok()?;
+            text.lines().any(|line| has(line, words)).then_some(())
+        })
+        .await
+    }
+}
+
+fn has(line: &str, words: &str) -> bool {
+    words.split(' ').all(|word| line.split(' ').any(|part| part == word))
+}
+
+fn assert_line(lines: &[String], words: &str) {
+    assert!(lines.iter().any(|line| has(line, words)), "no line with {words:?} in {lines:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_whose_target_failed_is_explained() -> eyre::Result<()> {
+    let case = Case::start().await?;
+    case.world.target.set(Act::Reset);
+    assert_eq!(case.ask("POST", "/orders/7", "lost").await?, 502);
+    let lines = case.explain("lost").await?;
+    assert_line(&lines, "* event=attempt target=i-1 ending=broken");
+    assert_line(&lines, "* event=refused outcome=unknown reason=target-broken");
+    assert_line(&lines, "* event=request status=502 attempts=1");
+    assert_line(&lines, "event=belief target=i-1 verdict=silent");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_for_want_of_room_is_explained() -> eyre::Result<()> {
+    let case = Case::start().await?;
+    case.world.target.set(Act::Shed);
+    assert_eq!(case.ask("POST", "/orders/7", "refused").await?, 503);
+    let lines = case.explain("refused").await?;
+    assert_line(&lines, "* event=attempt target=i-1 ending=shed");
+    assert_line(&lines, "* event=refused outcome=not-run");
+    assert_line(&lines, "event=belief target=i-1 verdict=shed");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_met_a_stale_configuration_is_explained() -> eyre::Result<()> {
+    let case = Case::start().await?;
+    case.world.store.set(Mood::Refusing(503));
+    case.logged("event=store-lost call=config").await?;
+    case.world.store.put("config", "main", configuration(2, &["lots", "orders", "new"]));
+    assert_eq!(case.ask("GET", "/new/7", "early").await?, 404);
+    let lines = case.explain("early").await?;
+    assert_line(&lines, "* event=request reason=no-route status=404 routes=1");
+    assert_line(&lines, "event=store-lost call=config");
+    // What the page compares it with: the newest version on any host.
+    case.world.store.set(Mood::Well);
+    case.logged("event=routes-taken version=2 before=1").await
+}
