--- a/crates/citron-daemon/src/journal.rs
+++ b/crates/citron-daemon/src/journal.rs
@@ -7,7 +7,7 @@
     io::{self, Write},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
@@ -31,6 +31,14 @@
 /// The time between two writes.
 const WRITE_GAP: Duration = Duration::from_millis(100);
 
+/// The lines that this process dropped; its logger is one for the whole process, too.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines were dropped since the process started.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
 /// The running log of a process.
 #[derive(Debug)]
 pub struct Journal {
@@ -145,17 +153,15 @@
         } else {
             (&mut self.info, INFO_BYTES_PER_S)
         };
-        if *used + length > limit {
+        // A reader that has stopped must not make the buffer grow from second to second.
+        let is_full = self.bytes.len() > INFO_BYTES_PER_S + WARN_BYTES_PER_S;
+        if *used + length > limit || is_full {
             self.bytes.truncate(before);
             self.dropped += 1;
+            DROPPED.fetch_add(1, Ordering::Relaxed);
         } else {
             *used += length;
         }
-        // A reader that has stopped must not make the buffer grow from second to second.
-        if self.bytes.len() > INFO_BYTES_PER_S + WARN_BYTES_PER_S {
-            self.bytes.truncate(before);
-            self.dropped += 1;
-        }
     }
 
     /// Takes the lines that wait, with a line on those that were dropped.
--- a/crates/citron-daemon/src/lib.rs
+++ b/crates/citron-daemon/src/lib.rs
@@ -12,7 +12,7 @@
 pub use self::{
     admin::{Admin, bind as bind_admin, encode as encode_metrics},
     clock::Clock,
-    journal::{Journal, init as init_journal},
+    journal::{Journal, dropped as dropped_lines, init as init_journal},
     log::init as init_log,
     record::Recorder,
     serve::{Server, bind, config},
--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -101,8 +101,9 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut attempts = FuturesUnordered::new();
         let mut answer = None;
+        let began = self.shared.clock.now();
         let mut hedged = false;
-        let hedge_at = self.shared.clock.now() + self.route.objective.mul_f64(HEDGE_SHARE);
+        let hedge_at = began + self.route.objective.mul_f64(HEDGE_SHARE);
         loop {
             let now = self.shared.clock.now();
             match series.next(now, || self.pay(now)) {
@@ -114,7 +115,7 @@
                 Step::Wait => tokio::select! {
                     Some(attempt) = attempts.next() => {
                         series.ended(attempt.ending);
-                        answer = attempt.reply.or(answer);
+                        answer = attempt.reply.map(|reply| (reply, attempt.took)).or(answer);
                     }
                     () = time::sleep_until(self.shared.clock.instant(hedge_at)), if !hedged => {
                         hedged = true;
@@ -124,7 +125,10 @@
                     }
                 },
                 Step::Answer => {
-                    let reply = answer.unwrap_or_else(|| Reply::own(502, "answer-missing"));
+                    let Some((reply, at_target)) = answer else {
+                        return (Reply::own(502, "answer-missing"), series.attempts());
+                    };
+                    self.shared.metrics.added((now - began).saturating_sub(at_target));
                     return (reply, series.attempts());
                 }
                 Step::Refuse { outcome, cause } => {
@@ -143,7 +147,9 @@
     fn pay(&self, now: Duration) -> bool {
         let share = self.shared.share();
         let paid = self.shared.budgets.withdraw(&self.service, share, now);
-        if !paid {
+        if paid {
+            self.shared.metrics.paid.with_label_values(&[&*self.service]).inc();
+        } else {
             log::warn!(
                 "event=not-repeated id={} service={} reason=budget-spent hosts={}",
                 self.id,
--- a/crates/citron-gateway/src/carry/attempt.rs
+++ b/crates/citron-gateway/src/carry/attempt.rs
@@ -42,9 +42,17 @@
     pub ending: Ending,
     /// The target's answer, if there is one to pass on.
     pub reply: Option<Reply>,
+    /// How long it took.
+    pub took: Duration,
     verdict: Option<Verdict>,
 }
 
+impl Attempt {
+    fn new(ending: Ending, verdict: Option<Verdict>) -> Self {
+        Self { ending, reply: None, took: Duration::ZERO, verdict }
+    }
+}
+
 /// Tells the shared state of an attempt's end, also if the attempt is dropped.
 struct Begun<'a> {
     shared: &'a Shared,
@@ -81,11 +89,10 @@
         let limit = self.shared.clock.instant(self.deadline);
         let mut attempt = match time::timeout_at(limit, self.send(target)).await {
             Ok(attempt) => attempt,
-            Err(_) => {
-                Attempt { ending: Ending::TimedOut, reply: None, verdict: Some(Verdict::Silent) }
-            }
+            Err(_) => Attempt::new(Ending::TimedOut, Some(Verdict::Silent)),
         };
         let took = self.shared.clock.now().saturating_sub(began);
+        attempt.took = took;
         if attempt.verdict == Some(Verdict::Served) && took > self.route.objective {
             attempt.verdict = Some(Verdict::Late);
         }
@@ -119,7 +126,7 @@
     /// Sends the request to one target and takes its answer.
     async fn send(&self, target: &Target) -> Attempt {
         let Some(request) = self.request(target) else {
-            return Attempt { ending: Ending::Broken, reply: None, verdict: None };
+            return Attempt::new(Ending::Broken, None);
         };
         let idle_limit =
             if self.route.idempotent { REPEATABLE_IDLE_LIMIT } else { ONCE_IDLE_LIMIT };
@@ -127,7 +134,10 @@
         let channel = match kept {
             Some(channel) => channel,
             None => match Channel::connect(target.address, CONNECT_TIMEOUT).await {
-                Ok(channel) => channel,
+                Ok(channel) => {
+                    self.shared.metrics.connections.inc();
+                    channel
+                }
                 Err(error) => {
                     log::warn!(
                         "event=connect-failed id={} target={} address={} reason={:?}",
@@ -136,24 +146,16 @@
                         target.address,
                         error.to_string()
                     );
-                    return Attempt {
-                        ending: Ending::NotConnected,
-                        reply: None,
-                        verdict: Some(Verdict::Unreachable),
-                    };
+                    return Attempt::new(Ending::NotConnected, Some(Verdict::Unreachable));
                 }
             },
         };
         match channel.send(request).await {
             Ok(response) => self.receive(target, response).await,
-            Err(channel::Error::NotSent) => Attempt {
-                ending: Ending::NotConnected,
-                reply: None,
-                verdict: Some(Verdict::Unreachable),
-            },
-            Err(channel::Error::Broken) => {
-                Attempt { ending: Ending::Broken, reply: None, verdict: Some(Verdict::Silent) }
+            Err(channel::Error::NotSent) => {
+                Attempt::new(Ending::NotConnected, Some(Verdict::Unreachable))
             }
+            Err(channel::Error::Broken) => Attempt::new(Ending::Broken, Some(Verdict::Silent)),
         }
     }
 
@@ -175,7 +177,7 @@
 
     async fn receive(&self, target: &Target, response: Response<Exchange>) -> Attempt {
         let (head, mut exchange) = response.into_parts();
-        let attempt = |ending, verdict| Attempt { ending, reply: None, verdict: Some(verdict) };
+        let attempt = |ending, verdict| Attempt::new(ending, Some(verdict));
         if head.headers.contains_key(NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 self.shared.targets.lock().view.misplace(target, self.shared.clock.now());
@@ -225,6 +227,6 @@
         } else {
             (Ending::Answered, Verdict::Served)
         };
-        Attempt { ending, reply: Some(reply), verdict: Some(verdict) }
+        Attempt { reply: Some(reply), ..Attempt::new(ending, Some(verdict)) }
     }
 }
--- a/crates/citron-gateway/src/link.rs
+++ b/crates/citron-gateway/src/link.rs
@@ -52,6 +52,12 @@
         self.0.lock().lost > 0
     }
 
+    /// Returns how long the store has not answered, zero if it does.
+    pub fn silent_for(&self, now: Duration) -> Duration {
+        let state = self.0.lock();
+        if state.lost > 0 { now.saturating_sub(state.since) } else { Duration::ZERO }
+    }
+
     /// Returns how long the store has answered without a break, zero if it does not.
     pub fn answers_for(&self, now: Duration) -> Duration {
         let state = self.0.lock();
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry,
 };
 
 /// The bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
 
+/// The bounds of the histogram of the time that the gateway adds, in seconds.
+const ADDED_BOUNDS_S: [f64; 10] = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 4.0];
+
 /// The metrics of one gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -21,6 +25,16 @@
     pub pulls: IntCounterVec,
     /// Repetitions that the budget did not allow, by service.
     pub unpaid: IntCounterVec,
+    /// Repetitions that were sent, by service.
+    pub paid: IntCounterVec,
+    /// What outcomes said about targets, by verdict and by who saw it.
+    pub verdicts: IntCounterVec,
+    /// Connections to targets that were opened.
+    pub connections: IntCounter,
+    /// Log lines that were dropped.
+    pub log_lines_dropped: IntGauge,
+    /// How long the store has not answered, zero while it does.
+    pub store_silent: Gauge,
     /// Outcomes that peers were not told of, as too many waited.
     pub news_dropped: IntCounter,
     /// Datagrams that could not be read.
@@ -45,6 +59,7 @@
     attempts: IntCounterVec,
     requests: IntCounterVec,
     latency: HistogramVec,
+    added: Histogram,
 }
 
 impl Metrics {
@@ -78,6 +93,19 @@
             &["route"],
         )?;
         registry.register(Box::new(latency.clone()))?;
+        let added = Histogram::with_opts(
+            HistogramOpts::new(
+                "citron_added_duration_seconds",
+                "Time of an answered request besides the attempt that was answered",
+            )
+            .buckets(ADDED_BOUNDS_S.to_vec()),
+        )?;
+        registry.register(Box::new(added.clone()))?;
+        let store_silent = Gauge::new(
+            "citron_store_silent_seconds",
+            "Time since the store ceased to answer, 0 while it answers",
+        )?;
+        registry.register(Box::new(store_silent.clone()))?;
         Ok(Self {
             refused: counters(
                 "citron_refusals_total",
@@ -104,6 +132,20 @@
                 "Repetitions that the budget did not allow, by service",
                 &["service"],
             )?,
+            paid: counters(
+                "citron_repetitions_total",
+                "Repetitions that the budget allowed, by service",
+                &["service"],
+            )?,
+            verdicts: counters(
+                "citron_verdicts_total",
+                "What outcomes said about targets, by verdict and by who saw it",
+                &["verdict", "source"],
+            )?,
+            connections: counter(
+                "citron_connections_opened_total",
+                "Connections to targets that were opened",
+            )?,
             requests: counters(
                 "citron_requests_total",
                 "Answered requests, by route and status",
@@ -124,6 +166,10 @@
             in_flight: gauge("citron_requests_in_flight", "Requests being carried")?,
             gateways: gauge("citron_gateways_alive", "Other gateways that reported lately")?,
             suspected: gauge("citron_targets_suspected", "Targets believed to be sick")?,
+            log_lines_dropped: gauge(
+                "citron_log_lines_dropped",
+                "Log lines that were dropped since the start",
+            )?,
             idle_channels: gauge("citron_idle_connections", "Idle connections to targets")?,
             store_lost: gauge(
                 "citron_store_lost",
@@ -135,6 +181,8 @@
                 "Revision of the target list in force",
             )?,
             latency,
+            added,
+            store_silent,
             registry,
         })
     }
@@ -149,6 +197,16 @@
         self.attempts.with_label_values(&[ending]).inc();
     }
 
+    /// Counts what an outcome said about a target.
+    pub fn verdict(&self, verdict: &str, source: &str) {
+        self.verdicts.with_label_values(&[verdict, source]).inc();
+    }
+
+    /// Counts the time that an answered request took besides the attempt that was answered.
+    pub fn added(&self, time: Duration) {
+        self.added.observe(time.as_secs_f64());
+    }
+
     /// Counts an answered request.
     pub fn request(&self, route: &str, status: u16, took: Duration) {
         self.requests.with_label_values(&[route, &status.to_string()]).inc();
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -110,6 +110,7 @@
         if target.born_ms == outcome.born_ms {
             let took = Duration::from_millis(outcome.took_ms.into());
             targets.view.hear(target, verdict, took, now);
+            shared.metrics.verdict(verdict.into(), "peer");
         }
     }
 }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -254,6 +254,9 @@
             let news = targets.view.end(target, verdict, now);
             (news, targets.view.sick(&target.id, now))
         };
+        if let Some(verdict) = verdict {
+            self.metrics.verdict(verdict.into(), "own");
+        }
         let Some(verdict) = verdict.filter(|_| news) else { return };
         log::info!("event=belief target={} verdict={verdict} sick={sick:.3} source=own", target.id);
         let mut waiting = self.news.lock();
--- a/crates/citron-stand/src/soak/plan.rs
+++ b/crates/citron-stand/src/soak/plan.rs
@@ -94,18 +94,18 @@
     let target = rng.random_range(0..targets);
     let time = millis(rng, LENGTH_MS);
     match rng.random_range(0..100) {
-        0..10 => Action::Terminate(gateway),
-        10..17 => Action::Kill(gateway),
-        17..19 => Action::KillAll,
-        19..26 => Action::Pause(gateway, time),
-        26..32 => Action::Reload(gateway),
-        32..42 => Action::Store(mood(rng), time),
-        42..45 => Action::ForgetHistory,
-        45..54 => Action::StoreLink(gateway, fault(rng), time),
-        54..70 => Action::Target(target, act(rng), time),
-        70..80 => Action::TargetLink(target, fault(rng), time),
-        80..86 => Action::Replace(target),
-        86..90 => Action::Vanish(target),
+        0..8 => Action::Terminate(gateway),
+        8..14 => Action::Kill(gateway),
+        14..16 => Action::KillAll,
+        16..22 => Action::Pause(gateway, time),
+        22..27 => Action::Reload(gateway),
+        27..34 => Action::Store(mood(rng), time),
+        34..37 => Action::ForgetHistory,
+        37..45 => Action::StoreLink(gateway, fault(rng), time),
+        45..65 => Action::Target(target, act(rng), time),
+        65..74 => Action::TargetLink(target, fault(rng), time),
+        74..84 => Action::Replace(target),
+        84..90 => Action::Vanish(target),
         _ => Action::Change,
     }
 }
--- a/crates/citron-stand/src/soak/process.rs
+++ b/crates/citron-stand/src/soak/process.rs
@@ -14,12 +14,15 @@
 
 /// The variable that names the settings file to the gateway.
 const SETTINGS_VARIABLE: &str = "CITRONLANDING_CONFIG";
+/// The variable that sets the port of the metrics.
+const METRICS_VARIABLE: &str = "CITRON_METRICS_PORT";
 /// The ports that every gateway uses on its own address.
 const CALLERS_PORT: u16 = 28144;
 const READY_PORT: u16 = 28140;
 const CONTROL_PORT: u16 = 28146;
 const DIRECTORY_PORT: u16 = 28143;
 const INTERNAL_PORT: u16 = 28150;
+const METRICS_PORT: u16 = 28148;
 /// The port that a run holds so that no other run uses its addresses.
 const LOCK_PORT: u16 = 28199;
 
@@ -69,6 +72,11 @@
         SocketAddr::from((self.ip, CONTROL_PORT))
     }
 
+    /// Returns where it serves its metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, METRICS_PORT))
+    }
+
     /// Writes the settings file into `folder`.
     ///
     /// # Errors
@@ -142,6 +150,7 @@
         let settings = host.write_settings(folder)?;
         let child = Command::new(program()?)
             .env(SETTINGS_VARIABLE, settings)
+            .env(METRICS_VARIABLE, METRICS_PORT.to_string())
             .stdin(Stdio::null())
             .stdout(stdout)
             .stderr(output(host, folder, "err")?)
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -162,3 +162,32 @@
     case.world.store.set(Mood::Well);
     case.logged("event=routes-taken version=2 before=1").await
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_metrics_tell_what_happened() -> eyre::Result<()> {
+    let case = Case::start().await?;
+    assert_eq!(case.ask("GET", "/lots/7", "served").await?, 200);
+    case.world.target.set(Act::Fail);
+    assert_eq!(case.ask("POST", "/orders/7", "failed").await?, 500);
+    case.world.target.set(Act::Reset);
+    assert_eq!(case.ask("POST", "/orders/7", "broken").await?, 502);
+    let url = format!("http://{}/metrics", case.world.host.metrics());
+    let text = reqwest::get(url).await?.text().await?;
+    for line in [
+        r#"citron_requests_total{route="lots",status="200"} 1"#,
+        r#"citron_requests_total{route="orders",status="500"} 1"#,
+        r#"citron_attempts_total{ending="broken"} 1"#,
+        r#"citron_refusals_total{reason="target-broken"} 1"#,
+        r#"citron_verdicts_total{source="own",verdict="failed"} 1"#,
+        r#"citron_verdicts_total{source="own",verdict="silent"} 1"#,
+        "citron_added_duration_seconds_count 2",
+        r#"citron_request_duration_seconds_count{route="orders"} 2"#,
+        "citron_store_lost 0",
+        "citron_store_silent_seconds 0",
+        "citron_log_lines_dropped 0",
+        "citron_routes_version 1",
+    ] {
+        assert!(text.lines().any(|shown| shown == line), "{line} is missing in {text}");
+    }
+    Ok(())
+}
