Refuse new requests at once while every sound target of the service is crowded

From 8 s on lot-desk is overloaded; the log shows 5 to 7 requests at each target of 3 slots, a median of 600 ms against 220 ms before, and 40 in 100 answers late: the queue at the targets made all requests late and served none better. Now a new request is refused as not run, with a time to return, while every target that is not suspected has 1.5 requests a slot or more, unless most targets are in doubt or a doubted target's test is due. Requests that were sent before go on.

Not tried: other limits than 1.5.

--- a/crates/citron-gateway/src/carry.rs
+++ b/crates/citron-gateway/src/carry.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use citron::{
     attempt::{Rules, Series, Step},
-    gray::{Choice, Demand, Need},
+    gray::{Choice, Demand, Need, NoRoom},
     route::Route,
 };
 use citron_adapter::header::{ATTEMPT, REMAINING_MS};
@@ -165,15 +165,27 @@
     fn place(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
         let may_test = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
         let demand = if may_test { Demand::Test } else { Demand::Any };
-        let choice = self.shared.begin(Need { service: &self.service, tried, demand })?;
+        let need = Need { service: &self.service, tried, demand };
+        let choice = match self.shared.begin(need) {
+            Ok(choice) => choice,
+            Err(NoRoom { candidates, sound }) => {
+                log::info!(
+                    "event=no-room id={} service={} tried={} candidates={candidates} sound={sound}",
+                    self.id,
+                    self.service,
+                    tried.len()
+                );
+                return None;
+            }
+        };
         tried.push(Arc::clone(&choice.target.id));
         Some(choice)
     }
 
     /// Chooses a free target for an attempt beside an overdue one, if that may be repeated.
     fn hedge(&self, series: &mut Series, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
-        let choice =
-            self.shared.begin(Need { service: &self.service, tried, demand: Demand::Free })?;
+        let need = Need { service: &self.service, tried, demand: Demand::Free };
+        let choice = self.shared.begin(need).ok()?;
         let now = self.shared.clock.now();
         if series.hedge(now, || self.pay(now)).is_none() {
             self.shared.end(&choice.target, None, Duration::ZERO);
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -14,7 +14,7 @@
     attempt::Share,
     catalog::{Catalog, Change, Snapshot, Source, Target},
     gateways::Gateways,
-    gray::{Choice, Need, Verdict, View},
+    gray::{Choice, Need, NoRoom, Verdict, View},
     route::{Route, Split, Table},
 };
 use citron_adapter::settings::Settings;
@@ -234,7 +234,10 @@
     }
 
     /// Chooses a target for an attempt and counts it as begun.
-    pub fn begin(&self, need: Need<'_>) -> Option<Choice> {
+    ///
+    /// # Errors
+    /// Fails if no target has room for it.
+    pub fn begin(&self, need: Need<'_>) -> Result<Choice, NoRoom> {
         let now = self.clock.now();
         let settings = self.settings();
         // Whoever locks both locks the gateways first.
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -9,7 +9,7 @@
 mod view;
 
 pub use self::{
-    choice::{Candidate, Demand, choose},
+    choice::{Candidate, Demand, NoRoom, choose, no_room},
     view::{Choice, Key, Load, Need, View, key},
 };
 
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -15,6 +15,10 @@
 const LOAD_COST: f64 = 0.05;
 /// The cost of waiting for a slot, for each request ahead and slot.
 const QUEUE_COST: f64 = 0.35;
+/// A target is crowded with so many requests for each of its slots.
+const CROWDED_SHARE: f64 = 1.5;
+/// Where a smaller share of the targets is sound, the doubt may be one's own.
+const SOUND_SHARE_MIN: f64 = 0.5;
 /// The cost of crossing to another failure domain.
 const DOMAIN_COST: f64 = 0.04;
 /// The cost of a target that is slow after its start.
@@ -86,6 +90,30 @@
     }
 }
 
+/// Why a new request is not sent anywhere: all sound targets are crowded, or there are none.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct NoRoom {
+    /// The targets that were looked at.
+    pub candidates: usize,
+    /// Those of them that are not suspected.
+    pub sound: usize,
+}
+
+/// Returns why a new request should not be sent, if every sound target is crowded.
+///
+/// In overload a longer queue at the targets serves nobody better: it makes all requests late.
+pub fn no_room(candidates: &[Candidate]) -> Option<NoRoom> {
+    let is_sound = |candidate: &&Candidate| candidate.sick < SUSPECT;
+    let is_crowded = |candidate: &Candidate| {
+        let (busy, slots) = candidate.load;
+        f64::from(busy) >= f64::from(slots) * CROWDED_SHARE
+    };
+    let sound = candidates.iter().filter(is_sound).count();
+    let is_full = candidates.iter().filter(is_sound).all(is_crowded);
+    let is_trusted = sound as f64 >= candidates.len() as f64 * SOUND_SHARE_MIN;
+    (sound > 0 && is_full && is_trusted).then_some(NoRoom { candidates: candidates.len(), sound })
+}
+
 /// Returns the index of the candidate to send to, or `None` if none meets the demand.
 pub fn choose(candidates: &[Candidate], demand: Demand, rng: &mut impl Rng) -> Option<usize> {
     if demand.tests() {
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Belief, Candidate, Demand, NEWSWORTHY, SUSPECT, Verdict, choose};
+use super::{Belief, Candidate, Demand, NEWSWORTHY, NoRoom, SUSPECT, Verdict, choose, no_room};
 use crate::catalog::{Catalog, Target};
 
 /// How long a target that shed is held back.
@@ -106,6 +106,9 @@
     ///
     /// A request that may test is sent to the doubted target whose test is due for longest.
     /// `testers_before` counts the gateways that are to test a target before this one.
+    ///
+    /// # Errors
+    /// Fails if no target meets the need, or a new request finds every sound target crowded.
     pub fn begin(
         &mut self,
         catalog: &Catalog,
@@ -113,7 +116,7 @@
         testers_before: impl Fn(&Target) -> usize,
         rng: &mut impl Rng,
         now: Duration,
-    ) -> Option<Choice> {
+    ) -> Result<Choice, NoRoom> {
         let Need { service, tried, demand } = need;
         let targets: Vec<&Target> = catalog
             .serving(service)
@@ -130,11 +133,20 @@
                 candidate
             })
             .collect();
-        let index = choose(&candidates, demand, rng)?;
+        let nothing = NoRoom { candidates: candidates.len(), sound: 0 };
+        let index = choose(&candidates, demand, rng).ok_or(nothing)?;
+        // One that was sent before goes on: it may be in time yet, and a refusal would be late.
+        let is_new = tried.is_empty() && demand != Demand::Free;
+        if is_new
+            && candidates[index].due_for.is_none()
+            && let Some(full) = no_room(&candidates)
+        {
+            return Err(full);
+        }
         let state = self.state(targets[index], now);
         state.busy += 1;
         state.begun_at = now;
-        Some(Choice {
+        Ok(Choice {
             target: targets[index].clone(),
             sick: candidates[index].sick,
             age: state.belief.age(now),
