Let the soak judge beside its runs, record when it stands still itself, and end its processes when interrupted

It works on a copy on a thread of its own now; a tick that is 200 ms late is recorded, counted in the report, and frees requests around it from promises with a time.

--- a/crates/citron-stand/src/command/soak.rs
+++ b/crates/citron-stand/src/command/soak.rs
@@ -4,7 +4,7 @@
 
 use citron_daemon::setting::{Spec, Values, check::number};
 
-use super::{LOG, block_on, read};
+use super::{LOG, block_on, read, stopped};
 use crate::soak::{self, Report, Settings, plan::Kind};
 
 const PROGRAM: &str = "citron-stand soak";
@@ -84,13 +84,20 @@
     let at_once = values.get_with("at-once", |text| number(text, 1, 16))?;
     citron_daemon::init_log(values.get("log")?, "soak", PROGRAM, citron_daemon::Clock::start())?;
     let seeds: Vec<u64> = (first.seed..first.seed + runs).collect();
-    let reports = block_on(async {
-        let mut reports = Vec::new();
-        for part in seeds.chunks(at_once as usize) {
-            let plays = part.iter().map(|seed| play(Settings { seed: *seed, ..first.clone() }));
-            reports.extend(futures::future::try_join_all(plays).await?);
+    let mut reports = Vec::new();
+    block_on(async {
+        let all = async {
+            for part in seeds.chunks(at_once as usize) {
+                let plays = part.iter().map(|seed| play(Settings { seed: *seed, ..first.clone() }));
+                reports.extend(futures::future::try_join_all(plays).await?);
+            }
+            Ok(())
+        };
+        // Dropping the runs ends their processes.
+        tokio::select! {
+            ended = all => ended,
+            stop = stopped() => stop.and_then(|()| Err(eyre::eyre!("the soak was interrupted"))),
         }
-        Ok(reports)
     })?;
     Ok(conclude(&reports))
 }
--- a/crates/citron-stand/src/soak.rs
+++ b/crates/citron-stand/src/soak.rs
@@ -18,6 +18,7 @@
     time::Duration,
 };
 
+use parking_lot::Mutex;
 use tokio::{
     task::JoinSet,
     time::{self, Instant},
@@ -26,7 +27,7 @@
 use self::{
     plan::{Action, Kind, Step},
     promise::{Bounds, Finding},
-    record::{End, Record},
+    record::{End, Record, Trouble, What},
     traffic::Traffic,
     world::World,
 };
@@ -42,6 +43,11 @@
 /// The least share of requests that must be answered well after the recovery.
 const RECOVERED_SHARE: f64 = 0.95;
 
+/// The time between two looks at whether the harness stands still.
+const TICK: Duration = Duration::from_millis(50);
+/// A look so much later than planned tells that it did.
+const STALL: Duration = Duration::from_millis(200);
+
 /// How a run is set up.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -70,6 +76,8 @@
     pub requests: (usize, usize),
     /// The runs at targets that were judged.
     pub runs: usize,
+    /// How often the harness itself stood still; requests around that are not held to times.
+    pub stalls: usize,
     /// What was found.
     pub findings: Vec<String>,
     /// Where the logs are.
@@ -86,6 +94,7 @@
     let world = Arc::new(World::start(settings, folder.clone()).await?);
     let steps = plan::draw(settings.seed, settings.length, settings.gateways, settings.targets);
     let mut callers = call(settings, &world);
+    callers.spawn(watch_harness(Arc::clone(&world.record)));
     let started = Instant::now();
     let mut findings = Vec::new();
     let mut faults = JoinSet::new();
@@ -95,7 +104,7 @@
         faults.spawn(act(Arc::clone(&world), step.clone()));
         if judged.elapsed() > JUDGE_GAP {
             judged = Instant::now();
-            findings = judge(&world, judged - SETTLE)?;
+            findings = judge(&world, judged - SETTLE).await?;
             if !findings.is_empty() {
                 break;
             }
@@ -115,6 +124,7 @@
         faults: count(&steps),
         requests: (record.sent.len(), served(&record, started)),
         runs: record.runs.len(),
+        stalls: record.troubles.iter().filter(|t| t.what == What::Harness).count(),
         findings,
         folder,
     })
@@ -137,7 +147,7 @@
     time::sleep(RECOVERY).await;
     let calm = Instant::now();
     time::sleep(MEASURED + SETTLE).await;
-    let mut findings = judge(world, calm + MEASURED)?;
+    let mut findings = judge(world, calm + MEASURED).await?;
     let record = world.record.lock();
     let during = record.sent.iter().filter(|s| s.at >= calm && s.at < calm + MEASURED);
     let kept = during.filter(|sent| !matches!(sent.end, Some((_, End::Left | End::Behind))));
@@ -153,14 +163,31 @@
 }
 
 /// Judges what is known; requests sent at `until` or later are not over yet.
-fn judge(world: &World, until: Instant) -> eyre::Result<Vec<String>> {
+async fn judge(world: &World, until: Instant) -> eyre::Result<Vec<String>> {
     world.look()?;
     world.collect();
-    let record = world.record.lock();
-    let findings = promise::judge(&record, &Bounds::default(), until);
-    let mut lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
-    lines.extend(record.faults.iter().cloned());
-    Ok(lines)
+    // Neither callers nor targets may wait for the judgement.
+    let record = world.record.lock().clone();
+    let lines = tokio::task::spawn_blocking(move || {
+        let findings = promise::judge(&record, &Bounds::default(), until);
+        let mut lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        lines.extend(record.faults);
+        lines
+    });
+    Ok(lines.await?)
+}
+
+/// Records when the harness stands still, until it is dropped.
+async fn watch_harness(record: Arc<Mutex<Record>>) {
+    loop {
+        let from = Instant::now();
+        time::sleep(TICK).await;
+        if from.elapsed() > TICK + STALL {
+            let until = Some(Instant::now());
+            let trouble = Trouble { gateway: None, from, until, what: What::Harness };
+            record.lock().troubles.push(trouble);
+        }
+    }
 }
 
 async fn act(world: Arc<World>, step: Step) -> eyre::Result<()> {
@@ -249,9 +276,10 @@
         let faults: usize = self.faults.values().sum();
         write!(
             f,
-            "seed {}: {faults} faults, {requests} requests, {served} served, {} runs, {} findings",
+            "seed {}: {faults} faults, {requests} requests, {served} served, {} runs, {} stalls of the harness, {} findings",
             self.seed,
             self.runs,
+            self.stalls,
             self.findings.len()
         )
     }
--- a/crates/citron-stand/src/soak/promise.rs
+++ b/crates/citron-stand/src/soak/promise.rs
@@ -189,9 +189,8 @@
             None => return,
             Some((at, end)) => (*at, end),
         };
-        let unplanned = |what| what == What::Process;
         // A process that was just killed or is paused cannot answer.
-        if self.record.is_troubled(sent.gateway, sent.at - stable, at, unplanned) {
+        if self.record.is_troubled(sent.gateway, sent.at - stable, at, What::is_standstill) {
             return;
         }
         match end {
@@ -299,7 +298,7 @@
     fn is_paused(&self, sent: &Sent) -> bool {
         let from = sent.at - self.bounds.stable;
         let until = sent.at + Duration::from_millis(sent.given_ms);
-        self.record.is_troubled(sent.gateway, from, until, |what| what == What::Process)
+        self.record.is_troubled(sent.gateway, from, until, What::is_standstill)
     }
 
     fn service(&self, sent: &Sent, version: usize) -> &str {
--- a/crates/citron-stand/src/soak/record.rs
+++ b/crates/citron-stand/src/soak/record.rs
@@ -96,6 +96,15 @@
     Process,
     /// The store, or the way to it, fails.
     Store,
+    /// The harness itself stood still, so that its times are not those of the system.
+    Harness,
+}
+
+impl What {
+    /// Returns true if a gateway may have stood still, or cannot be told from one that did.
+    pub fn is_standstill(self) -> bool {
+        matches!(self, Self::Process | Self::Harness)
+    }
 }
 
 /// A version of the configuration.
@@ -108,7 +117,7 @@
 }
 
 /// Everything that the promises are judged by.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Record {
     /// The requests.
     pub sent: Vec<Sent>,
--- a/crates/citron-stand/src/soak/traffic.rs
+++ b/crates/citron-stand/src/soak/traffic.rs
@@ -30,6 +30,11 @@
 const PATIENCE: Duration = Duration::from_millis(2500);
 /// The work of a request whose caller is going to leave, in milliseconds.
 const LONG_WORK_MS: u64 = 1500;
+/// The bounds of the work of most requests, and of some longer ones, in milliseconds.
+const WORK_MS: (u64, u64) = (1, 40);
+const LONGER_WORK_MS: (u64, u64) = (200, 700);
+/// The share of requests with longer work, so that faults meet requests in flight.
+const LONGER_SHARE: f64 = 0.15;
 /// The share of requests that their caller leaves.
 const LEAVE_SHARE: f64 = 0.03;
 /// The share of lookups that are sent in a row without a wait for answers.
@@ -140,10 +145,11 @@
     fn request(&self, rng: &mut ChaCha8Rng, may_order: bool) -> Request {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let leaves = may_order && rng.random_bool(LEAVE_SHARE);
+        let (least, most) = if rng.random_bool(LONGER_SHARE) { LONGER_WORK_MS } else { WORK_MS };
         Request {
             id: format!("r{number}"),
             is_order: may_order && rng.random_bool(ORDER_SHARE),
-            work_ms: if leaves { LONG_WORK_MS } else { rng.random_range(1..40) },
+            work_ms: if leaves { LONG_WORK_MS } else { rng.random_range(least..most) },
             given_ms: rng.random_range(800..2500),
         }
     }
