Tell a peer that is behind which entries are only held

Entries that are only held are passed on as such now, and the peer drops them two seconds later.

A test of before asserted that such changes are empty; it asserts the held entry now. The new test and that one were seen to fail with the entry passed on as live.

--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -346,5 +346,6 @@
         Change::Put(target) if target.leaving => format!("{}:leaving", target.id),
         Change::Put(target) => format!("{}:ready", target.id),
         Change::Gone(id) => format!("{id}:gone"),
+        Change::Lapsed(id) => format!("{id}:held"),
     }
 }
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -47,6 +47,8 @@
     Put(Target),
     /// The entry with this identity is gone, or names no usable target any more.
     Gone(Arc<str>),
+    /// The entry with this identity vanished around an outage and is only held.
+    Lapsed(Arc<str>),
 }
 
 /// The whole list at one revision, as it is passed between hosts.
@@ -121,9 +123,7 @@
             self.remove(&id, source, now);
         }
         for id in snapshot.lapsed {
-            if self.targets.contains_key(&id) {
-                self.lapsed.insert(id, now + LAPSE_HOLD);
-            }
+            self.hold(id, now);
         }
         self.revision = snapshot.revision;
         self.log.clear();
@@ -147,6 +147,7 @@
             match change {
                 Change::Put(target) => self.put(target),
                 Change::Gone(id) => self.remove(&id, source, now),
+                Change::Lapsed(id) => self.hold(id, now),
             }
         }
         self.revision = revision;
@@ -225,15 +226,15 @@
         }
     }
 
-    /// Returns what a peer needs that is at `revision`; it keeps what is only held here.
+    /// Returns what a peer needs that is at `revision`; it is to hold what is only held here.
     pub fn since(&self, revision: u64) -> Update {
         if revision < self.log_from {
             return Update::Whole(self.snapshot());
         }
         let newer = self.log.iter().filter(|(at, _)| *at > revision);
-        let changed: BTreeSet<&Arc<str>> =
-            newer.map(|(_, id)| id).filter(|id| !self.is_lapsed(id)).collect();
+        let changed: BTreeSet<&Arc<str>> = newer.map(|(_, id)| id).collect();
         let change = |id: &Arc<str>| match self.targets.get(id) {
+            Some(_) if self.is_lapsed(id) => Change::Lapsed(Arc::clone(id)),
             Some(target) => Change::Put(target.clone()),
             None => Change::Gone(Arc::clone(id)),
         };
@@ -243,7 +244,7 @@
     fn note(&mut self, revision: u64, change: &Change) {
         let id = match change {
             Change::Put(target) => &target.id,
-            Change::Gone(id) => id,
+            Change::Gone(id) | Change::Lapsed(id) => id,
         };
         self.log.push_back((revision, Arc::clone(id)));
         if self.log.len() > LOG_CAPACITY
@@ -264,6 +265,19 @@
         self.targets.insert(Arc::clone(&target.id), target);
     }
 
+    /// Holds an entry that another gateway only holds; what leaves is dropped at once.
+    fn hold(&mut self, id: Arc<str>, now: Duration) {
+        match self.targets.get(&id) {
+            Some(target) if target.leaving => {
+                self.targets.remove(&id);
+            }
+            Some(_) => {
+                self.lapsed.insert(id, now + LAPSE_HOLD);
+            }
+            None => {}
+        }
+    }
+
     fn remove(&mut self, id: &Arc<str>, source: Source, now: Duration) {
         let Some(target) = self.targets.get(id) else { return };
         let hold_until = match self.outage {
--- a/crates/citron/tests/catalog.rs
+++ b/crates/citron/tests/catalog.rs
@@ -136,7 +136,9 @@
     catalog.store_lost();
     catalog.apply(12, gone("x"), Source::Store, at(100));
     assert_eq!(catalog.snapshot().lapsed, [Arc::from("x")]);
-    assert_matches!(catalog.since(10), Update::Changes(12, changes) if changes.is_empty());
+    assert_matches!(catalog.since(10), Update::Changes(12, changes) => {
+        assert_matches!(changes.as_slice(), [Change::Lapsed(id)] if &**id == "x");
+    });
     let mut other = Catalog::default();
     other.replace(catalog.snapshot(), Source::Peer, at(200));
     assert!(other.is_lapsed("x"));
@@ -195,3 +197,24 @@
     assert_matches!(catalog.since(11), Update::Whole(_));
     assert_matches!(catalog.since(2990), Update::Changes(2999, changes) if changes.len() == 1);
 }
+
+/// A peer that is told of a revision drops the store's own event about it later, so that it must
+/// learn with the revision what is only held.
+#[test]
+fn a_peer_that_gets_changes_holds_what_is_only_held() {
+    let mut holder = listed(&["x", "y", "z"]);
+    holder.store_lost();
+    holder.store_regained(false, at(5000));
+    let mut changes = gone("x");
+    changes.push(Change::Put(target("v", BORN_MS, false)));
+    holder.apply(11, changes, Source::Store, at(5100));
+    assert!(holder.is_lapsed("x"));
+    let mut peer = listed(&["x", "y", "z"]);
+    assert_matches!(holder.since(10), Update::Changes(revision, changes) => {
+        assert!(peer.apply(revision, changes, Source::Peer, at(5200)));
+    });
+    assert!(!peer.apply(11, gone("x"), Source::Store, at(5300)), "the revision is known");
+    assert_eq!(serving(&peer), ["v", "x", "y", "z"], "held as long as it may come back");
+    assert_eq!(peer.expire(at(7200)), [Arc::from("x")]);
+    assert_eq!(serving(&peer), ["v", "y", "z"]);
+}
