Judge the leaving of a target around an outage by when its entry must be back

The check counts from two seconds after the outage for such entries; two records test both sides of it.

--- a/crates/citron-stand/src/soak/promise.rs
+++ b/crates/citron-stand/src/soak/promise.rs
@@ -17,6 +17,8 @@
     pub stable: Duration,
     /// No work reaches a target this long after its leaving was acknowledged.
     pub drain: Duration,
+    /// An entry that vanished around an outage of the store may come back so long after it.
+    pub lapse: Duration,
     /// A configuration is in force this long after it was acknowledged.
     pub apply: Duration,
     /// The slack of the promise that no configuration comes back.
@@ -39,6 +41,7 @@
         Self {
             stable: Duration::from_secs(3),
             drain: Duration::from_secs(2),
+            lapse: Duration::from_secs(2),
             apply: Duration::from_secs(2),
             back_slack: Duration::from_millis(250),
             loss_slack: Duration::from_millis(200),
@@ -157,7 +160,7 @@
         }
         if is_calm
             && let Some(leaving_at) = self.record.leaving.get(&run.target)
-            && at > *leaving_at + drain
+            && at > self.acknowledged(*leaving_at) + drain
         {
             let since = at - *leaving_at;
             report(Promise::Drain, format!("{} got it {since:?} after its leaving", run.target));
@@ -290,6 +293,19 @@
         }
     }
 
+    /// Returns from when on a target's leaving binds: what the store says around an outage does so
+    /// only once entries that lapsed in it must be back.
+    fn acknowledged(&self, leaving_at: Instant) -> Instant {
+        let outages = self.record.troubles.iter().filter(|trouble| {
+            trouble.gateway.is_none()
+                && trouble.what == What::Store
+                && trouble.from <= leaving_at
+                && trouble.until.is_none_or(|end| end + self.bounds.stable >= leaving_at)
+        });
+        let ends = outages.filter_map(|trouble| trouble.until.map(|end| end + self.bounds.lapse));
+        ends.max().unwrap_or(leaving_at).max(leaving_at)
+    }
+
     /// Returns true if the gateway may miss promises with a time between two moments.
     fn is_troubled(&self, gateway: usize, from: Instant, until: Instant) -> bool {
         self.record.is_troubled(gateway, from - self.bounds.stable, until, |_| true)
--- a/crates/citron-stand/tests/soak.rs
+++ b/crates/citron-stand/tests/soak.rs
@@ -161,6 +161,16 @@
         let (gateway, from, until) = (Some(0), t0 - after(9000), Some(t0 - after(2900)));
         record.troubles.push(Trouble { gateway, from, until, what: What::Store });
     }
+    work_for_a_target_that_vanished_in_an_outage_and_may_come_back: [] |record, t0| {
+        record.leaving.insert("i-1".to_owned(), t0 - after(3800));
+        let (from, until) = (t0 - after(5000), Some(t0 - after(3100)));
+        record.troubles.push(Trouble { gateway: None, from, until, what: What::Store });
+    }
+    work_for_a_target_that_vanished_in_an_outage_and_did_not_come_back: [Drain] |record, t0| {
+        record.leaving.insert("i-1".to_owned(), t0 - after(5800));
+        let (from, until) = (t0 - after(7000), Some(t0 - after(4100)));
+        record.troubles.push(Trouble { gateway: None, from, until, what: What::Store });
+    }
     a_configuration_that_is_not_applied: [Applied] |record, t0| {
         record.versions.push(version("east", "south", t0 - after(2100)));
     }
