--- a/crates/citron-stand/tests/soak.rs
+++ b/crates/citron-stand/tests/soak.rs
@@ -1,6 +1,6 @@
 //! The judgement of the soak: a sound record passes, and each broken promise is told.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, fs, path::Path, time::Duration};
 
 use citron_stand::{
     gateway::target::Seen,
@@ -249,3 +249,24 @@
     assert_eq!(draw(7), draw(7));
     assert_ne!(draw(7), draw(8));
 }
+
+/// Returns the lines of the Rust files below a folder.
+fn lines(path: &Path) -> usize {
+    if path.is_dir() {
+        let entries = fs::read_dir(path).expect("a folder").flatten();
+        return entries.map(|entry| lines(&entry.path())).sum();
+    }
+    let is_code = path.extension().is_some_and(|extension| extension == "rs");
+    if is_code { fs::read_to_string(path).map_or(0, |text| text.lines().count()) } else { 0 }
+}
+
+#[test]
+fn the_soak_stays_under_a_tenth_of_the_code() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let root = crates.join("../..");
+    let all: usize =
+        ["crates", "platform", "tests"].iter().map(|folder| lines(&root.join(folder))).sum();
+    let parts = ["src/soak", "src/soak.rs", "src/command/soak.rs", "tests/soak.rs"];
+    let soak: usize = parts.iter().map(|part| lines(&crates.join(part))).sum();
+    assert!(soak > 0 && soak * 10 < all, "{soak} of {all} lines");
+}
