Let the soak's callers ask in all failure domains

Cause: all callers asked as if in one failure domain, so that two of six gateways carried all traffic and faults at the others met little of it.

--- a/crates/citron-stand/src/soak/traffic.rs
+++ b/crates/citron-stand/src/soak/traffic.rs
@@ -15,7 +15,10 @@
 use serde_json::Value;
 use tokio::time::{self, Instant};
 
-use super::record::{Answered, End, Record, Sent};
+use super::{
+    record::{Answered, End, Record, Sent},
+    world::DOMAINS,
+};
 use crate::gateway::caller::{self, Answer, Caller};
 
 /// How long a caller keeps what it was told of addresses.
@@ -91,11 +94,12 @@
 /// Sends requests until the task is dropped.
 pub async fn call(traffic: Arc<Traffic>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let domain = seed as usize % DOMAINS;
     let mut known: Vec<SocketAddr> = Vec::new();
     let mut asked_at = None;
     loop {
         if asked_at.is_none_or(|at: Instant| at.elapsed() > KEEP) {
-            known = traffic.resolve(&mut rng).await.unwrap_or(known);
+            known = traffic.resolve(domain, &mut rng).await.unwrap_or(known);
             asked_at = Some(Instant::now());
         }
         let Some(address) = known.choose(&mut rng).copied() else {
@@ -113,9 +117,9 @@
 }
 
 impl Traffic {
-    async fn resolve(&self, rng: &mut ChaCha8Rng) -> Option<Vec<SocketAddr>> {
+    async fn resolve(&self, domain: usize, rng: &mut ChaCha8Rng) -> Option<Vec<SocketAddr>> {
         let directory = self.directories.choose(rng)?;
-        let url = format!("http://{directory}/v1/resolve?name=one.example&region=r&zone=d0");
+        let url = format!("http://{directory}/v1/resolve?name=one.example&region=r&zone=d{domain}");
         let answer = self.http.get(url).timeout(ASK_TIMEOUT).send().await.ok()?;
         let answer: Value = answer.error_for_status().ok()?.json().await.ok()?;
         let addresses = answer["addresses"].as_array()?;
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -37,8 +37,8 @@
 const SERVICES: [&str; 4] = ["north", "south", "east", "forbidden"];
 /// The routes.
 const ROUTES: [&str; 2] = ["lots", "orders"];
-/// The failure domains.
-const DOMAINS: usize = 3;
+/// The failure domains of gateways, targets and callers.
+pub const DOMAINS: usize = 3;
 /// The time between SIGTERM and the kill.
 const GRACE: Duration = Duration::from_secs(6);
 /// How long a process that ended stays down.
