Lock the gateways only for a request that may test; name a stay, move a Display to its type

Choosing a target locked the list of gateways for every attempt, though only requests that may test ask for it. The soak used the time between SIGTERM and the kill for how long a leaving target's entry stays, and printed findings beside the run instead of beside their type. Checked: lint, build, the tests of the gateway (69, and 7 as processes) and of the soak (32).

--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -240,10 +240,12 @@
     pub fn begin(&self, need: Need<'_>) -> Result<Choice, NoRoom> {
         let now = self.clock.now();
         let settings = self.settings();
-        // Whoever locks both locks the gateways first.
-        let gateways = self.gateways.lock();
+        // Whoever locks both locks the gateways first; only a request that may test asks for them.
+        let gateways = need.demand.tests().then(|| self.gateways.lock());
         let testers_before = |target: &Target| {
-            gateways.testers_before(&settings.host, &settings.domain, target, now)
+            gateways.as_ref().map_or(0, |gateways| {
+                gateways.testers_before(&settings.host, &settings.domain, target, now)
+            })
         };
         let Targets { catalog, view, rng } = &mut *self.targets.lock();
         view.begin(catalog, need, testers_before, rng, now)
--- a/crates/citron-stand/src/soak.rs
+++ b/crates/citron-stand/src/soak.rs
@@ -26,7 +26,7 @@
 
 use self::{
     plan::{Action, Kind, Step},
-    promise::{Bounds, Finding},
+    promise::Bounds,
     record::{End, Record, Trouble, What},
     traffic::Traffic,
     world::World,
@@ -284,10 +284,3 @@
         )
     }
 }
-
-impl fmt::Display for Finding {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let name: &'static str = self.promise.into();
-        write!(f, "{name}: {}", self.detail)
-    }
-}
--- a/crates/citron-stand/src/soak/promise.rs
+++ b/crates/citron-stand/src/soak/promise.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    fmt,
     time::Duration,
 };
 
@@ -96,6 +97,13 @@
     pub detail: String,
 }
 
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name: &'static str = self.promise.into();
+        write!(f, "{name}: {}", self.detail)
+    }
+}
+
 /// Requests with their runs.
 struct Ledger<'a> {
     record: &'a Record,
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -41,6 +41,8 @@
 pub const DOMAINS: usize = 3;
 /// The time between SIGTERM and the kill.
 const GRACE: Duration = Duration::from_secs(6);
+/// How long the entry of a target that leaves stays.
+const LEAVING_STAY: Duration = Duration::from_secs(6);
 /// How long a process that ended stays down.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 /// The pause between two looks at a process or a condition.
@@ -232,7 +234,7 @@
         self.record.lock().leaving.insert(past.target.id.clone(), Instant::now());
         self.places.lock().past.push(Arc::clone(&past));
         if says {
-            time::sleep(GRACE).await;
+            time::sleep(LEAVING_STAY).await;
             self.store.delete("servers", &past.target.id);
         }
         Ok(())
