Log which vanished entries a gateway keeps, until when, and which attempts use them

The lines could not tell a target that is gone from one that is kept: targets-changed says gone for both. New: the line target-held with the time left, held= on each attempt, the gauge citron_targets_held; citronctl explain selects target-held and target-gone. No logic is changed.

--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -111,7 +111,7 @@
             if attempt.result == AttemptResult::Answered { Level::Info } else { Level::Warn };
         log::log!(
             level,
-            "event=attempt id={} target={} address={} sick={:.3} busy={} age_ms={} candidates={} targets={} ending={} status={} took_ms={}",
+            "event=attempt id={} target={} address={} sick={:.3} busy={} age_ms={} candidates={} targets={} held={} ending={} status={} took_ms={}",
             self.id,
             target.id,
             target.address,
@@ -120,6 +120,7 @@
             choice.age.map_or(-1, |age| age.as_millis() as i64),
             choice.candidates,
             choice.revision,
+            choice.lapsed,
             attempt.result,
             attempt.response.as_ref().map_or(0, |response| response.status.as_u16()),
             took.as_millis()
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub gateways_alive: IntGauge,
     /// Targets that are suspected of failing.
     pub targets_suspected: IntGauge,
+    /// Targets that are kept although their entries vanished.
+    pub targets_held: IntGauge,
     /// Idle connections to targets.
     pub idle_connections: IntGauge,
     /// 1 while the last call to the store failed, else 0.
@@ -166,6 +168,10 @@
             in_flight: gauge("citron_requests_in_flight", "Requests being carried")?,
             gateways_alive: gauge("citron_gateways_alive", "Other gateways that reported lately")?,
             targets_suspected: gauge("citron_targets_suspected", "Targets believed to be sick")?,
+            targets_held: gauge(
+                "citron_targets_held",
+                "Targets that are kept although their entries vanished around an outage",
+            )?,
             log_lines_dropped: gauge(
                 "citron_log_lines_dropped",
                 "Log lines that were dropped since the start",
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use parking_lot::{Mutex, RwLock};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
 use tokio::sync::Notify;
 
 use crate::{
@@ -159,13 +160,16 @@
         let revision = snapshot.revision;
         let now = self.clock.now();
         let mut targets = self.targets.lock();
+        let lapsed_before = targets.lapsed_ids();
         if !targets.catalog.replace(snapshot, source, now) {
             return;
         }
         let count = targets.catalog.len();
         targets.forget_unlisted();
+        let lapsed = targets.lapsed_since(&lapsed_before);
         drop(targets);
         log::info!("event=targets-taken revision={revision} targets={count} source={source}");
+        log_held(&lapsed, now);
         self.metrics.targets_revision.set(revision as i64);
         self.announce_if_first();
     }
@@ -175,15 +179,18 @@
         let now = self.clock.now();
         let descriptions: Vec<String> = changes.iter().map(describe).collect();
         let mut targets = self.targets.lock();
+        let lapsed_before = targets.lapsed_ids();
         if !targets.catalog.apply(revision, changes, source, now) {
             return;
         }
         targets.forget_unlisted();
+        let lapsed = targets.lapsed_since(&lapsed_before);
         drop(targets);
         log::info!(
             "event=targets-changed revision={revision} changes={} source={source}",
             descriptions.join(",")
         );
+        log_held(&lapsed, now);
         self.metrics.targets_revision.set(revision as i64);
         self.announce_if_first();
     }
@@ -336,6 +343,16 @@
         self.view.retain(&self.catalog);
     }
 
+    fn lapsed_ids(&self) -> SmallVec<[Arc<str>; 4]> {
+        self.catalog.lapsed().map(|(id, _)| Arc::clone(id)).collect()
+    }
+
+    /// Returns the lapsed entries that are not in `before`, with the time until which each is kept.
+    fn lapsed_since(&self, before: &[Arc<str>]) -> SmallVec<[(Arc<str>, Duration); 4]> {
+        let new = self.catalog.lapsed().filter(|(id, _)| !before.contains(id));
+        new.map(|(id, until)| (Arc::clone(id), until)).collect()
+    }
+
     /// Removes expired load reports and the lapsed entries whose grace period is over; returns the
     /// identities of the latter.
     fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
@@ -354,6 +371,16 @@
     }
 }
 
+fn log_held(lapsed: &[(Arc<str>, Duration)], now: Duration) {
+    for (target, until) in lapsed {
+        let left_ms = match *until {
+            Duration::MAX => -1,
+            until => until.saturating_sub(now).as_millis() as i64,
+        };
+        log::info!("event=target-held target={target} reason=store-outage left_ms={left_ms}");
+    }
+}
+
 fn describe(change: &Change) -> String {
     match change {
         Change::Put(target) if target.leaving => format!("{}:leaving", target.id),
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -206,6 +206,12 @@
         self.targets.values().filter(move |t| &*t.service == service && !t.leaving)
     }
 
+    /// Returns the targets whose entries lapsed, with the time until which they are kept;
+    /// [`Duration::MAX`] during an outage.
+    pub fn lapsed(&self) -> impl Iterator<Item = (&Arc<str>, Duration)> {
+        self.lapsed.iter().map(|(id, until)| (id, *until))
+    }
+
     /// Returns true if the target's entry vanished around an outage and is kept for a grace period.
     pub fn is_lapsed(&self, id: &str) -> bool {
         self.lapsed.contains_key(id)
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -85,6 +85,8 @@
     pub in_flight: u32,
     /// The revision of the target list that it was chosen from.
     pub revision: u64,
+    /// Whether its entry had lapsed and was only kept for a grace period.
+    pub lapsed: bool,
 }
 
 impl Choice {
@@ -161,6 +163,7 @@
             candidates: candidates.len(),
             in_flight: candidates[index].load.0,
             revision: catalog.revision(),
+            lapsed: candidates[index].lapsed,
         })
     }
 
--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -55,6 +55,10 @@
                 let target = field(line, "target").unwrap_or_default();
                 targets.contains(target) && is_within(at, TARGET_LOOKBACK_MS)
             }
+            "target-held" | "target-gone" => {
+                let target = field(line, "target").unwrap_or_default();
+                is_host && targets.contains(target) && is_within(at, HOST_LOOKBACK_MS)
+            }
             "targets-changed" => {
                 let changes = field(line, "changes").unwrap_or_default();
                 let mut names = changes.split(',').filter_map(|change| change.split(':').next());
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -8,6 +8,8 @@
 const LOG: &str = r#"wall_ms=1000 level=WARN host=entry-1 program=citron-gateway event=store-lost call=config reason="the store did not answer: id=r1"
 wall_ms=9000 level=INFO host=entry-1 program=citron-gateway event=targets-changed revision=7 changes=t2:ready,t1:leaving source=store
 wall_ms=9100 level=INFO host=entry-1 program=citron-gateway event=targets-changed revision=8 changes=t3:ready source=store
+wall_ms=9200 level=INFO host=entry-1 program=citron-gateway event=target-held target=t1 reason=store-outage left_ms=1900
+wall_ms=9200 level=INFO host=entry-1 program=citron-gateway event=target-held target=t3 reason=store-outage left_ms=1900
 wall_ms=9500 level=INFO host=entry-2 program=citron-gateway event=belief target=t1 verdict=failed sick=0.6 source=own
 wall_ms=9500 level=INFO host=entry-2 program=citron-gateway event=belief target=t2 verdict=failed sick=0.6 source=own
 wall_ms=9600 level=INFO host=entry-2 program=citron-gateway event=store-lost call=config reason="gone"
@@ -28,7 +30,7 @@
     let expected: Vec<&str> = LOG
         .lines()
         .enumerate()
-        .filter(|(n, _)| [0, 1, 3, 6, 8].contains(n))
+        .filter(|(n, _)| [0, 1, 3, 5, 8, 10].contains(n))
         .map(|(_, l)| l)
         .collect();
     assert_eq!(selected, expected);
