--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -136,6 +136,20 @@
     assert_eq!(fleet.targets[0].runs("id-1"), 0);
 }
 
+/// The watches break and are renewed at once, which is no outage in which an entry could lapse.
+#[tokio::test]
+async fn a_target_that_leaves_while_the_watches_break_gets_no_requests_after_two_seconds() {
+    let fleet = TestFleet::start(1).await;
+    time::sleep(Duration::from_millis(500)).await;
+    fleet.store.set(Mood::Refusing(503));
+    time::sleep(Duration::from_millis(100)).await;
+    fleet.store.delete("servers", "t0");
+    fleet.store.set(Mood::Well);
+    time::sleep(Duration::from_millis(1950)).await;
+    assert_eq!(fleet.send(&lookup("id-1")).await.status, 503);
+    assert_eq!(fleet.targets[0].runs("id-1"), 0);
+}
+
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_down() {
     for mood in [Mood::Refusing(503), Mood::Refusing(429), Mood::Silent] {
