Keep vanished entries only around an outage of the store that all gateways saw

What callers saw: a request reached a target 2.0 to 2.5 s after the store acknowledged that it is gone (bound 2 s).

Cause: three beliefs about an outage that were wrong or old. A gateway that was cut off took its own cut for an outage if its peers had an interruption of 0.2 s meanwhile; it took any failed call for an outage, also if the next one was answered after 0.1 s; and the two seconds began anew at its second call and at each peer that took the entry as held.

Now citron::outage decides once: a loss shorter than a second is no outage; a response to any peer while the own link was lost shows that only the link was; the store has returned with its first response to any gateway; no entry is kept longer than it was to be before, and the choice looks at the time itself. Reports between gateways carry the age of the store's latest response.

Ruled out: late watches (all gateways took the change within 0.15 s), a stale choice (attempts carry the revision of the change).

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -81,22 +81,23 @@
     let mut backoff = Backoff::default();
     let mut cursor = None;
     loop {
+        let called_at = shared.clock.now();
+        let wait = match cursor {
+            // After a failure, a recovery must be noticed at once, not with the next change.
+            Some(_) if !backoff.failed() => WATCH_TIMEOUT,
+            _ => Duration::ZERO,
+        };
         let step = match cursor {
             None => list(&shared, &store, subject).await,
-            // After a failure, a recovery must be noticed at once, not with the next change.
-            Some(revision) => {
-                let wait = if backoff.failed() { Duration::ZERO } else { WATCH_TIMEOUT };
-                watch(&shared, &store, subject, revision, wait).await
-            }
+            Some(revision) => watch(&shared, &store, subject, revision, wait).await,
         };
         match step {
             Ok(next) => {
                 if backoff.failed() {
                     log::info!("event=store-regained call={kind} failures={}", backoff.failures);
-                    shared.record_store_recovery();
                 }
+                shared.record_store_response(backoff.failed());
                 backoff = Backoff::default();
-                shared.link.record_response(shared.clock.now());
                 shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
                 cursor = next;
                 if cursor.is_some() {
@@ -105,9 +106,8 @@
             }
             Err(error) => {
                 shared.metrics.store_calls.with_label_values(&[kind, "failed"]).inc();
-                if !backoff.failed() {
-                    shared.record_store_outage();
-                }
+                let due = shared.clock.now().min(called_at + wait);
+                shared.link.record_failure(!backoff.failed(), due);
                 backoff.wait_after(&shared, kind, &error).await;
             }
         }
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -153,6 +153,6 @@
     metrics.targets_held.set(shared.targets.lock().catalog.lapsed().count() as i64);
     metrics.idle_connections.set(shared.pool.len() as i64);
     metrics.store_lost.set(i64::from(shared.link.is_down()));
-    metrics.store_silent_seconds.set(shared.link.down_for(now).as_secs_f64());
+    metrics.store_silent_seconds.set(shared.link.silent_for(now).as_secs_f64());
     metrics.log_lines_dropped.set(citron_daemon::dropped_log_lines() as i64);
 }
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use citron::{gateways::Report, gray::Verdict};
+use citron::{gateways::Report, gray::Verdict, outage::Contact};
 use prost::Message;
 use rand::seq::IteratorRandom;
 use tokio::{net::UdpSocket, time};
@@ -81,7 +81,7 @@
         }
     }
     let Some(state) = datagram.state else { return };
-    let Some(report) = decode_state(&state) else {
+    let Some(report) = decode_state(&state, now) else {
         shared.metrics.datagrams_unreadable.inc();
         return;
     };
@@ -90,6 +90,7 @@
     if shared.gateways.lock().apply_report(&datagram.host, address, report, now) {
         log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
+    shared.expire_targets();
     if state.wants_reply && address == from {
         reply(shared, socket, from).await;
     }
@@ -139,7 +140,11 @@
     send(shared, socket, &datagram, to).await;
 }
 
-fn decode_state(state: &State) -> Option<Report> {
+fn decode_state(state: &State, now: Duration) -> Option<Report> {
+    let ago = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
+    let store_contact = state
+        .store_response_age_ms
+        .map(|age_ms| Contact { since: ago(state.store_answers_for_ms), last: ago(age_ms) });
     Some(Report {
         born_ms: state.born_ms,
         domain: Arc::from(state.domain.as_str()),
@@ -148,7 +153,7 @@
         ready: state.ready,
         routes_version: state.routes_version,
         targets_revision: state.targets_revision,
-        store_answers_for: Duration::from_millis(state.store_answers_for_ms),
+        store_contact,
     })
 }
 
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -140,6 +140,9 @@
 
 fn state_datagram(shared: &Shared, born_ms: u64, wants_reply: bool, own_address: &str) -> Datagram {
     let settings = shared.settings();
+    let now = shared.clock.now();
+    let contact = shared.link.contact(now);
+    let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
     let state = State {
         born_ms,
         domain: settings.domain.clone(),
@@ -150,7 +153,8 @@
         targets_revision: shared.targets.lock().catalog.revision(),
         wants_reply,
         datagrams: own_address.to_owned(),
-        store_answers_for_ms: shared.link.up_for(shared.clock.now()).as_millis() as u64,
+        store_answers_for_ms: contact.map_or(0, |contact| age_ms(contact.since)),
+        store_response_age_ms: contact.map(|contact| age_ms(contact.last)),
     };
     Datagram { host: settings.host.clone(), state: Some(state), ..Datagram::default() }
 }
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -63,10 +63,14 @@
     /// The revision of the current target list, 0 if none.
     #[prost(uint64, tag = "7")]
     pub targets_revision: u64,
-    /// How long the store has responded to the sender without interruption, in milliseconds; 0 if
-    /// it does not respond.
+    /// How long the store has responded to the sender without an outage, in milliseconds; 0 during
+    /// one.
     #[prost(uint64, tag = "10")]
     pub store_answers_for_ms: u64,
+    /// How long ago the store's latest response to the sender arrived, in milliseconds; absent
+    /// during an outage.
+    #[prost(uint64, optional, tag = "11")]
+    pub store_response_age_ms: Option<u64>,
     /// The address at which the sender receives datagrams, `ip:port`.
     #[prost(string, tag = "9")]
     pub datagrams: String,
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -159,7 +159,9 @@
     pub fn replace_targets(&self, snapshot: Snapshot, source: Source) {
         let revision = snapshot.revision;
         let now = self.clock.now();
+        let keep_until = self.keep_until(now);
         let mut targets = self.targets.lock();
+        targets.catalog.set_keep_until(keep_until);
         let lapsed_before = targets.lapsed_ids();
         if !targets.catalog.replace(snapshot, source, now) {
             return;
@@ -178,7 +180,9 @@
     pub fn apply_target_changes(&self, revision: u64, changes: Vec<Change>, source: Source) {
         let now = self.clock.now();
         let descriptions: Vec<String> = changes.iter().map(describe).collect();
+        let keep_until = self.keep_until(now);
         let mut targets = self.targets.lock();
+        targets.catalog.set_keep_until(keep_until);
         let lapsed_before = targets.lapsed_ids();
         if !targets.catalog.apply(revision, changes, source, now) {
             return;
@@ -195,28 +199,29 @@
         self.announce_if_first();
     }
 
-    /// Records that the store stopped responding to a follower.
-    pub fn record_store_outage(&self) {
-        self.link.record_failure(self.clock.now());
-        self.targets.lock().catalog.store_lost();
-    }
-
-    /// Records that the store responds to a follower again.
-    pub fn record_store_recovery(&self) {
+    /// Records a response of the store to a follower, and whether its previous call had failed.
+    pub fn record_store_response(&self, had_failed: bool) {
         let now = self.clock.now();
-        let Some(lost_at) = self.link.record_recovery(now) else { return };
-        let others = self.gateways.lock().store_answered_since(lost_at, now);
+        let Some(lost_at) = self.link.record_response(had_failed, now) else { return };
+        let keep_until = self.keep_until(now);
         log::info!(
-            "event=link-regained lost_ms={} answered_others={others}",
-            now.saturating_sub(lost_at).as_millis()
+            "event=link-regained lost_ms={} answered_others={}",
+            now.saturating_sub(lost_at).as_millis(),
+            keep_until <= now
         );
-        self.targets.lock().catalog.store_regained(others, now);
         self.expire_targets();
     }
 
+    /// Returns until when target entries that vanish are kept.
+    fn keep_until(&self, now: Duration) -> Duration {
+        self.link.keep_until(self.gateways.lock().store_contacts(now), now)
+    }
+
     /// Removes lapsed target entries whose grace period is over, and load reports that expired.
     pub fn expire_targets(&self) {
-        let expired = self.targets.lock().expire(self.clock.now());
+        let now = self.clock.now();
+        let keep_until = self.keep_until(now);
+        let expired = self.targets.lock().expire(keep_until, now);
         for target in expired {
             log::info!("event=target-gone target={target} reason=not-back-after-outage");
         }
@@ -355,8 +360,9 @@
 
     /// Removes expired load reports and the lapsed entries whose grace period is over; returns the
     /// identities of the latter.
-    fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+    fn expire(&mut self, keep_until: Duration, now: Duration) -> Vec<Arc<str>> {
         self.view.expire(now);
+        self.catalog.set_keep_until(keep_until);
         let expired = self.catalog.expire(now);
         if !expired.is_empty() {
             self.forget_unlisted();
--- a/crates/citron-gateway/src/store_link.rs
+++ b/crates/citron-gateway/src/store_link.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use citron::outage::{Contact, Link};
 use parking_lot::Mutex;
 
 /// The gateway's link to the store, over all its followers.
@@ -10,43 +11,29 @@
 
 #[derive(Debug, Default)]
 struct State {
+    link: Link,
     /// The number of followers whose last call failed.
     failing_followers: u32,
-    /// When the first of them failed, or when the last of them received a response again.
-    since: Duration,
-    /// Whether the store has ever responded.
-    has_responded: bool,
 }
 
 impl StoreLink {
-    /// Records that a follower's call failed after its previous one had not.
-    pub fn record_failure(&self, now: Duration) {
+    /// Records that a follower's call, whose response was due at `due`, failed; `is_first` tells
+    /// whether its previous call had not.
+    pub fn record_failure(&self, is_first: bool, due: Duration) {
         let mut state = self.0.lock();
-        if state.failing_followers == 0 {
-            state.since = now;
-        }
-        state.failing_followers += 1;
-    }
-
-    /// Records that a failing follower received a response; returns when the link went down if no
-    /// follower is failing any more.
-    pub fn record_recovery(&self, now: Duration) -> Option<Duration> {
-        let mut state = self.0.lock();
-        assert!(state.failing_followers > 0, "a follower must fail before it recovers");
-        state.failing_followers -= 1;
-        if state.failing_followers > 0 {
-            return None;
-        }
-        Some(std::mem::replace(&mut state.since, now))
+        state.failing_followers += u32::from(is_first);
+        state.link.record_failure(due);
     }
 
-    /// Records that the store responded.
-    pub fn record_response(&self, now: Duration) {
+    /// Records a response to a follower, and whether its previous call had failed; returns when
+    /// the link was lost if the response ends an outage.
+    pub fn record_response(&self, had_failed: bool, now: Duration) -> Option<Duration> {
         let mut state = self.0.lock();
-        if !state.has_responded {
-            state.has_responded = true;
-            state.since = now;
+        if had_failed {
+            assert!(state.failing_followers > 0, "a follower must fail before it recovers");
+            state.failing_followers -= 1;
         }
+        state.link.record_response(now)
     }
 
     /// Returns true if the last call of any follower failed.
@@ -54,19 +41,18 @@
         self.0.lock().failing_followers > 0
     }
 
-    /// Returns how long the link has been down, zero if it is up.
-    pub fn down_for(&self, now: Duration) -> Duration {
-        let state = self.0.lock();
-        if state.failing_followers > 0 { now.saturating_sub(state.since) } else { Duration::ZERO }
+    /// Returns how long the store has not responded although a response was due.
+    pub fn silent_for(&self, now: Duration) -> Duration {
+        self.0.lock().link.silent_for(now)
     }
 
-    /// Returns how long the store has responded without interruption, zero if it does not.
-    pub fn up_for(&self, now: Duration) -> Duration {
-        let state = self.0.lock();
-        if state.failing_followers > 0 || !state.has_responded {
-            Duration::ZERO
-        } else {
-            now.saturating_sub(state.since)
-        }
+    /// Returns the current contact with the store, `None` during an outage.
+    pub fn contact(&self, now: Duration) -> Option<Contact> {
+        self.0.lock().link.contact(now)
+    }
+
+    /// Returns until when target entries that vanish are kept, given the contacts of the peers.
+    pub fn keep_until(&self, peers: impl Iterator<Item = Contact>, now: Duration) -> Duration {
+        self.0.lock().link.keep_until(peers, now)
     }
 }
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -10,8 +10,6 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-/// How long an entry that vanished around an outage of the store is kept after the outage ends.
-const LAPSED_GRACE: Duration = Duration::from_secs(2);
 /// The maximum number of leaving incarnations that are remembered, also without an entry.
 const LEAVING_CAPACITY: usize = 4096;
 
@@ -69,7 +67,7 @@
 pub enum Source {
     /// The store itself.
     Store,
-    /// Another gateway, which has already decided whether a vanished entry is gone or lapsed.
+    /// Another gateway, which tells an entry that is gone from one that it keeps.
     Peer,
 }
 
@@ -97,16 +95,8 @@
     change_log: VecDeque<(u64, Arc<str>)>,
     /// The change log contains all changes after this revision.
     log_start: u64,
-    outage: Outage,
-}
-
-/// The last outage of the store.
-#[derive(Debug, Default, Copy, Clone, Eq, PartialEq)]
-enum Outage {
-    #[default]
-    None,
-    Ongoing,
-    Ended(Duration),
+    /// Until when entries that vanish are kept.
+    keep_until: Duration,
 }
 
 impl Catalog {
@@ -115,6 +105,7 @@
         if snapshot.revision <= self.revision {
             return false;
         }
+        let kept_until = self.lapsed.clone();
         let mut gone = std::mem::take(&mut self.targets);
         for target in snapshot.targets {
             gone.remove(&target.id);
@@ -125,7 +116,8 @@
             self.remove(&id, source, now);
         }
         for id in snapshot.lapsed {
-            self.mark_lapsed(id, now);
+            let until = kept_until.get(&id).map_or(self.keep_until, |until| *until);
+            self.lapse(&id, until, now);
         }
         self.revision = snapshot.revision;
         self.change_log.clear();
@@ -149,30 +141,19 @@
             match change {
                 Change::Put(target) => self.put(target),
                 Change::Gone(id) => self.remove(&id, source, now),
-                Change::Lapsed(id) => self.mark_lapsed(id, now),
+                Change::Lapsed(id) => self.lapse(&id, self.keep_until, now),
             }
         }
         self.revision = revision;
         true
     }
 
-    /// Records that the store does not respond.
-    pub fn store_lost(&mut self) {
-        self.outage = Outage::Ongoing;
-    }
-
-    /// Records that the store responds again.
-    ///
-    /// `answered_others` tells whether it kept responding to other gateways. In that case no entry
-    /// can have vanished because of an outage, and lapsed entries are not kept any longer.
-    pub fn store_regained(&mut self, answered_others: bool, now: Duration) {
-        if self.outage != Outage::Ongoing {
-            return;
-        }
-        self.outage = if answered_others { Outage::None } else { Outage::Ended(now) };
-        let grace = if answered_others { Duration::ZERO } else { LAPSED_GRACE };
+    /// Sets until when entries that vanish are kept; entries that have already lapsed are kept no
+    /// longer than that, and never longer than before.
+    pub fn set_keep_until(&mut self, keep_until: Duration) {
+        self.keep_until = keep_until;
         for until in self.lapsed.values_mut() {
-            *until = now + grace;
+            *until = keep_until.min(*until);
         }
     }
 
@@ -202,8 +183,14 @@
     }
 
     /// Returns the targets of a service that may receive requests.
-    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
-        self.targets.values().filter(move |t| &*t.service == service && !t.leaving)
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a str,
+        now: Duration,
+    ) -> impl Iterator<Item = &'a Target> {
+        let is_kept = move |t: &Target| self.lapsed.get(&t.id).is_none_or(|until| now < *until);
+        let serving = self.targets.values().filter(move |t| &*t.service == service && !t.leaving);
+        serving.filter(move |target| is_kept(target))
     }
 
     /// Returns the targets whose entries lapsed, with the time until which they are kept;
@@ -275,37 +262,25 @@
         self.targets.insert(Arc::clone(&target.id), target);
     }
 
-    /// Marks an entry as lapsed that has lapsed at another gateway; a leaving target is removed
-    /// immediately.
-    fn mark_lapsed(&mut self, id: Arc<str>, now: Duration) {
-        match self.targets.get(&id) {
-            Some(target) if target.leaving => {
-                self.targets.remove(&id);
-            }
-            Some(_) => {
-                self.lapsed.insert(id, now + LAPSED_GRACE);
+    fn remove(&mut self, id: &Arc<str>, source: Source, now: Duration) {
+        match source {
+            Source::Store => self.lapse(id, self.keep_until, now),
+            Source::Peer => {
+                self.lapsed.remove(id);
+                self.targets.remove(id);
             }
-            None => {}
         }
     }
 
-    fn remove(&mut self, id: &Arc<str>, source: Source, now: Duration) {
+    /// Keeps a target whose entry vanished until `until`, or until the earlier time to which it is
+    /// already kept; removes it if it is leaving or that time has passed.
+    fn lapse(&mut self, id: &Arc<str>, until: Duration, now: Duration) {
         let Some(target) = self.targets.get(id) else { return };
-        let kept_until = match self.outage {
-            _ if target.leaving || source == Source::Peer => None,
-            Outage::None => None,
-            Outage::Ongoing => Some(Duration::MAX),
-            Outage::Ended(at) if now < at + LAPSED_GRACE => Some(at + LAPSED_GRACE),
-            Outage::Ended(_) => None,
-        };
-        match kept_until {
-            Some(until) => {
-                self.lapsed.insert(Arc::clone(id), until);
-            }
-            None => {
-                self.lapsed.remove(id);
-                self.targets.remove(id);
-            }
+        if target.leaving || now >= until {
+            self.lapsed.remove(id);
+            self.targets.remove(id);
+        } else {
+            self.lapsed.entry(Arc::clone(id)).or_insert(until);
         }
     }
 
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -7,7 +7,7 @@
     seq::{IndexedRandom, SliceRandom},
 };
 
-use crate::{catalog::Target, placement};
+use crate::{catalog::Target, outage::Contact, placement};
 
 /// After this long without a report a gateway is no longer advertised to callers.
 const ADVERTISE_TIMEOUT: Duration = Duration::from_millis(3500);
@@ -15,8 +15,6 @@
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(10);
 /// After this long without a report a gateway is removed from the list.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(120);
-/// How long a gateway may take to detect that the store does not respond.
-const OUTAGE_DETECTION_DELAY: Duration = Duration::from_secs(2);
 /// The number of ready gateways from which a failure domain serves its callers on its own.
 const DOMAIN_GATEWAYS_MIN: usize = 2;
 
@@ -49,8 +47,8 @@
     pub routes_version: u64,
     /// The revision of its target list, 0 if it has none.
     pub targets_revision: u64,
-    /// How long the store has responded to it without interruption, zero if it does not respond.
-    pub store_answers_for: Duration,
+    /// Its contact with the store by the receiver's clock, `None` if the store does not respond.
+    pub store_contact: Option<Contact>,
 }
 
 /// What is known of one gateway.
@@ -186,18 +184,9 @@
         others.filter(|other| *other > own).count()
     }
 
-    /// Returns true if the store has responded to another gateway without interruption since
-    /// `lost_at`.
-    ///
-    /// Only reports that arrived more than `OUTAGE_DETECTION_DELAY` after `lost_at` count.
-    pub fn store_answered_since(&self, lost_at: Duration, now: Duration) -> bool {
-        let later = self
-            .alive(now)
-            .filter(|(_, gateway)| gateway.last_seen > lost_at + OUTAGE_DETECTION_DELAY);
-        later.into_iter().any(|(_, gateway)| {
-            let answers_for = gateway.report.as_ref().map(|report| report.store_answers_for);
-            answers_for.is_some_and(|time| gateway.last_seen <= lost_at + time)
-        })
+    /// Returns the contacts with the store that the live gateways reported.
+    pub fn store_contacts(&self, now: Duration) -> impl Iterator<Item = Contact> {
+        self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref()?.store_contact)
     }
 
     /// Returns the receivers of a broadcast: the gateways of `domain`, at most `FANOUT`, and one
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -125,7 +125,7 @@
     ) -> Result<Choice, NoCapacity> {
         let Criteria { service, tried, eligibility } = criteria;
         let targets: Vec<&Target> = catalog
-            .serving(service)
+            .serving(service, now)
             .filter(|target| !tried.contains(&target.id))
             .filter(|target| !self.states.get(&target.id).is_some_and(|s| s.is_misdirected(target)))
             .collect();
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lease;
 pub mod limit;
 pub mod member;
+pub mod outage;
 pub mod placement;
 pub mod policy;
 pub mod queue;
--- a/crates/citron/tests/catalog.rs
+++ b/crates/citron/tests/catalog.rs
@@ -33,7 +33,11 @@
 }
 
 fn serving(catalog: &Catalog) -> Vec<String> {
-    catalog.serving("desk").map(|target| target.id.to_string()).collect()
+    serving_at(catalog, Duration::ZERO)
+}
+
+fn serving_at(catalog: &Catalog, now: Duration) -> Vec<String> {
+    catalog.serving("desk", now).map(|target| target.id.to_string()).collect()
 }
 
 fn gone(id: &str) -> Vec<Change> {
@@ -91,13 +95,13 @@
 #[test]
 fn an_entry_that_lapsed_in_an_outage_is_kept_until_two_seconds_after_it() {
     let mut catalog = listed(&["x", "y"]);
-    catalog.store_lost();
-    catalog.store_regained(false, at(5000));
+    catalog.set_keep_until(at(7000));
     let newer = list(20, vec![target("y", BORN_MS, false)]);
     assert!(catalog.replace(newer, Source::Store, at(5100)));
-    assert_eq!(serving(&catalog), ["x", "y"]);
+    assert_eq!(serving_at(&catalog, at(6999)), ["x", "y"]);
     assert!(catalog.is_lapsed("x") && !catalog.is_lapsed("y"));
-    assert!(catalog.expire(at(6900)).is_empty());
+    assert!(catalog.expire(at(6999)).is_empty());
+    assert_eq!(serving_at(&catalog, at(7000)), ["y"], "also before it is removed");
     assert_eq!(catalog.expire(at(7000)).len(), 1);
     assert_eq!(serving(&catalog), ["y"]);
 }
@@ -105,8 +109,7 @@
 #[test]
 fn a_lapsed_entry_that_is_listed_again_stays() {
     let mut catalog = listed(&["x"]);
-    catalog.store_lost();
-    catalog.store_regained(false, at(5000));
+    catalog.set_keep_until(at(7000));
     catalog.apply(20, gone("x"), Source::Store, at(5100));
     catalog.apply(21, vec![Change::Put(target("x", BORN_MS, false))], Source::Store, at(5500));
     assert!(catalog.expire(at(9000)).is_empty());
@@ -116,9 +119,8 @@
 #[test]
 fn an_entry_that_vanishes_long_after_an_outage_is_removed_immediately() {
     let mut catalog = listed(&["x"]);
-    catalog.store_lost();
-    catalog.store_regained(false, at(5000));
-    catalog.apply(20, gone("x"), Source::Store, at(7100));
+    catalog.set_keep_until(at(7000));
+    catalog.apply(20, gone("x"), Source::Store, at(7000));
     assert!(serving(&catalog).is_empty());
 }
 
@@ -126,7 +128,7 @@
 fn a_leaving_target_does_not_lapse_in_an_outage() {
     let mut catalog = listed(&["x"]);
     catalog.apply(11, vec![Change::Put(target("x", BORN_MS, true))], Source::Store, Duration::ZERO);
-    catalog.store_lost();
+    catalog.set_keep_until(Duration::MAX);
     catalog.apply(12, gone("x"), Source::Store, at(100));
     assert!(catalog.is_empty());
 }
@@ -134,13 +136,14 @@
 #[test]
 fn a_snapshot_names_the_lapsed_entries() {
     let mut catalog = listed(&["x", "y"]);
-    catalog.store_lost();
+    catalog.set_keep_until(Duration::MAX);
     catalog.apply(12, gone("x"), Source::Store, at(100));
     assert_eq!(catalog.snapshot().lapsed, [Arc::from("x")]);
     assert_matches!(catalog.since(10), Update::Changes(12, changes) => {
         assert_matches!(changes.as_slice(), [Change::Lapsed(id)] if &**id == "x");
     });
     let mut other = Catalog::default();
+    other.set_keep_until(at(2300));
     other.replace(catalog.snapshot(), Source::Peer, at(200));
     assert!(other.is_lapsed("x"));
     assert_eq!(other.expire(at(2300)).len(), 1);
@@ -151,7 +154,7 @@
 #[test]
 fn an_entry_that_a_peer_saw_vanish_is_removed_immediately() {
     let mut catalog = listed(&["x", "y", "z"]);
-    catalog.store_lost();
+    catalog.set_keep_until(Duration::MAX);
     catalog.apply(11, gone("x"), Source::Peer, at(100));
     assert_eq!(serving(&catalog), ["y", "z"]);
     let whole = list(12, vec![target("z", BORN_MS, false)]);
@@ -160,11 +163,12 @@
 }
 
 #[test]
-fn no_entry_lapses_if_the_store_kept_answering_others() {
+fn no_entry_is_kept_once_the_outage_turns_out_to_be_none() {
     let mut catalog = listed(&["x", "y", "z"]);
-    catalog.store_lost();
+    catalog.set_keep_until(Duration::MAX);
     catalog.apply(15, gone("z"), Source::Store, at(4900));
-    catalog.store_regained(true, at(5000));
+    catalog.set_keep_until(at(2000));
+    assert_eq!(serving_at(&catalog, at(5000)), ["x", "y"]);
     assert_eq!(catalog.expire(at(5000)), [Arc::from("z")]);
     let newer = list(20, vec![target("y", BORN_MS, false)]);
     assert!(catalog.replace(newer, Source::Store, at(5100)));
@@ -204,13 +208,13 @@
 #[test]
 fn an_update_with_changes_names_the_lapsed_entries() {
     let mut sender = listed(&["x", "y", "z"]);
-    sender.store_lost();
-    sender.store_regained(false, at(5000));
+    sender.set_keep_until(at(7000));
     let mut changes = gone("x");
     changes.push(Change::Put(target("v", BORN_MS, false)));
     sender.apply(11, changes, Source::Store, at(5100));
     assert!(sender.is_lapsed("x"));
     let mut peer = listed(&["x", "y", "z"]);
+    peer.set_keep_until(at(7200));
     assert_matches!(sender.since(10), Update::Changes(revision, changes) => {
         assert!(peer.apply(revision, changes, Source::Peer, at(5200)));
     });
@@ -219,3 +223,37 @@
     assert_eq!(peer.expire(at(7200)), [Arc::from("x")]);
     assert_eq!(serving(&peer), ["v", "y", "z"]);
 }
+
+#[test]
+fn an_entry_that_only_a_peer_keeps_is_removed_immediately() {
+    let mut peer = listed(&["x", "y"]);
+    peer.set_keep_until(Duration::MAX);
+    peer.apply(11, gone("x"), Source::Store, at(5000));
+    let mut catalog = listed(&["x", "y"]);
+    catalog.set_keep_until(at(4000));
+    assert_matches!(peer.since(10), Update::Changes(revision, changes) => {
+        assert!(catalog.apply(revision, changes, Source::Peer, at(5100)));
+    });
+    assert_eq!(serving(&catalog), ["y"]);
+    let mut catalog = listed(&["y"]);
+    catalog.set_keep_until(at(4000));
+    assert!(catalog.replace(peer.snapshot(), Source::Peer, at(5100)));
+    assert_eq!(serving(&catalog), ["y"]);
+}
+
+#[test]
+fn a_later_report_of_the_same_lapse_does_not_keep_an_entry_longer() {
+    let mut catalog = listed(&["x"]);
+    catalog.set_keep_until(at(7000));
+    catalog.apply(11, gone("x"), Source::Store, at(5100));
+    catalog.set_keep_until(Duration::MAX);
+    let lapsed = vec![Change::Lapsed(Arc::from("x"))];
+    catalog.apply(12, lapsed, Source::Peer, at(5200));
+    assert_eq!(serving_at(&catalog, at(6999)), ["x"]);
+    assert!(serving_at(&catalog, at(7000)).is_empty());
+    let whole =
+        Snapshot { lapsed: vec![Arc::from("x")], ..list(13, vec![target("x", BORN_MS, false)]) };
+    assert!(catalog.replace(whole, Source::Peer, at(5300)));
+    assert_eq!(serving_at(&catalog, at(6999)), ["x"]);
+    assert!(serving_at(&catalog, at(7000)).is_empty());
+}
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -5,6 +5,7 @@
 use citron::{
     catalog::Target,
     gateways::{Gateways, Report},
+    outage::Contact,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -22,7 +23,7 @@
         ready,
         routes_version: u64::from(port),
         targets_revision: 5,
-        store_answers_for: at(60_000),
+        store_contact: None,
     }
 }
 
@@ -125,19 +126,17 @@
 }
 
 #[test]
-fn a_store_that_kept_answering_a_peer_had_no_outage() {
+fn only_live_gateways_report_contact_with_the_store() {
+    let contact = |since, last| Some(Contact { since: at(since), last: at(last) });
     let mut gateways = fleet();
-    assert!(!gateways.store_answered_since(at(3000), at(9000)), "no report has arrived since");
-    gateways.apply_report("a1", address(12), report("a", 10, true), at(9000));
-    assert!(gateways.store_answered_since(at(3000), at(9000)));
-}
-
-#[test]
-fn a_store_that_recently_returned_for_a_peer_had_an_outage() {
-    let mut gateways = fleet();
-    let back = Report { store_answers_for: at(500), ..report("a", 10, true) };
-    gateways.apply_report("a1", address(12), back, at(9000));
-    assert!(!gateways.store_answered_since(at(3000), at(9000)));
+    for (host, store_contact, now) in
+        [("a1", contact(1, 2), 2000), ("a2", None, 9000), ("b1", contact(3, 8000), 9000)]
+    {
+        let report = Report { store_contact, ..report("a", 10, true) };
+        gateways.apply_report(host, address(12), report, at(now));
+    }
+    let reported: Vec<_> = gateways.store_contacts(at(12_500)).collect();
+    assert_eq!(reported, [Contact { since: at(3), last: at(8000) }]);
 }
 
 #[test]
