Go on forwarding pipelined requests while a response is written

Cause: the requests of a connection were polled only between two writes. A Pipeline polls them during writes too.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -3,11 +3,12 @@
 //! Pipelined requests are read ahead and forwarded concurrently; their responses are written in
 //! request order. When the caller disconnects, its pending requests are dropped.
 
-use std::{io, pin::Pin, sync::Arc, time::Duration};
+mod pipeline;
+
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use citron::route::Limits;
-use futures::{StreamExt, stream::FuturesOrdered};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -17,6 +18,7 @@
     time::{self, Instant},
 };
 
+use self::pipeline::Pipeline;
 use crate::{
     forward,
     http1::{self, BodyDecoder, Head, ParseError, Response},
@@ -41,9 +43,6 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// A response to come, and whether the connection stays open after it.
-type PendingResponse = Pin<Box<dyn Future<Output = (Response, bool)> + Send>>;
-
 /// What is read next from the connection.
 enum ReadState {
     Head,
@@ -67,7 +66,7 @@
         writer,
         buffer: BytesMut::new(),
         read_state: ReadState::Head,
-        pending: FuturesOrdered::new(),
+        pipeline: Pipeline::default(),
         since: Instant::now(),
     };
     if let Err(error) = connection.run(reader).await {
@@ -80,7 +79,7 @@
     writer: WriteHalf<'a>,
     buffer: BytesMut,
     read_state: ReadState,
-    pending: FuturesOrdered<PendingResponse>,
+    pipeline: Pipeline,
     /// When the connection became idle, or when the head or body that is being read began.
     since: Instant,
 }
@@ -97,12 +96,12 @@
                 return self.writer.shutdown().await;
             }
             let can_read = self.buffer.len() < READ_AHEAD_BYTES;
-            let has_pending = !self.pending.is_empty();
+            let has_pending = !self.pipeline.is_empty();
             let deadline = self.wait_deadline();
             self.buffer.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
-                Some((response, keep_alive)) = self.pending.next(), if has_pending => {
+                Some((response, keep_alive)) = self.pipeline.next(), if has_pending => {
                     self.write_response(response, keep_alive).await?;
                 }
                 count = reader.read_buf(&mut self.buffer), if can_read => {
@@ -118,7 +117,7 @@
 
     /// Parses all complete requests in the buffer and starts to forward them.
     async fn parse_requests(&mut self) -> io::Result<()> {
-        while self.pending.len() < PIPELINE_LIMIT {
+        while self.pipeline.len() < PIPELINE_LIMIT {
             let limits = self.limits();
             let parsed = match &mut self.read_state {
                 ReadState::Closed => return Ok(()),
@@ -153,7 +152,7 @@
             Ok(decoder) => decoder,
             Err(error) => return Ok(Err(error)),
         };
-        if head.expects_continue && self.pending.is_empty() {
+        if head.expects_continue && self.pipeline.is_empty() {
             self.writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         self.since = Instant::now();
@@ -172,9 +171,9 @@
         }
         let shared = Arc::clone(&self.shared);
         let received_at = shared.clock.now();
-        let response =
-            async move { (forward::forward(shared, *head, body, received_at).await, keep_alive) };
-        self.pending.push_back(Box::pin(response));
+        self.pipeline.push(async move {
+            (forward::forward(shared, *head, body, received_at).await, keep_alive)
+        });
         self.since = Instant::now();
     }
 
@@ -184,7 +183,7 @@
         self.shared.metrics.record_refusal(error.into());
         self.read_state = ReadState::Closed;
         let response = Response::error(error.status(), error.into());
-        self.pending.push_back(Box::pin(async move { (response, false) }));
+        self.pipeline.push(async move { (response, false) });
     }
 
     async fn write_response(&mut self, mut response: Response, keep_alive: bool) -> io::Result<()> {
@@ -201,7 +200,7 @@
         }
         if !keep_alive {
             // Requests pipelined after the last response of a connection count as not read.
-            self.pending.clear();
+            self.pipeline.clear();
             self.read_state = ReadState::Closed;
         }
         self.since = Instant::now();
@@ -213,7 +212,7 @@
     async fn write_rest(&mut self, mut rest: http1::BodyStream, chunked: bool) -> io::Result<()> {
         let mut out = BytesMut::new();
         loop {
-            let Ok(part) = rest.body.next_chunk().await else {
+            let Ok(part) = self.pipeline.forward_during(rest.body.next_chunk()).await else {
                 log::info!("event=answer-broken reason=target-broken");
                 return Err(io::ErrorKind::BrokenPipe.into());
             };
@@ -226,7 +225,8 @@
     }
 
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        match time::timeout(WRITE_TIMEOUT, self.writer.write_all(bytes)).await {
+        let written = time::timeout(WRITE_TIMEOUT, self.writer.write_all(bytes));
+        match self.pipeline.forward_during(written).await {
             Ok(written) => written,
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
@@ -235,7 +235,7 @@
     fn is_finished(&self) -> bool {
         let no_more_requests = matches!(self.read_state, ReadState::Closed)
             || (self.is_between_requests() && self.shared.is_shutting_down());
-        self.pending.is_empty() && no_more_requests
+        self.pipeline.is_empty() && no_more_requests
     }
 
     fn is_between_requests(&self) -> bool {
@@ -265,8 +265,8 @@
     }
 
     fn record_disconnect(&mut self) -> io::Result<()> {
-        if !self.pending.is_empty() {
-            log::info!("event=caller-left dropped={}", self.pending.len());
+        if !self.pipeline.is_empty() {
+            log::info!("event=caller-left dropped={}", self.pipeline.len());
             self.shared.metrics.record_refusal("caller-gone");
         }
         Ok(())
--- a/crates/citron-gateway/tests/request.rs
+++ b/crates/citron-gateway/tests/request.rs
@@ -173,3 +173,23 @@
     assert_eq!(caller.answer().await.status, 200);
     assert!(caller.is_closed().await, "and is closed after it");
 }
+
+/// The first response fills the buffers of a caller that does not read; the hedge of the request
+/// behind it is due meanwhile.
+#[tokio::test]
+async fn a_response_that_is_being_written_does_not_hold_up_the_requests_behind_it() {
+    const ENDLESS: Act = Act::Endless {
+        start: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: s\r\n\r\n",
+        repeat: "x",
+    };
+    let fleet = TestFleet::start(2).await;
+    for target in &fleet.targets {
+        target.set_plan(|seen| if seen.id() == "id-1" { ENDLESS } else { Act::Hang });
+    }
+    let mut caller = fleet.caller().await;
+    caller.send(&lookup("id-1").text()).await;
+    caller.send(&lookup("id-2").text()).await;
+    time::sleep(Duration::from_millis(600)).await;
+    let attempts: usize = fleet.targets.iter().map(|target| target.runs("id-2")).sum();
+    assert_eq!(attempts, 2, "the second request is hedged");
+}
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -54,8 +54,19 @@
     ServeTwice,
     /// Sends a longer body than callers hold in memory.
     ServeLong,
+    /// Sends `start`, with the request's id in place of `{id}`, and then `repeat` until the
+    /// connection is closed.
+    Endless {
+        /// The first bytes.
+        start: &'static str,
+        /// The bytes that follow, again and again.
+        repeat: &'static str,
+    },
 }
 
+/// The least bytes that an endless answer writes at once.
+const ENDLESS_WRITE_BYTES: usize = 16 * 1024;
+
 /// The bytes of a long answer.
 pub const LONG_BYTES: usize = 300_000;
 
@@ -292,6 +303,16 @@
             reset(stream);
             return false;
         }
+        Act::Endless { start, repeat } => {
+            let start = start.replace("{id}", &id);
+            let repeat = repeat.repeat(ENDLESS_WRITE_BYTES.div_ceil(repeat.len()));
+            let mut written = stream.write_all(start.as_bytes()).await;
+            while written.is_ok() {
+                written = stream.write_all(repeat.as_bytes()).await;
+            }
+            shared.left.lock().push((id, Instant::now()));
+            return false;
+        }
         Act::Shed | Act::Misdirect => unreachable!("answered before the request runs"),
     };
     stream.write_all(text.as_bytes()).await.is_ok()
