End a response without end at its request's deadline, and bytes that are no response at once

What callers would see: a target that sends a body without end keeps a caller's connection, and the target's, for as long as it sends, past any deadline; a head or a chunk size without end costs the gateway's processor until the deadline.

Cause: the part of a body beyond 64 KiB was forwarded without a limit in time, as the attempt had ended by then; the limit on a head does not count interim responses or the digits of a chunk size. Now a streamed body carries the request's deadline and its attempt, which ends with it, and a connection may receive only so many bytes beyond what its body needs. What a stream's end says of the target is observed, too.

Ruled out: memory (bounded before, too).

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -8,7 +8,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use citron::route::Limits;
+use citron::{gray::Verdict, route::Limits};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -194,7 +194,7 @@
         if response.head_only.is_none() {
             write_part(&mut out, &response.body, chunked);
         }
-        self.write(&out).await?;
+        self.write(&out, Instant::now() + WRITE_TIMEOUT).await?;
         if let Some(rest) = response.rest.take() {
             self.write_rest(rest, chunked).await?;
         }
@@ -210,22 +210,33 @@
     /// Forwards the rest of a response; an error closes the connection before the response looks
     /// complete.
     async fn write_rest(&mut self, mut rest: http1::BodyStream, chunked: bool) -> io::Result<()> {
+        let until = rest.deadline;
         let mut out = BytesMut::new();
         loop {
-            let Ok(part) = self.pipeline.forward_during(rest.body.next_chunk()).await else {
-                log::info!("event=answer-broken reason=target-broken");
-                return Err(io::ErrorKind::BrokenPipe.into());
+            let next = time::timeout_at(until, rest.body.next_chunk());
+            let (reason, verdict) = match self.pipeline.forward_during(next).await {
+                Ok(Ok(None)) => break,
+                // A timeout does not end a future that is always ready.
+                Ok(Ok(Some(part))) if Instant::now() < until => {
+                    write_part(&mut out, &part, chunked);
+                    self.write(&out, until).await?;
+                    out.clear();
+                    continue;
+                }
+                Ok(Err(_)) => ("target-broken", Verdict::Failed),
+                Ok(Ok(Some(_))) | Err(_) => ("deadline", Verdict::Silent),
             };
-            let Some(part) = part else { break };
-            write_part(&mut out, &part, chunked);
-            self.write(&out).await?;
-            out.clear();
+            let target = &rest.attempt.choice().target.id;
+            log::info!("event=answer-broken target={target} reason={reason}");
+            rest.attempt.end(Some(verdict));
+            return Err(io::ErrorKind::BrokenPipe.into());
         }
-        if chunked { self.write(b"0\r\n\r\n").await } else { Ok(()) }
+        rest.attempt.end(rest.verdict);
+        if chunked { self.write(b"0\r\n\r\n", until).await } else { Ok(()) }
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let written = time::timeout(WRITE_TIMEOUT, self.writer.write_all(bytes));
+    async fn write(&mut self, bytes: &[u8], until: Instant) -> io::Result<()> {
+        let written = time::timeout_at(until, self.writer.write_all(bytes));
         match self.pipeline.forward_during(written).await {
             Ok(written) => written,
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
--- a/crates/citron-gateway/src/connection.rs
+++ b/crates/citron-gateway/src/connection.rs
@@ -3,6 +3,7 @@
 //! A connection belongs to one incarnation of a target. It is polled by the request that uses it,
 //! so that dropping the request closes the connection; an idle one is checked before its next use.
 
+mod metered;
 mod pool;
 
 pub use self::pool::Pool;
@@ -29,17 +30,22 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, time};
 
+use self::metered::{Allowance, Metered};
+
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The maximum size of the head of a target's response.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+/// The most bytes that a target may send before the first part of its response's body.
+const AHEAD_LIMIT_BYTES: u64 = 2 * HEAD_LIMIT_BYTES as u64;
 
-type Driver = Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>;
+type Driver = Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>;
 
 /// A connection to one incarnation of a target.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Option<Driver>,
+    allowance: Allowance,
 }
 
 impl fmt::Debug for Connection {
@@ -66,12 +72,13 @@
         let stream = time::timeout(timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let allowance = Allowance::default();
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Metered::new(stream, allowance.clone())))
             .await
             .map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)) })
+        Ok(Self { sender, driver: Some(Box::pin(driver)), allowance })
     }
 
     /// Returns true if the connection is open and has received nothing since its last response.
@@ -88,6 +95,7 @@
         mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<ResponseBody>, Error> {
+        self.allowance.reset(AHEAD_LIMIT_BYTES);
         let mut pending = Box::pin(self.sender.send_request(request));
         let result = poll_fn(|cx| {
             if let Poll::Ready(result) = pending.as_mut().poll(cx) {
@@ -155,6 +163,7 @@
                 Some(Ok(frame)) => {
                     // Trailers are not forwarded to callers.
                     if let Ok(data) = frame.into_data() {
+                        self.connection.allowance.add_body(data.len());
                         return Ok(Some(data));
                     }
                 }
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -1,8 +1,11 @@
 //! Forwards one request: finds its route, makes attempts at targets and returns a response.
 
 mod attempt;
+mod guard;
 mod header;
 
+pub use self::guard::AttemptGuard;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -33,7 +36,7 @@
 
 /// A request being forwarded.
 struct Forwarder<'a> {
-    shared: &'a Shared,
+    shared: &'a Arc<Shared>,
     route: &'a Route,
     head: &'a Head,
     body: Bytes,
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -18,13 +18,12 @@
 use tokio::time;
 
 use super::{
-    Forwarder, HEDGE_DELAY_SHARE,
+    AttemptGuard, Forwarder, HEDGE_DELAY_SHARE,
     header::{end_to_end, is_hop_by_hop, keep_alive_timeout, text},
 };
 use crate::{
     connection::{self, Connection, ResponseBody},
     http1::{BodyStream, Response},
-    shared::Shared,
 };
 
 /// How long connecting to a target may take.
@@ -46,75 +45,65 @@
     /// How long it took.
     pub took: Duration,
     verdict: Option<Verdict>,
+    /// The rest of a body that is too long to be buffered.
+    rest: Option<PartialBody>,
 }
 
 impl Attempt {
     fn new(result: AttemptResult, verdict: Option<Verdict>) -> Self {
-        Self { result, response: None, took: Duration::ZERO, verdict }
+        Self { result, response: None, took: Duration::ZERO, verdict, rest: None }
     }
 }
 
-/// Reports the end of an attempt to the shared state, even if the attempt is dropped.
-struct AttemptGuard<'a> {
-    shared: &'a Shared,
-    choice: &'a Choice,
-    started_at: Duration,
-    /// When the attempt becomes overdue.
-    overdue_at: Duration,
-    verdict: Option<Verdict>,
-    ended: bool,
-}
-
-impl Drop for AttemptGuard<'_> {
-    fn drop(&mut self) {
-        let now = self.shared.clock.now();
-        let overdue = !self.ended && self.choice.had_free_slot() && now > self.overdue_at;
-        let verdict = if overdue { Some(Verdict::Overdue) } else { self.verdict };
-        self.shared.end_attempt(&self.choice.target, verdict, now.saturating_sub(self.started_at));
-    }
+/// A response body of which only the first part was received yet.
+struct PartialBody {
+    body: ResponseBody,
+    /// The length of the whole body, if the target stated it.
+    length: Option<u64>,
 }
 
 impl Forwarder<'_> {
     /// Makes one attempt at the chosen target.
     pub(super) async fn attempt(&self, choice: Choice) -> Attempt {
-        let target = &choice.target;
-        let started_at = self.shared.clock.now();
-        let mut guard = AttemptGuard {
-            shared: self.shared,
-            choice: &choice,
-            started_at,
-            overdue_at: started_at + self.route.objective.mul_f64(HEDGE_DELAY_SHARE),
-            verdict: None,
-            ended: false,
-        };
-        let limit = self.shared.clock.instant(self.deadline);
-        let mut attempt = match time::timeout_at(limit, self.send(target)).await {
-            Ok(attempt) => attempt,
-            Err(_) => Attempt::new(AttemptResult::TimedOut, Some(Verdict::Silent)),
-        };
-        let took = self.shared.clock.now().saturating_sub(started_at);
-        attempt.took = took;
-        if attempt.verdict == Some(Verdict::Served) && took > self.route.objective {
+        let overdue_after = self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
+        let mut guard = AttemptGuard::start(self.shared, choice, overdue_after);
+        let deadline = self.shared.clock.instant(self.deadline);
+        let sent = time::timeout_at(deadline, self.send(&guard.choice().target)).await;
+        let mut attempt =
+            sent.unwrap_or(Attempt::new(AttemptResult::TimedOut, Some(Verdict::Silent)));
+        attempt.took = guard.elapsed();
+        if attempt.verdict == Some(Verdict::Served) && attempt.took > self.route.objective {
             attempt.verdict = Some(Verdict::Late);
         }
         // A timeout says nothing about the target if little time was left before the deadline or if
         // the request waited for a slot.
-        let is_conclusive =
-            choice.had_free_slot() && took > self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
+        let is_conclusive = guard.choice().had_free_slot() && attempt.took > overdue_after;
         if attempt.result == AttemptResult::TimedOut && !is_conclusive {
             attempt.verdict = None;
         }
-        guard.verdict = attempt.verdict;
-        guard.ended = true;
         self.shared.metrics.record_attempt(attempt.result.into());
+        self.log_attempt(guard.choice(), &attempt);
+        match (attempt.rest.take(), &mut attempt.response) {
+            (Some(PartialBody { body, length }), Some(response)) => {
+                guard.end(None);
+                let verdict = attempt.verdict;
+                response.rest =
+                    Some(BodyStream { body, length, deadline, attempt: guard, verdict });
+            }
+            _ => guard.end(attempt.verdict),
+        }
+        attempt
+    }
+
+    fn log_attempt(&self, choice: &Choice, attempt: &Attempt) {
         let level =
             if attempt.result == AttemptResult::Answered { Level::Info } else { Level::Warn };
         log::log!(
             level,
             "event=attempt id={} target={} address={} sick={:.3} busy={} age_ms={} candidates={} targets={} held={} ending={} status={} took_ms={}",
             self.id,
-            target.id,
-            target.address,
+            choice.target.id,
+            choice.target.address,
             choice.failure_probability,
             choice.in_flight,
             choice.age.map_or(-1, |age| age.as_millis() as i64),
@@ -123,9 +112,8 @@
             choice.lapsed,
             attempt.result,
             attempt.response.as_ref().map_or(0, |response| response.status.as_u16()),
-            took.as_millis()
+            attempt.took.as_millis()
         );
-        attempt
     }
 
     /// Sends the request to a target and receives the response.
@@ -214,21 +202,22 @@
                 break false;
             }
         };
-        let mut response = Response {
+        let response = Response {
             status: head.status,
             headers: end_to_end(&head.headers),
             body: buffered.freeze(),
             rest: None,
             head_only: head_only.then_some(length),
         };
-        if complete {
+        let rest = if complete {
             let advertised = text(&head.headers, "keep-alive").and_then(keep_alive_timeout);
             if let Some(connection) = body.finish().await {
                 self.shared.pool.put(&target.id, target.born_ms, connection, advertised);
             }
+            None
         } else {
-            response.rest = Some(BodyStream { length, body });
-        }
+            Some(PartialBody { body, length })
+        };
         let (result, verdict) = if head.status == StatusCode::GATEWAY_TIMEOUT {
             (AttemptResult::Failed, Verdict::Late)
         } else if head.status.is_server_error() {
@@ -236,6 +225,6 @@
         } else {
             (AttemptResult::Answered, Verdict::Served)
         };
-        Attempt { response: Some(response), ..Attempt::new(result, Some(verdict)) }
+        Attempt { response: Some(response), rest, ..Attempt::new(result, Some(verdict)) }
     }
 }
--- a/crates/citron-gateway/src/http1/response.rs
+++ b/crates/citron-gateway/src/http1/response.rs
@@ -3,12 +3,14 @@
 use std::io::Write;
 
 use bytes::{Bytes, BytesMut};
+use citron::gray::Verdict;
 use hyper::{
     HeaderMap, StatusCode,
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
+use tokio::time::Instant;
 
-use crate::connection::ResponseBody;
+use crate::{connection::ResponseBody, forward::AttemptGuard};
 
 /// A response to one request.
 #[derive(Debug)]
@@ -32,6 +34,12 @@
     pub body: ResponseBody,
     /// The length of the whole body, if the target stated it.
     pub length: Option<u64>,
+    /// When the request ends even if the body has not.
+    pub deadline: Instant,
+    /// The attempt, which ends with the body.
+    pub attempt: AttemptGuard,
+    /// What the attempt says about the target if the body is complete.
+    pub verdict: Option<Verdict>,
 }
 
 impl Response {
