Forward a response of the proxy once the first part of its body has arrived

What callers would see: a response whose body is broken from its start, or never begins, ended as a closed connection without any answer; now it is a 502, or a 504 at the deadline, and a request that may be repeated is sent to another target.

Cause: the head was handed to Rocket at once, which had not written it yet when the body failed.

Evidence: tests/endless.rs, 15 kinds of bytes without end. Ruled out: endless bodies were cut at the deadline before, too (the watchdog).

--- a/crates/citron-gateway/tests/endless.rs
+++ b/crates/citron-gateway/tests/endless.rs
@@ -5,12 +5,9 @@
 
 use std::time::Duration;
 
+use citron_stand::endless::{self, Received, memory_peak_kib};
 use support::{Request, TestFleet, eventually, lookup, order, target::Act};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time,
-};
+use tokio::time;
 
 /// The memory that a process may use at the size that the design is made for, in KiB.
 const MEMORY_LIMIT_KIB: u64 = 256 * 1024;
@@ -21,15 +18,6 @@
 /// How many requests are sent at once, few enough that none is refused for want of capacity.
 const CONCURRENT_REQUESTS: usize = 4;
 
-/// What the caller of an endless response receives.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-enum Received {
-    /// This status with a whole body.
-    Status(u16),
-    /// This status with a body that is visibly cut.
-    Cut(u16),
-}
-
 /// Defines a test that sends requests to a target which answers each without end.
 macro_rules! endless {
     ($name:ident, $request:ident, $start:expr, $repeat:expr, $expected:expr) => {
@@ -41,11 +29,11 @@
             let began = time::Instant::now();
             let responses = ids.iter().map(|id| async {
                 let request = Request { extra: "Connection: close\r\n", ..$request(id) };
-                let mut stream =
-                    TcpStream::connect(fleet.gateway.callers()).await.expect("a caller");
-                stream.write_all(request.text().as_bytes()).await.expect("a sent request");
-                let read = time::timeout(ROUTE_TIMEOUT + LATE_MAX, receive(stream)).await;
-                (read.expect("an answer that ends in time"), began.elapsed())
+                let text = request.text();
+                let call = endless::call(fleet.gateway.callers(), &text);
+                let received = time::timeout(ROUTE_TIMEOUT + LATE_MAX, call).await;
+                let received = received.expect("an answer that ends in time");
+                (received.expect("a sent request"), began.elapsed())
             });
             for (received, took) in futures::future::join_all(responses).await {
                 assert_eq!(received, $expected);
@@ -55,7 +43,7 @@
                 fleet.targets[0].left().len() >= CONCURRENT_REQUESTS
             })
             .await;
-            let peak_kib = memory_peak_kib();
+            let peak_kib = memory_peak_kib().expect("a peak");
             assert!(peak_kib < MEMORY_LIMIT_KIB, "{peak_kib} KiB of memory at the peak");
         }
     };
@@ -89,33 +77,3 @@
 endless!(an_unframed_body_without_end, order, UNFRAMED, "x", Received::Cut(200));
 endless!(a_failure_without_end, order, FAILED, "x", Received::Cut(500));
 endless!(bytes_without_end_after_a_response, order, COMPLETE, "x", Received::Status(200));
-
-/// Reads a response until its connection ends, without keeping it.
-async fn receive(mut stream: TcpStream) -> Received {
-    const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
-    let (mut first, mut last, mut total) = (Vec::new(), Vec::new(), 0);
-    let mut part = vec![0; 64 * 1024];
-    while let Ok(count @ 1..) = stream.read(&mut part).await {
-        let room = 2048_usize.saturating_sub(first.len());
-        first.extend_from_slice(&part[..count.min(room)]);
-        last.extend_from_slice(&part[..count]);
-        last.drain(..last.len().saturating_sub(LAST_CHUNK.len()));
-        total += count;
-    }
-    let text = String::from_utf8_lossy(&first).to_ascii_lowercase();
-    let (head, _) = text.split_once("\r\n\r\n").expect("a whole head");
-    let status = head["http/1.1 ".len()..][..3].parse().expect("a status");
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-    let is_whole = match length {
-        Some(length) => total == head.len() + 4 + length.parse::<usize>().expect("a length"),
-        None => last == LAST_CHUNK,
-    };
-    if is_whole { Received::Status(status) } else { Received::Cut(status) }
-}
-
-/// Returns the largest resident memory of this process so far, in KiB.
-fn memory_peak_kib() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").expect("the process's status");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    peak.trim().trim_end_matches(" kB").parse().expect("a number")
-}
--- a/crates/citron-proxy/src/forward.rs
+++ b/crates/citron-proxy/src/forward.rs
@@ -7,7 +7,6 @@
     attempt::{self, AttemptResult, AttemptSeries, Cause, Outcome, Step},
     event::Kind,
 };
-use reqwest::Response;
 use smallvec::SmallVec;
 use tokio::time;
 
@@ -18,7 +17,7 @@
     health::ObservedAttempt,
     inbound::InboundRequest,
     refusal::Refusal,
-    send::{self, Attempt},
+    send::{self, Attempt, StartedResponse},
     service::{Service, Slot},
     shared::Shared,
     socket::ConnectionFinder,
@@ -33,7 +32,7 @@
 /// A target's response whose head has arrived.
 pub struct TargetResponse {
     /// The response.
-    pub response: Response,
+    pub started: StartedResponse,
     /// The target's slot, in use until the response has ended.
     pub slot: Slot,
 }
@@ -116,7 +115,7 @@
                                 result.as_ref().err().copied().unwrap_or(AttemptResult::Answered),
                             );
                             response =
-                                result.ok().map(|response| TargetResponse { response, slot });
+                                result.ok().map(|started| TargetResponse { started, slot });
                         }
                         () = &mut disconnected => series.record_caller_gone(),
                     }
@@ -163,7 +162,7 @@
         slot: &Slot,
         until: Duration,
         fresh: bool,
-    ) -> Result<Response, AttemptResult> {
+    ) -> Result<StartedResponse, AttemptResult> {
         let shared = self.shared;
         let id = shared.request_id();
         let start = shared.clock.now();
@@ -180,7 +179,8 @@
         let result = send::send(shared, attempt).await;
         self.target_wait += shared.clock.now() - start;
         let attempt_result = result.as_ref().err().copied().unwrap_or(AttemptResult::Answered);
-        let failed = result.as_ref().is_ok_and(|response| response.status().is_server_error());
+        let failed =
+            result.as_ref().is_ok_and(|started| started.response.status().is_server_error());
         observed.end(attempt_result, failed);
         shared.metrics.count_attempt(self.service_name(), attempt_result);
         if attempt_result == AttemptResult::Foreign {
--- a/crates/citron-proxy/src/response.rs
+++ b/crates/citron-proxy/src/response.rs
@@ -28,6 +28,7 @@
     forward::{self, TargetResponse},
     header,
     refusal::OUTCOME,
+    send::StartedResponse,
     service::Slot,
     shared::{InFlight, Shared},
     socket::ConnectionFinder,
@@ -71,7 +72,8 @@
     pump: Option<Pump<'r>>,
     guards: RequestGuards,
 ) -> Option<Response<'r>> {
-    let TargetResponse { response: upstream, slot } = target_response;
+    let TargetResponse { started, slot } = target_response;
+    let StartedResponse { response: upstream, first_part } = started;
     let mut response = Response::new();
     response.set_status(Status::new(upstream.status().as_u16()));
     let connection = upstream.headers().get_all("connection");
@@ -88,7 +90,7 @@
     response.set_max_chunk_size(CHUNK_BYTES);
     response.set_streamed_body(BodyReader {
         upstream: Box::pin(upstream.bytes_stream()),
-        remaining: Bytes::new(),
+        remaining: first_part,
         pump,
         stop: None,
         chunks_read: 0,
--- a/crates/citron-proxy/src/send.rs
+++ b/crates/citron-proxy/src/send.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use citron::{attempt::AttemptResult, choice};
 use reqwest::{
     Client, Response, Url,
@@ -24,6 +25,15 @@
 /// The most idle connections kept per target.
 const IDLE_LIMIT_PER_TARGET: usize = 8;
 
+/// A response whose head and first part of the body have arrived, so that a body that is broken
+/// from its start is noticed before the response is forwarded.
+pub struct StartedResponse {
+    /// The head, and the body without its first part.
+    pub response: Response,
+    /// The first part of the body, empty if the body is.
+    pub first_part: Bytes,
+}
+
 /// The HTTP clients for targets: one with a connection pool, and one that opens a new connection
 /// for each attempt.
 #[derive(Debug, Clone)]
@@ -90,12 +100,12 @@
     (unchanged && url.fragment().is_none()).then_some(url)
 }
 
-/// Makes one attempt and waits for the head of the response.
-pub async fn send(shared: &Shared, attempt: Attempt<'_>) -> Result<Response, AttemptResult> {
+/// Makes one attempt and waits for the head of the response and the first part of its body.
+pub async fn send(shared: &Shared, attempt: Attempt<'_>) -> Result<StartedResponse, AttemptResult> {
     let request = request(shared, &attempt).ok_or(AttemptResult::NotConnected)?;
     let client = if attempt.fresh { &shared.clients.fresh } else { &shared.clients.pooled };
     let until = shared.clock.instant(attempt.until);
-    let response = match time::timeout_at(until, client.execute(request)).await {
+    let mut response = match time::timeout_at(until, client.execute(request)).await {
         Err(_) => return Err(AttemptResult::TimedOut),
         Ok(Err(error)) => return Err(failed_result(&error)),
         Ok(Ok(response)) => response,
@@ -107,7 +117,14 @@
     let shed = response.status() == 503
         && response.headers().get(TARGET_OUTCOME).is_some_and(|value| value == "not-run");
     attempt.slot.assignment.record_response(target_report(response.headers()), shed);
-    if shed { Err(AttemptResult::Shed) } else { Ok(response) }
+    if shed {
+        return Err(AttemptResult::Shed);
+    }
+    match time::timeout_at(until, response.chunk()).await {
+        Err(_) => Err(AttemptResult::TimedOut),
+        Ok(Err(error)) => Err(failed_result(&error)),
+        Ok(Ok(part)) => Ok(StartedResponse { response, first_part: part.unwrap_or_default() }),
+    }
 }
 
 /// Returns the load and state that a target reports in its response.
--- a/crates/citron-proxy/src/server.rs
+++ b/crates/citron-proxy/src/server.rs
@@ -133,7 +133,7 @@
         let added_latency = (shared.clock.now() - start).saturating_sub(forwarder.target_wait);
         shared.metrics.added_latency.observe(added_latency.as_secs_f64());
         let target_response = result.inspect_err(|refusal| self.count(&admission, *refusal))?;
-        let status = target_response.response.status().as_u16();
+        let status = target_response.started.response.status().as_u16();
         let caller = response::Caller { shared: Arc::clone(shared), finder, peer, deadline };
         let guards = RequestGuards { _in_flight: in_flight, _permit: permit };
         let Some(response) = response::forward(target_response, caller, pump, guards) else {
--- a/crates/citron-proxy/tests/support/target.rs
+++ b/crates/citron-proxy/tests/support/target.rs
@@ -36,8 +36,13 @@
     Close,
     /// Neither responds nor closes the connection; notifies when the proxy closes it.
     Hang(Arc<Notify>),
+    /// Writes the text again and again; notifies when the proxy closes the connection.
+    Repeat(&'static str, Arc<Notify>),
 }
 
+/// The least bytes that [`Action::Repeat`] writes at once.
+const REPEAT_WRITE_BYTES: usize = 16 * 1024;
+
 pub type Script = Arc<dyn Fn(&ReceivedRequest) -> Vec<Action> + Send + Sync>;
 
 /// Returns the action that writes a complete response with the id of the request.
@@ -124,6 +129,12 @@
                 }
                 Action::Wait(notify) => notify.notified().await,
                 Action::Close => return,
+                Action::Repeat(text, ended) => {
+                    let text = text.repeat(REPEAT_WRITE_BYTES.div_ceil(text.len()));
+                    while stream.write_all(text.as_bytes()).await.is_ok() {}
+                    ended.notify_one();
+                    return;
+                }
                 Action::Hang(ended) => {
                     while matches!(stream.read(&mut [0; 1024]).await, Ok(1..)) {}
                     ended.notify_one();
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod command;
+pub mod endless;
 pub mod gateway;
 pub mod load;
 pub mod metric;
