--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -75,8 +75,9 @@
 
 /// A gateway whose log is read with `citronctl explain`, as docs/OPERATIONS.md describes.
 struct Case {
-    world: World,
+    // Before `world`, which releases the gateway's addresses when it is dropped.
     _gateway: Process,
+    world: World,
 }
 
 impl Case {
@@ -84,7 +85,7 @@
         let world = World::start().await?;
         let gateway = Process::spawn(&world.host, world.folder.path())?;
         world.wait_ready().await?;
-        Ok(Self { world, _gateway: gateway })
+        Ok(Self { _gateway: gateway, world })
     }
 
     async fn send(&self, method: &str, path: &str, id: &str) -> eyre::Result<u16> {
