Renew a watch that has not delivered what a peer already has

What callers could see: a gateway whose watch is on a connection that went silent learns of a leaving target from its peers only, 0.9 s after their report, each time, for up to 16.5 s; if the report is lost as well, later than the two seconds that the target may still get requests.

Cause: the belief that the watch works lags until its timeout; the kernel's probes are answered. A pull that brings something new while the store seems to respond now wakes the follower, which calls again on another connection.

Evidence: a_watch_on_a_silent_connection_is_renewed_once_a_peer_is_ahead failed 3 of 3 times before, passes 3 of 3.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -9,7 +9,7 @@
     targets,
 };
 use rand::Rng;
-use tokio::time;
+use tokio::{sync::Notify, time};
 
 use crate::shared::Shared;
 
@@ -36,6 +36,14 @@
             Self::Targets => targets::KIND,
         }
     }
+
+    /// Returns what wakes the follower when a peer is ahead of its watch.
+    fn overdue(self, shared: &Shared) -> &Notify {
+        match self {
+            Self::Routes => &shared.routes_overdue,
+            Self::Targets => &shared.targets_overdue,
+        }
+    }
 }
 
 /// Follows the routes until the process ends.
@@ -80,17 +88,24 @@
     let kind = subject.kind();
     let mut backoff = Backoff::default();
     let mut cursor = None;
+    let mut is_overdue = false;
     loop {
         let called_at = shared.clock.now();
         let wait = match cursor {
             // After a failure, a recovery must be noticed at once, not with the next change.
-            Some(_) if !backoff.failed() => WATCH_TIMEOUT,
+            Some(_) if !backoff.failed() && !is_overdue => WATCH_TIMEOUT,
             _ => Duration::ZERO,
         };
-        let step = match cursor {
-            None => list(&shared, &store, subject).await,
-            Some(revision) => watch(&shared, &store, subject, revision, wait).await,
+        let call = call(&shared, &store, subject, cursor, wait);
+        let step = tokio::select! {
+            step = call => step,
+            () = subject.overdue(&shared).notified(), if !wait.is_zero() => {
+                log::info!("event=watch-renewed call={kind} reason=peer-ahead");
+                is_overdue = true;
+                continue;
+            }
         };
+        is_overdue = false;
         match step {
             Ok(next) => {
                 if backoff.failed() {
@@ -114,6 +129,21 @@
     }
 }
 
+/// Makes the next call of a follower: a watch from `cursor`, or a list if there is none; returns the
+/// next cursor.
+async fn call(
+    shared: &Shared,
+    store: &Store,
+    subject: Subject,
+    cursor: Option<u64>,
+    wait: Duration,
+) -> Result<Option<u64>, Error> {
+    match cursor {
+        None => list(shared, store, subject).await,
+        Some(revision) => watch(shared, store, subject, revision, wait).await,
+    }
+}
+
 async fn list(shared: &Shared, store: &Store, subject: Subject) -> Result<Option<u64>, Error> {
     let list = store.list(subject.kind()).await?;
     match subject {
@@ -168,7 +198,9 @@
 
 fn apply_routes(shared: &Shared, object: &citron_adapter::store::Object) {
     match routes::decode(object) {
-        Ok(table) => shared.apply_routes(table, Source::Store),
+        Ok(table) => {
+            shared.apply_routes(table, Source::Store);
+        }
         Err(reason) => log::error!(
             "event=routes-rejected revision={} reason={reason:?} kept=the-routes-in-force",
             object.revision
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -20,10 +20,14 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Fetches newer routes and targets from a peer if the store does not deliver them in time.
+///
+/// If the store seems to respond, the watch that should have delivered them may be on a connection
+/// that went silent, and its follower is woken.
 pub async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
     let store_down = shared.link.is_down();
     time::sleep(if store_down { PULL_DELAY_STORE_DOWN } else { PULL_DELAY }).await;
     shared.pull_scheduled.store(false, Ordering::Relaxed);
+    let store_down = store_down || shared.link.is_down();
     let now = shared.clock.now();
     let domain = shared.settings().domain.clone();
     let version = shared.routes().map_or(0, |routes| routes.version);
@@ -31,18 +35,24 @@
     if let Some(peer) = newer
         && let Some(table) = fetch(&shared, &http, peer, "routes", "routes").await
     {
-        shared.apply_routes(table, Source::Peer);
+        let was_behind = shared.apply_routes(table, Source::Peer);
+        if was_behind && !store_down {
+            shared.routes_overdue.notify_waiters();
+        }
     }
     let revision = shared.targets.lock().catalog.revision();
     let newer = shared.gateways.lock().peer_with_newer_targets(revision, &domain, now);
     let Some(peer) = newer else { return };
     let path = format!("targets?since={revision}");
-    match fetch(&shared, &http, peer, "targets", &path).await {
+    let was_behind = match fetch(&shared, &http, peer, "targets", &path).await {
         Some(Update::Whole(snapshot)) => shared.replace_targets(snapshot, Source::Peer),
         Some(Update::Changes(revision, changes)) => {
-            shared.apply_target_changes(revision, changes, Source::Peer);
+            shared.apply_target_changes(revision, changes, Source::Peer)
         }
-        None => {}
+        None => false,
+    };
+    if was_behind && !store_down {
+        shared.targets_overdue.notify_waiters();
     }
 }
 
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -71,6 +71,10 @@
     announced_ready: AtomicBool,
     /// Whether the store responds.
     pub link: StoreLink,
+    /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
+    pub routes_overdue: Notify,
+    /// Wakes the follower of the targets when a peer has a newer list than its watch delivered.
+    pub targets_overdue: Notify,
     /// Whether a pull from a peer is already scheduled.
     pub pull_scheduled: AtomicBool,
     in_flight: AtomicUsize,
@@ -115,6 +119,8 @@
             shutting_down: AtomicBool::new(false),
             announced_ready: AtomicBool::new(false),
             link: StoreLink::default(),
+            routes_overdue: Notify::new(),
+            targets_overdue: Notify::new(),
             pull_scheduled: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
@@ -136,15 +142,16 @@
         self.routes.read().clone()
     }
 
-    /// Replaces the routes with a table from `source`; ignores a version that is not newer.
-    pub fn apply_routes(&self, table: Table, source: Source) {
+    /// Replaces the routes with a table from `source`; returns false without a change if its version
+    /// is not newer.
+    pub fn apply_routes(&self, table: Table, source: Source) -> bool {
         let version = table.version;
         let count = table.len();
         {
             let mut routes = self.routes.write();
             let current = routes.as_ref().map_or(0, |table| table.version);
             if version <= current {
-                return;
+                return false;
             }
             *routes = Some(Arc::new(table));
             log::info!(
@@ -153,10 +160,12 @@
         }
         self.metrics.routes_version.set(version as i64);
         self.announce_if_first();
+        true
     }
 
-    /// Replaces the target list with a snapshot from `source`; ignores one that is not newer.
-    pub fn replace_targets(&self, snapshot: Snapshot, source: Source) {
+    /// Replaces the target list with a snapshot from `source`; returns false without a change if it
+    /// is not newer.
+    pub fn replace_targets(&self, snapshot: Snapshot, source: Source) -> bool {
         let revision = snapshot.revision;
         let now = self.clock.now();
         let keep_until = self.keep_until(now);
@@ -164,7 +173,7 @@
         targets.catalog.set_keep_until(keep_until);
         let lapsed_before = targets.lapsed_ids();
         if !targets.catalog.replace(snapshot, source, now) {
-            return;
+            return false;
         }
         let count = targets.catalog.len();
         targets.forget_unlisted();
@@ -174,10 +183,17 @@
         log_held(&lapsed, now);
         self.metrics.targets_revision.set(revision as i64);
         self.announce_if_first();
+        true
     }
 
-    /// Applies changes of the target list from `source`; ignores a revision that is not newer.
-    pub fn apply_target_changes(&self, revision: u64, changes: Vec<Change>, source: Source) {
+    /// Applies changes of the target list from `source`; returns false without a change if the
+    /// revision is not newer.
+    pub fn apply_target_changes(
+        &self,
+        revision: u64,
+        changes: Vec<Change>,
+        source: Source,
+    ) -> bool {
         let now = self.clock.now();
         let descriptions: Vec<String> = changes.iter().map(describe).collect();
         let keep_until = self.keep_until(now);
@@ -185,7 +201,7 @@
         targets.catalog.set_keep_until(keep_until);
         let lapsed_before = targets.lapsed_ids();
         if !targets.catalog.apply(revision, changes, source, now) {
-            return;
+            return false;
         }
         targets.forget_unlisted();
         let lapsed = targets.lapsed_since(&lapsed_before);
@@ -197,6 +213,7 @@
         log_held(&lapsed, now);
         self.metrics.targets_revision.set(revision as i64);
         self.announce_if_first();
+        true
     }
 
     /// Records a response of the store to a follower, and whether its previous call had failed.
--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
+use citron_stand::relay::{self, Cut};
 use support::{
-    Request, TestFleet, config, eventually, gateway, lookup, order, ready, resolve,
+    Request, TestFleet, config, eventually, gateway, gateway_at, lookup, order, ready, resolve,
     store::{Mood, Store},
 };
 use tokio::time;
@@ -221,6 +222,31 @@
     }
 }
 
+#[tokio::test]
+async fn a_watch_on_a_silent_connection_is_renewed_once_a_peer_is_ahead() {
+    let fleet = TestFleet::start(3).await;
+    let relay = relay::bind("127.0.0.1:0".parse().expect("an address"), fleet.store.addr());
+    let relay = relay.await.expect("a relay");
+    let other = gateway_at("entry-2", relay.addr()).await;
+    eventually("both gateways know each other", async || {
+        resolve(&other).await.1["addresses"].as_array().is_some_and(|all| all.len() == 2)
+    })
+    .await;
+    time::sleep(Duration::from_millis(500)).await;
+    relay.cut(Cut { to_server: true, to_client: true, existing_only: true });
+    for (target, wait_ms) in [(&fleet.targets[0], 2500), (&fleet.targets[1], 700)] {
+        fleet.store.put("servers", &target.id, target.entry("draining"));
+        time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+    for n in 0..10 {
+        let id = format!("id-{n}");
+        let mut caller = support::caller::Caller::connect(other.callers()).await;
+        caller.send(&lookup(&id).text()).await;
+        assert_eq!(caller.answer().await.status, 200);
+        assert_eq!(fleet.targets[2].runs(&id), 1, "the other targets are draining");
+    }
+}
+
 #[tokio::test]
 async fn orders_avoid_a_target_that_failed_for_another_gateway() {
     let fleet = TestFleet::start(3).await;
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -117,6 +117,11 @@
 
 /// Starts a gateway on free ports.
 pub async fn gateway(host: &str, store: &Store) -> Gateway {
+    gateway_at(host, store.addr()).await
+}
+
+/// Starts a gateway on free ports that calls the store at `store`.
+pub async fn gateway_at(host: &str, store: SocketAddr) -> Gateway {
     let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let settings = Settings {
         host: host.to_owned(),
@@ -130,7 +135,7 @@
         peers: free,
         seeds: Vec::new(),
         internal_port: 0,
-        store: store.addr(),
+        store,
         retry_budget: RetryBudget { ratio: 0.2, slack: 800.0, window: Duration::from_secs(10) },
         ttl_max: Duration::from_secs(5),
         grace: Duration::from_secs(6),
