Pause the lease holder of a test only once it knows that it holds the lease

Cause: the test. It paused the holder as soon as the platform had the lease; a holder that is paused before it has read the response never believed that it held the lease, and has no loss to record. The test now waits for lease-taken first; what it asserts is unchanged.

--- a/crates/citron-agent/tests/process.rs
+++ b/crates/citron-agent/tests/process.rs
@@ -134,6 +134,8 @@
     until("taken", || async { lease().await.is_some() }).await;
     let first = lease().await.unwrap();
     let holder = agents.iter().find(|agent| agent.ready["host"] == first.holder.as_str()).unwrap();
+    // The platform may have the lease before its holder has the response.
+    until("recorded", || async { !holder.events("lease-taken").await.is_empty() }).await;
     holder.signal(Signal::STOP);
     until("taken over", || async { lease().await.is_some_and(|next| next.term > first.term) })
         .await;
