--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -212,29 +212,31 @@
     async fn write_rest(&mut self, mut rest: http1::BodyStream, chunked: bool) -> io::Result<()> {
         let until = rest.deadline;
         let mut out = BytesMut::new();
-        loop {
-            let next = time::timeout_at(until, rest.body.next_chunk());
-            let (reason, verdict) = match self.pipeline.forward_during(next).await {
-                Ok(Ok(None)) => break,
-                // A timeout does not end a future that is always ready.
-                Ok(Ok(Some(part))) if Instant::now() < until => {
-                    write_part(&mut out, &part, chunked);
-                    self.write(&out, until).await?;
-                    out.clear();
-                    continue;
-                }
-                Ok(Err(_)) => ("target-broken", Verdict::Failed),
-                Ok(Ok(Some(_))) | Err(_) => ("deadline", Verdict::Silent),
-            };
-            let target = &rest.attempt.choice().target.id;
-            log::info!("event=answer-broken target={target} reason={reason}");
-            rest.attempt.end(Some(verdict));
-            return Err(io::ErrorKind::BrokenPipe.into());
+        while let Some(part) = self.next_part(&mut rest).await? {
+            write_part(&mut out, &part, chunked);
+            self.write(&out, until).await?;
+            out.clear();
         }
         rest.attempt.end(rest.verdict);
         if chunked { self.write(b"0\r\n\r\n", until).await } else { Ok(()) }
     }
 
+    /// Returns the next part of a body, `None` after the last one.
+    async fn next_part(&mut self, rest: &mut http1::BodyStream) -> io::Result<Option<Bytes>> {
+        let next = time::timeout_at(rest.deadline, rest.body.next_chunk());
+        let (reason, verdict) = match self.pipeline.forward_during(next).await {
+            Ok(Ok(None)) => return Ok(None),
+            // A timeout does not end a future that is always ready.
+            Ok(Ok(part)) if Instant::now() < rest.deadline => return Ok(part),
+            Ok(Ok(_)) | Err(_) => ("deadline", Verdict::Silent),
+            Ok(Err(_)) => ("target-broken", Verdict::Failed),
+        };
+        let target = &rest.attempt.choice().target.id;
+        log::info!("event=answer-broken target={target} reason={reason}");
+        rest.attempt.end(Some(verdict));
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
     async fn write(&mut self, bytes: &[u8], until: Instant) -> io::Result<()> {
         let written = time::timeout_at(until, self.writer.write_all(bytes));
         match self.pipeline.forward_during(written).await {
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -90,6 +90,7 @@
     if shared.gateways.lock().apply_report(&datagram.host, address, report, now) {
         log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
+    // The report may show that an outage of the store was none.
     shared.expire_targets();
     if state.wants_reply && address == from {
         reply(shared, socket, from).await;
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -24,10 +24,10 @@
 /// If the store seems to respond, the watch that should have delivered them may be on a connection
 /// that went silent, and its follower is woken.
 pub async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
-    let store_down = shared.link.is_down();
-    time::sleep(if store_down { PULL_DELAY_STORE_DOWN } else { PULL_DELAY }).await;
+    let was_down = shared.link.is_down();
+    time::sleep(if was_down { PULL_DELAY_STORE_DOWN } else { PULL_DELAY }).await;
     shared.pull_scheduled.store(false, Ordering::Relaxed);
-    let store_down = store_down || shared.link.is_down();
+    let is_overdue = !was_down && !shared.link.is_down();
     let now = shared.clock.now();
     let domain = shared.settings().domain.clone();
     let version = shared.routes().map_or(0, |routes| routes.version);
@@ -36,7 +36,7 @@
         && let Some(table) = fetch(&shared, &http, peer, "routes", "routes").await
     {
         let was_behind = shared.apply_routes(table, Source::Peer);
-        if was_behind && !store_down {
+        if was_behind && is_overdue {
             shared.routes_overdue.notify_waiters();
         }
     }
@@ -51,7 +51,7 @@
         }
         None => false,
     };
-    if was_behind && !store_down {
+    if was_behind && is_overdue {
         shared.targets_overdue.notify_waiters();
     }
 }
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -116,7 +116,7 @@
             self.remove(&id, source, now);
         }
         for id in snapshot.lapsed {
-            let until = kept_until.get(&id).map_or(self.keep_until, |until| *until);
+            let until = kept_until.get(&id).copied().unwrap_or(self.keep_until);
             self.lapse(&id, until, now);
         }
         self.revision = snapshot.revision;
--- a/crates/citron/src/outage.rs
+++ b/crates/citron/src/outage.rs
@@ -38,19 +38,18 @@
 impl Link {
     /// Records a response; returns when the link was lost if the response ends an outage.
     pub fn record_response(&mut self, now: Duration) -> Option<Duration> {
-        let was_out = self.contact.is_some() && self.is_out(now);
+        let was_out = self.is_out(now);
         let due_since = self.due_since.take();
-        match &mut self.contact {
-            Some(contact) if !was_out => {
-                contact.last = now;
-                None
-            }
-            contact => {
-                *contact = Some(Contact { since: now, last: now });
-                self.lost_at = due_since.filter(|_| was_out).unwrap_or_default();
-                was_out.then_some(self.lost_at)
-            }
+        if !was_out && let Some(contact) = &mut self.contact {
+            contact.last = now;
+            return None;
         }
+        let is_first = self.contact.replace(Contact { since: now, last: now }).is_none();
+        if is_first {
+            return None;
+        }
+        self.lost_at = due_since.unwrap_or(now);
+        Some(self.lost_at)
     }
 
     /// Records a call without a response, which was due at `due`.
