--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -118,7 +118,7 @@
             self.is_overdue = false;
             match result {
                 Ok(cursor) => self.record_response(cursor).await,
-                Err(error) => self.record_failure(&error, called_at + wait).await,
+                Err(error) => self.record_failure(&error, called_at, wait).await,
             }
         }
     }
@@ -146,7 +146,7 @@
         if had_failed {
             log::info!("event=store-regained call={kind} failures={}", self.backoff.failures);
         }
-        self.shared.record_store_response(had_failed);
+        self.shared.record_store_response(kind, had_failed);
         self.backoff = Backoff::default();
         self.shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
         self.cursor = cursor;
@@ -155,11 +155,17 @@
         }
     }
 
-    /// Records a call that failed, whose response was due at `due` at the latest.
-    async fn record_failure(&mut self, error: &Error, due: Duration) {
+    /// Records that the call begun at `called_at`, which was to wait for `wait`, failed.
+    async fn record_failure(&mut self, error: &Error, called_at: Duration, wait: Duration) {
         let kind = self.subject.kind();
         self.shared.metrics.store_calls.with_label_values(&[kind, "failed"]).inc();
-        let due = due.min(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let waited_ms = now.saturating_sub(called_at).as_millis();
+        log::info!(
+            "event=store-call-failed call={kind} waited_ms={waited_ms} reason={:?}",
+            error.to_string()
+        );
+        let due = (called_at + wait).min(now);
         self.shared.link.record_failure(!self.backoff.failed(), due);
         self.backoff.wait_after(&self.shared, kind, error).await;
     }
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry,
+    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry,
 };
 
 /// The bucket bounds of the request latency histogram, in seconds.
@@ -35,6 +35,8 @@
     pub log_lines_dropped: IntGauge,
     /// How long the store has not responded, in seconds; zero while it responds.
     pub store_silent_seconds: Gauge,
+    /// The time since the store's latest response to the calls of a subject, in seconds.
+    pub store_response_age_seconds: GaugeVec,
     /// Outcomes that were not sent to the peers because too many were pending.
     pub outcomes_dropped: IntCounter,
     /// Datagrams that could not be decoded.
@@ -108,6 +110,14 @@
             "Time since the store ceased to answer, 0 while it answers",
         )?;
         registry.register(Box::new(store_silent_seconds.clone()))?;
+        let store_response_age_seconds = GaugeVec::new(
+            Opts::new(
+                "citron_store_response_age_seconds",
+                "Time since the store's latest response to the calls of a subject",
+            ),
+            &["subject"],
+        )?;
+        registry.register(Box::new(store_response_age_seconds.clone()))?;
         Ok(Self {
             refused: counters(
                 "citron_refusals_total",
@@ -189,6 +199,7 @@
             latency,
             added,
             store_silent_seconds,
+            store_response_age_seconds,
             registry,
         })
     }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -193,10 +193,11 @@
         self.announce_if_first();
     }
 
-    /// Records a response of the store to a follower, and whether its previous call had failed.
-    pub fn record_store_response(&self, had_failed: bool) {
+    /// Records a response of the store to the follower of `kind`, and whether its previous call had
+    /// failed.
+    pub fn record_store_response(&self, kind: &'static str, had_failed: bool) {
         let now = self.clock.now();
-        let Some(lost_at) = self.link.record_response(had_failed, now) else { return };
+        let Some(lost_at) = self.link.record_response(kind, had_failed, now) else { return };
         let keep_until = self.keep_until(now);
         log::info!(
             "event=link-regained lost_ms={} answered_others={}",
--- a/crates/citron-gateway/src/store_link.rs
+++ b/crates/citron-gateway/src/store_link.rs
@@ -1,6 +1,6 @@
 //! Whether the store responds to this gateway.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use citron::outage::{Contact, Link};
 use parking_lot::Mutex;
@@ -14,6 +14,8 @@
     link: Link,
     /// The number of followers whose last call failed.
     failing_followers: u32,
+    /// When the latest response to each follower arrived, by the kind that it follows.
+    responded_at: BTreeMap<&'static str, Duration>,
 }
 
 impl StoreLink {
@@ -25,10 +27,16 @@
         state.link.record_failure(due);
     }
 
-    /// Records a response to a follower, and whether its previous call had failed; returns when
-    /// the link was lost if the response ends an outage.
-    pub fn record_response(&self, had_failed: bool, now: Duration) -> Option<Duration> {
+    /// Records a response to the follower of `kind`, and whether its previous call had failed;
+    /// returns when the link was lost if the response ends an outage.
+    pub fn record_response(
+        &self,
+        kind: &'static str,
+        had_failed: bool,
+        now: Duration,
+    ) -> Option<Duration> {
         let mut state = self.0.lock();
+        state.responded_at.insert(kind, now);
         if had_failed {
             assert!(state.failing_followers > 0, "a follower must fail before it recovers");
             state.failing_followers -= 1;
@@ -46,6 +54,12 @@
         self.0.lock().link.silent_for(now)
     }
 
+    /// Returns the time since the latest response to each follower, by the kind that it follows.
+    pub fn response_ages(&self, now: Duration) -> Vec<(&'static str, Duration)> {
+        let state = self.0.lock();
+        state.responded_at.iter().map(|(kind, at)| (*kind, now.saturating_sub(*at))).collect()
+    }
+
     /// Returns the current contact with the store, `None` during an outage.
     pub fn contact(&self, now: Duration) -> Option<Contact> {
         self.0.lock().link.contact(now)
