Show that watches begun while the store is silent hide changes from all gateways (known red)

Three cases fail on the code as it is: a change of targets and routes within a second after the store responds again is missed by both gateways.

--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -247,6 +247,55 @@
     }
 }
 
+/// Makes the store silent while the watches that the last change ended begin anew, and lets it
+/// respond again after `silence`.
+async fn silence_the_store_as_watches_begin(fleet: &TestFleet, silence: Duration) {
+    fleet.store.put("config", "main", config("r2", 1.0));
+    let entry = fleet.targets[0].entry("ready");
+    fleet.store.put("servers", "new", entry);
+    fleet.store.delete("servers", "new");
+    time::sleep(Duration::from_millis(100)).await;
+    fleet.store.set(Mood::Silent);
+    time::sleep(silence).await;
+    fleet.store.set(Mood::Well);
+}
+
+macro_rules! change_after_a_silence_is_applied_within_a_second {
+    ($($name:ident: $silence_ms:literal ms, $delay_ms:literal ms later;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let fleet = TestFleet::start(2).await;
+            let other = gateway("entry-2", &fleet.store).await;
+            eventually("the other is ready", async || ready(&other).await == 200).await;
+            time::sleep(Duration::from_millis(500)).await;
+            silence_the_store_as_watches_begin(&fleet, Duration::from_millis($silence_ms)).await;
+            time::sleep(Duration::from_millis($delay_ms)).await;
+            let draining = &fleet.targets[0];
+            fleet.store.put("servers", &draining.id, draining.entry("draining"));
+            let mut spec = config("r9", 1.0);
+            spec["hosts"][0]["paths"][0]["pathPrefix"] = "/moved/".into();
+            fleet.store.put("config", "main", spec);
+            time::sleep(Duration::from_millis(1000)).await;
+            for (gateway, callers) in [(1, fleet.gateway.callers()), (2, other.callers())] {
+                for n in 0..10 {
+                    let id = format!("id-{gateway}-{n}");
+                    let request = Request { path: "/moved/1", ..lookup(&id) };
+                    let mut caller = support::caller::Caller::connect(callers).await;
+                    caller.send(&request.text()).await;
+                    assert_eq!(caller.answer().await.status, 200, "gateway {gateway}");
+                    assert_eq!(draining.runs(&id), 0, "gateway {gateway}");
+                }
+            }
+        }
+    )*};
+}
+
+change_after_a_silence_is_applied_within_a_second! {
+    a_watch_begun_in_a_short_silence_hides_no_change: 600 ms, 0 ms later;
+    a_watch_begun_in_a_silence_hides_no_change: 2500 ms, 0 ms later;
+    a_watch_begun_in_a_silence_hides_no_later_change: 2500 ms, 2500 ms later;
+}
+
 #[tokio::test]
 async fn orders_avoid_a_target_that_failed_for_another_gateway() {
     let fleet = TestFleet::start(3).await;
--- a/crates/citron-stand/src/gateway/store.rs
+++ b/crates/citron-stand/src/gateway/store.rs
@@ -24,7 +24,7 @@
     Well,
     /// Refuses with this status.
     Refusing(u16),
-    /// Answers nothing.
+    /// Answers nothing: a call that comes meanwhile is never answered, a watch that waits goes on.
     Silent,
     /// Answers after so many milliseconds.
     Slow(u64),
@@ -222,19 +222,26 @@
     let deadline = time::Instant::now() + Duration::from_millis(waitMs.unwrap_or(0));
     loop {
         let changed = shared.changed.notified();
-        {
+        let is_silent = {
             let state = shared.state.lock();
-            if matches!(state.mood, Mood::Refusing(_) | Mood::Silent) {
+            if matches!(state.mood, Mood::Refusing(_)) {
                 return Custom(Status::ServiceUnavailable, Json(Value::Null));
             }
-            if since < state.oldest {
+            let is_silent = state.mood == Mood::Silent;
+            if since < state.oldest && !is_silent {
                 return Custom(Status::Gone, Json(Value::Null));
             }
             let newer = state.history.iter().filter(|(at, k, _)| *at > since && k == kind);
             let events: Vec<Value> = newer.map(|(_, _, event)| event.clone()).collect();
-            if !events.is_empty() || time::Instant::now() >= deadline {
+            let is_due = !events.is_empty() || time::Instant::now() >= deadline;
+            if is_due && !is_silent {
                 return ok(json!({"events": events, "asOf": state.revision}));
             }
+            is_silent
+        };
+        if is_silent {
+            changed.await;
+            continue;
         }
         let _ = time::timeout_at(deadline, changed).await;
     }
