Take an outage from the gaps between responses to all gateways, also if only a peer noticed it

Cause: a contact claimed all the time between two responses. Now a contact whose call was abandoned starts anew with the next response, and the span in which the store responded reaches back only over contacts of any gateway that follow each other without a gap of a second.

Test: two of the four new cases of crates/citron/tests/outage.rs fail with the decision of before; all fourteen old cases are unchanged and pass.

--- a/crates/citron-gateway/src/store_link.rs
+++ b/crates/citron-gateway/src/store_link.rs
@@ -44,6 +44,11 @@
         state.link.record_response(now)
     }
 
+    /// Records that a follower abandoned a call that returned nothing.
+    pub fn record_abandoned(&self) {
+        self.0.lock().link.record_abandoned();
+    }
+
     /// Returns true if the last call of any follower failed.
     pub fn is_down(&self) -> bool {
         self.0.lock().failing_followers > 0
--- a/crates/citron/src/outage.rs
+++ b/crates/citron/src/outage.rs
@@ -1,5 +1,8 @@
 //! Outages of the store, and until when entries that vanish around one are kept.
 //!
+//! A gateway whose watch returned nothing does not know whether the store responded meanwhile. What
+//! it knows then are the responses to itself and to its peers, and the gaps between them.
+//!
 //! Targets that cannot reach the store lose their entries, which come back soon after the outage.
 //! Such an entry says nothing about its target. An interruption that only this gateway sees, or
 //! that is too short for an entry to lapse, is not an outage: an entry that vanishes then means
@@ -7,6 +10,8 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 /// The minimum duration of an outage. Entries lapse only after several missed heartbeats.
 const OUTAGE_MIN: Duration = Duration::from_secs(1);
 /// How long an entry that vanished around an outage is kept after the store's return.
@@ -33,6 +38,8 @@
     due_since: Option<Duration>,
     /// When the last outage began; the process's start before the first response.
     lost_at: Duration,
+    /// Whether a call was abandoned since the latest response.
+    has_abandoned: bool,
 }
 
 impl Link {
@@ -40,7 +47,12 @@
     pub fn record_response(&mut self, now: Duration) -> Option<Duration> {
         let was_out = self.is_out(now);
         let due_since = self.due_since.take();
+        let has_abandoned = std::mem::take(&mut self.has_abandoned);
         if !was_out && let Some(contact) = &mut self.contact {
+            if has_abandoned && now.saturating_sub(contact.last) >= OUTAGE_MIN {
+                contact.since = now;
+                self.lost_at = now;
+            }
             contact.last = now;
             return None;
         }
@@ -58,6 +70,12 @@
         self.due_since.get_or_insert(due.max(last));
     }
 
+    /// Records that a call was abandoned before its response was due: nothing shows whether the
+    /// store responded since the latest response.
+    pub fn record_abandoned(&mut self) {
+        self.has_abandoned = true;
+    }
+
     /// Returns the current contact, `None` during an outage and before the first response.
     pub fn contact(&self, now: Duration) -> Option<Contact> {
         self.contact.filter(|_| !self.is_out(now))
@@ -74,13 +92,41 @@
     /// as it responds to any gateway, and a peer to which it responded while this gateway's link
     /// was lost shows that only the link was.
     pub fn keep_until(&self, peers: impl Iterator<Item = Contact>, now: Duration) -> Duration {
-        let lost_at = match (self.contact, self.due_since) {
-            (Some(_), Some(since)) if self.is_out(now) => since,
-            _ => self.lost_at,
+        let own = self.contact(now);
+        let contacts: SmallVec<[Contact; 32]> = peers.chain(own).collect();
+        let Some(newest) = contacts.iter().max_by_key(|contact| contact.last) else {
+            return Duration::MAX;
+        };
+        let loss = self.own_loss(*newest, now);
+        let was_during_loss = |contact: &Contact| {
+            loss.is_some_and(|lost_at| contact.last > lost_at + REPORT_DELAY_MAX)
         };
-        let witnesses = peers.filter(|peer| peer.last > lost_at + REPORT_DELAY_MAX);
-        let returned_at = witnesses.chain(self.contact(now)).map(|contact| contact.since).min();
-        returned_at.map_or(Duration::MAX, |at| at + LAPSED_GRACE)
+        if own.is_none() && !was_during_loss(newest) {
+            return Duration::MAX;
+        }
+        let mut since = newest.since;
+        // The span in which the store responded reaches back over all contacts without a gap.
+        let adjoins = |contact: &&Contact, since: Duration| {
+            contact.last + OUTAGE_MIN >= since || was_during_loss(contact)
+        };
+        while let Some(earlier) = contacts
+            .iter()
+            .filter(|contact| contact.since < since && adjoins(contact, since))
+            .map(|contact| contact.since)
+            .min()
+        {
+            since = earlier;
+        }
+        since + LAPSED_GRACE
+    }
+
+    /// Returns when this gateway's own link was lost, if that was before the span of `newest`.
+    fn own_loss(&self, newest: Contact, now: Duration) -> Option<Duration> {
+        match (self.contact(now), self.due_since) {
+            (None, Some(since)) if self.contact.is_some() => Some(since),
+            (Some(own), _) if own.last + OUTAGE_MIN < newest.since => None,
+            _ => Some(self.lost_at),
+        }
     }
 
     fn is_out(&self, now: Duration) -> bool {
--- a/crates/citron/tests/outage.rs
+++ b/crates/citron/tests/outage.rs
@@ -89,6 +89,48 @@
     Some(GRACE_MS)
 );
 
+/// A link whose watch returned nothing from 3500 ms on and was abandoned; the next call responded
+/// at `renewed`, if that is given.
+fn link_with_hung_watch(renewed: Option<u64>) -> Link {
+    let mut link = Link::default();
+    link.record_response(at(100));
+    link.record_response(at(3500));
+    if let Some(renewed) = renewed {
+        link.record_abandoned();
+        link.record_response(at(renewed));
+    }
+    link
+}
+
+kept!(
+    an_outage_that_only_a_peer_noticed_keeps_entries,
+    link_with_hung_watch(None),
+    [contact(100, 3600), contact(8400, 8900)],
+    9000,
+    Some(8400 + GRACE_MS)
+);
+kept!(
+    a_watch_that_was_renewed_shows_nothing_of_the_time_before,
+    link_with_hung_watch(Some(8900)),
+    [contact(100, 3600), contact(8400, 8900)],
+    9000,
+    Some(8400 + GRACE_MS)
+);
+kept!(
+    a_watch_that_hung_alone_is_no_outage,
+    link_with_hung_watch(Some(8900)),
+    [contact(100, 8600)],
+    9000,
+    Some(100 + GRACE_MS)
+);
+kept!(
+    a_peer_that_started_lately_is_no_outage,
+    link_with_hung_watch(None),
+    [contact(100, 8600), contact(8400, 8900)],
+    9000,
+    Some(100 + GRACE_MS)
+);
+
 /// The peers' own interruption in the middle of the cut is too short for an outage.
 #[test]
 fn a_short_interruption_at_a_peer_does_not_make_an_outage_of_a_cut() {
