Poll the store from two gateways, so that hung watches hide no change

Cause: each gateway begins its next watch after a change. A watch that is begun while the store is silent is never answered and cannot be told from a store without changes, so that all gateways waited for the call's own limit (16.5 s). Peers help only if one of them is ahead. Class: a belief (nothing has changed) that rests on the absence of a message, with a timeout longer than the promise.

Now two gateways of the fleet, by rendezvous order, those in contact with the store first, poll the targets every 0.7 s and begin a further call beside one that is unanswered for 0.4 s; the store's revision tells them whether the routes may have changed. A gateway that is behind a peer pulls after 0.4 s (0.9 s before) and renews its watch. A gateway that loses the store reports it at once.

--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -13,7 +13,7 @@
 
 /// The delay before a gateway that is behind a peer pulls from it while the store responds, so that
 /// the store can deliver the update first.
-const PULL_DELAY: Duration = Duration::from_millis(900);
+const PULL_DELAY: Duration = Duration::from_millis(400);
 /// The delay while the store does not respond.
 const PULL_DELAY_STORE_DOWN: Duration = Duration::from_millis(50);
 /// The timeout of a request to a peer.
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -15,12 +15,13 @@
     catalog::{Catalog, Change, Snapshot, Source, Target},
     gateways::Gateways,
     gray::{Choice, Criteria, NoCapacity, Verdict},
+    poller::Member,
     route::{Route, Split, Table},
 };
 use citron_adapter::settings::Settings;
 use citron_daemon::Clock;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     budget::RetryBudgets,
@@ -72,6 +73,8 @@
     announced_ready: AtomicBool,
     /// Whether the store responds.
     pub link: StoreLink,
+    /// The newest revision of the store that any response named.
+    pub store_revision: watch::Sender<u64>,
     /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
     pub routes_overdue: Notify,
     /// Wakes the follower of the targets when a peer has a newer list than its watch delivered.
@@ -106,6 +109,7 @@
             shutting_down: AtomicBool::new(false),
             announced_ready: AtomicBool::new(false),
             link: StoreLink::default(),
+            store_revision: watch::Sender::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
             pull_scheduled: AtomicBool::new(false),
@@ -207,6 +211,27 @@
         self.expire_targets();
     }
 
+    /// Records that a follower's call, whose response was due at `due`, failed; `is_first` tells
+    /// whether its previous call had not.
+    pub fn record_store_failure(&self, is_first: bool, due: Duration) {
+        let now = self.clock.now();
+        let had_contact = self.link.contact(now).is_some();
+        self.link.record_failure(is_first, due);
+        if had_contact && self.link.contact(now).is_none() {
+            // Another gateway may have to poll in place of this one.
+            self.state_changed.notify_one();
+        }
+    }
+
+    /// Returns true if this gateway is one of those that poll the store.
+    pub fn is_poller(&self) -> bool {
+        let now = self.clock.now();
+        let settings = self.settings();
+        let in_contact = self.link.contact(now).is_some();
+        let own = Member { host: &settings.host, in_contact };
+        self.gateways.lock().is_poller(own, now)
+    }
+
     /// Returns until when target entries that vanish are kept.
     fn keep_until(&self, now: Duration) -> Duration {
         self.link.keep_until(self.gateways.lock().store_contacts(now), now)
--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -265,9 +265,14 @@
         #[tokio::test]
         async fn $name() {
             let fleet = TestFleet::start(2).await;
-            let other = gateway("entry-2", &fleet.store).await;
-            eventually("the other is ready", async || ready(&other).await == 200).await;
-            time::sleep(Duration::from_millis(500)).await;
+            // More gateways than poll the store.
+            let mut others = Vec::new();
+            for host in ["entry-2", "entry-3", "entry-4"] {
+                let other = gateway(host, &fleet.store).await;
+                eventually("the other is ready", async || ready(&other).await == 200).await;
+                others.push(other);
+            }
+            time::sleep(Duration::from_millis(1500)).await;
             silence_the_store_as_watches_begin(&fleet, Duration::from_millis($silence_ms)).await;
             time::sleep(Duration::from_millis($delay_ms)).await;
             let draining = &fleet.targets[0];
@@ -276,7 +281,8 @@
             spec["hosts"][0]["paths"][0]["pathPrefix"] = "/moved/".into();
             fleet.store.put("config", "main", spec);
             time::sleep(Duration::from_millis(1000)).await;
-            for (gateway, callers) in [(1, fleet.gateway.callers()), (2, other.callers())] {
+            let gateways = [&fleet.gateway].into_iter().chain(&others);
+            for (gateway, callers) in gateways.map(citron_gateway::Gateway::callers).enumerate() {
                 for n in 0..10 {
                     let id = format!("id-{gateway}-{n}");
                     let request = Request { path: "/moved/1", ..lookup(&id) };
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -7,10 +7,17 @@
     seq::{IndexedRandom, SliceRandom},
 };
 
-use crate::{catalog::Target, outage::Contact, placement};
+use crate::{
+    catalog::Target,
+    outage::Contact,
+    placement,
+    poller::{self, Member},
+};
 
 /// After this long without a report a gateway is no longer advertised to callers.
 const ADVERTISE_TIMEOUT: Duration = Duration::from_millis(3500);
+/// After this long without a report another gateway polls the store in a gateway's place.
+const POLLER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// After this long without a report a gateway is not considered alive.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(10);
 /// After this long without a report a gateway is removed from the list.
@@ -184,6 +191,17 @@
         others.filter(|other| *other > own).count()
     }
 
+    /// Returns true if this gateway, `own`, is one of those that poll the store.
+    pub fn is_poller(&self, own: Member<'_>, now: Duration) -> bool {
+        let fresh = |gateway: &Gateway| now.saturating_sub(gateway.last_seen) < POLLER_TIMEOUT;
+        let others = self.by_host.iter().filter(|(_, gateway)| fresh(gateway));
+        let members = others.filter_map(|(host, gateway)| {
+            let in_contact = gateway.report.as_ref()?.store_contact.is_some();
+            Some(Member { host, in_contact })
+        });
+        poller::is_poller(own, members)
+    }
+
     /// Returns the contacts with the store that the live gateways reported.
     pub fn store_contacts(&self, now: Duration) -> impl Iterator<Item = Contact> {
         self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref()?.store_contact)
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod outage;
 pub mod placement;
+pub mod poller;
 pub mod policy;
 pub mod queue;
 pub mod route;
