Read the policy at short intervals at two agents, so that hung watches delay it no longer

Now two agents of the fleet read the policy's head each second, each read apart from unanswered ones, and the others learn of it by gossip.

Two reads a second for the whole fleet.

--- a/crates/citron-agent/src/core/members.rs
+++ b/crates/citron-agent/src/core/members.rs
@@ -7,6 +7,7 @@
     event::Kind,
     member::{Action, Membership, Message, Record, State},
     placement::Host,
+    poller,
 };
 use citron_wire as wire;
 use prost::Message as _;
@@ -187,6 +188,16 @@
         citron::watcher::is_watcher(&self.settings.host, &self.settings.domain, &live)
     }
 
+    /// Returns true if this agent is one of the fleet's few pollers of the platform.
+    pub fn is_poller(&self) -> bool {
+        let members = self.members.lock();
+        let alive = members.others().filter(|member| member.record.state == State::Alive);
+        // Members do not report whether the platform responds to them.
+        let poller = |host| poller::Member { host, in_contact: true };
+        let others = alive.map(|member| poller(&member.record.host));
+        poller::is_poller(poller(&self.settings.host), others)
+    }
+
     pub(super) fn execute(&self, actions: Vec<Action>) {
         let mut changed = BTreeSet::new();
         for action in actions {
--- a/crates/citron-agent/src/lib.rs
+++ b/crates/citron-agent/src/lib.rs
@@ -102,6 +102,7 @@
         tasks.spawn(coordinator::run(core.clone()));
         let reader = Reader::open(core.clone(), client);
         tasks.spawn(reader.clone().follow_policy());
+        tasks.spawn(reader.clone().poll_policy());
         tasks.spawn(reader.follow_hosts());
         tasks.spawn(serve(Control::new(core.clone(), claims), listener));
         core.recorder.record(Kind::Started, &core.settings.host, &[]);
--- a/crates/citron-agent/src/reader.rs
+++ b/crates/citron-agent/src/reader.rs
@@ -4,7 +4,8 @@
 
 use citron::{event::Kind, watcher::FallbackTimer};
 use citron_platform::{Client, Error, Version};
-use tokio::time;
+use futures::{StreamExt, stream::FuturesUnordered};
+use tokio::time::{self, MissedTickBehavior};
 
 use crate::core::Core;
 
@@ -12,6 +13,10 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// The interval between a watcher's reads of the host list.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval between a poller's reads of the policy.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum number of unanswered reads of a poller.
+const POLLS_LIMIT: usize = 4;
 /// The interval at which an agent checks whether it has become a watcher.
 const ROLE_INTERVAL: Duration = Duration::from_millis(500);
 /// The first and the longest delay after a failed call.
@@ -100,6 +105,30 @@
         }
     }
 
+    /// Reads the policy at short intervals while this agent is a poller, until the task is aborted.
+    ///
+    /// A watch on a connection that went silent delivers nothing. A read may stay unanswered too, so
+    /// the next one does not wait for it.
+    pub async fn poll_policy(self) {
+        let mut reads = FuturesUnordered::new();
+        let mut ticks = time::interval(POLL_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    if reads.len() < POLLS_LIMIT && self.core.is_poller() {
+                        reads.push(self.read_policy());
+                    }
+                }
+                Some(result) = reads.next() => {
+                    if let Err(error) = result {
+                        log::debug!("could not poll the policy on the platform: {error}");
+                    }
+                }
+            }
+        }
+    }
+
     /// Keeps the host list up to date until the task is aborted.
     pub async fn follow_hosts(self) {
         let mut fallback = self.fallback();
--- a/crates/citron-agent/tests/fleet.rs
+++ b/crates/citron-agent/tests/fleet.rs
@@ -2,12 +2,20 @@
 
 mod support;
 
+use std::time::Duration;
+
 use citron_agent::{Core, locate};
 use citron_platform::{Hosts, State};
-use citron_stand::platform::Mode;
+use citron_stand::{
+    platform::Mode,
+    relay::{self, Cut},
+};
 use citron_wire::update::Body;
+use tokio::time;
 
-use support::{Proxy, agent, alive, entry, fleet, platform, revision, target, until, write_policy};
+use support::{
+    Proxy, agent, alive, entry, fleet, loopback, platform, revision, target, until, write_policy,
+};
 
 macro_rules! case {
     ($name:ident, $body:expr) => {
@@ -43,6 +51,21 @@
     }
 });
 
+case!(a_policy_is_in_force_within_three_seconds_although_all_watches_hang, async {
+    let platform = platform().await;
+    let relay = relay::bind(loopback(), platform.addr()).await.expect("a relay");
+    let agents = fleet(&format!("http://{}", relay.addr()), 9).await;
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 8) }).await;
+    write_policy(&platform.url(), 1).await;
+    until("revision 1", || async { agents.iter().all(|agent| revision(agent) == 1) }).await;
+    until("watches", || async { platform.calls().waiting_watches == 6 }).await;
+    relay.cut(Cut { to_server: true, to_client: true, existing_only: true });
+    write_policy(&platform.url(), 2).await;
+    time::sleep(Duration::from_secs(3)).await;
+    let revisions: Vec<u64> = agents.iter().map(revision).collect();
+    assert_eq!(revisions, [2; 9]);
+});
+
 case!(few_agents_watch_the_platform, async {
     let platform = platform().await;
     let agents = fleet(&platform.url(), 12).await;
--- a/crates/citron/src/poller.rs
+++ b/crates/citron/src/poller.rs
@@ -1,15 +1,15 @@
-//! Selects the gateways that poll the store.
+//! Selects the members of a fleet that poll the store.
 //!
-//! A watch that returns nothing looks like a store without changes. A few gateways therefore ask
-//! at short intervals, and the others follow them when their own watch delivers nothing. The number
-//! of pollers does not grow with the fleet.
+//! A watch that returns nothing looks like a store without changes. A few members therefore ask at
+//! short intervals, and the others follow them when their own watch delivers nothing. The number of
+//! pollers does not grow with the fleet.
 
 use crate::placement;
 
-/// The number of gateways that poll, so that the loss of one leaves another.
+/// The number of members that poll, so that the loss of one leaves another.
 pub const POLLERS: usize = 2;
 
-/// A gateway that may poll.
+/// A member that may poll.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub struct Member<'a> {
     /// Its host.
