Heed a target's own word that it leaves, at all gateways

Cause: the gateway read nothing of what a target states beside its responses. Now platform/ decodes Server-Leaving, the target's incarnation counts as leaving at once, and the statement goes to all gateways; each repeats what it knows to four peers a second, so that one that was cut off or started later learns of it. The newest statement of an incarnation wins; leaving is never taken back.

A response with the id of another request, or 421, states nothing.

--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -8,7 +8,10 @@
     catalog::Target,
     gray::{Choice, Verdict},
 };
-use citron_adapter::header::{ATTEMPT_ID, EXPECTED_TARGET, NOT_RUN, REMAINING_MS, SIGNATURE};
+use citron_adapter::{
+    header::{ATTEMPT_ID, EXPECTED_TARGET, NOT_RUN, REMAINING_MS, SIGNATURE},
+    notice,
+};
 use http_body_util::Full;
 use hyper::{
     Method, Request, StatusCode,
@@ -175,14 +178,17 @@
     async fn receive(&self, target: &Target, response: hyper::Response<ResponseBody>) -> Attempt {
         let (head, mut body) = response.into_parts();
         let attempt = |result, verdict| Attempt::new(result, Some(verdict));
+        let echoed = text(&head.headers, ATTEMPT_ID);
+        let is_foreign = echoed.is_some_and(|echoed| echoed != self.id);
+        if !is_foreign && head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.shared.record_notice(target, notice::decode(&head.headers));
+        }
         if head.headers.contains_key(NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 self.shared.targets.lock().view.mark_misdirected(target, self.shared.clock.now());
             }
             return attempt(AttemptResult::Shed, Verdict::Shed);
         }
-        let echoed = text(&head.headers, ATTEMPT_ID);
-        let is_foreign = echoed.is_some_and(|echoed| echoed != self.id);
         let is_signed = head.headers.contains_key(SIGNATURE);
         if is_foreign || (head.status.is_success() && !(is_signed && echoed.is_some())) {
             return attempt(AttemptResult::Foreign, Verdict::Failed);
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -78,7 +78,8 @@
         tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket), http));
         tokio::spawn(peer::report_state(Arc::clone(&shared), Arc::clone(&socket), clock.wall_ms()));
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
-        tokio::spawn(peer::send_outcomes(Arc::clone(&shared), socket));
+        tokio::spawn(peer::send_outcomes(Arc::clone(&shared), Arc::clone(&socket)));
+        tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
         reload::spawn(Arc::clone(&shared)).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
         servers.extend([directory, ready]);
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -5,7 +5,7 @@
 mod pull;
 mod broadcast;
 
-pub use self::broadcast::{report_load, report_state, send_outcomes};
+pub use self::broadcast::{repeat_statements, report_load, report_state, send_outcomes};
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -13,7 +13,9 @@
     time::Duration,
 };
 
-use citron::{gateways::Report, gray::Verdict, outage::Contact};
+use citron::{
+    catalog::Source, gateways::Report, gray::Verdict, outage::Contact, statement::Statement,
+};
 use prost::Message;
 use rand::seq::IteratorRandom;
 use tokio::{net::UdpSocket, time};
@@ -67,6 +69,9 @@
         relay(shared, socket, &datagram).await;
     }
     apply_outcomes(shared, &datagram.outcomes, now);
+    for statement in &datagram.statements {
+        shared.apply_statement(decode_statement(statement, now), Source::Peer);
+    }
     if let Some(load) = &datagram.load {
         let host = Arc::from(datagram.host.as_str());
         let load = load.keys.iter().copied().zip(load.counts.iter().copied()).collect();
@@ -117,6 +122,15 @@
     }
 }
 
+fn decode_statement(statement: &message::Statement, now: Duration) -> Statement {
+    Statement {
+        target: Arc::from(statement.target.as_str()),
+        born_ms: statement.born_ms,
+        leaving: statement.leaving,
+        at: now.saturating_sub(Duration::from_millis(statement.age_ms)),
+    }
+}
+
 fn is_ahead(shared: &Shared, report: &Report) -> bool {
     let routes = shared.routes().map_or(0, |routes| routes.version);
     let targets = shared.targets.lock().catalog.revision();
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::{gateways::Receiver, gray};
+use citron::{gateways::Receiver, gray, statement::Statement};
 use prost::Message;
 use rand::seq::IteratorRandom;
 use tokio::{net::UdpSocket, time};
@@ -25,6 +25,10 @@
 const LOAD_REPEAT_EVERY: u32 = 10;
 /// The maximum number of outcomes in one datagram.
 const OUTCOMES_LIMIT: usize = 24;
+/// The number of gateways that statements are repeated to at an interval.
+const REPEAT_FANOUT: usize = 4;
+/// The maximum number of statements in one datagram.
+const STATEMENTS_LIMIT: usize = 8;
 
 /// Sends this gateway's state at least every [`REPORT_INTERVAL`], and at once when it changes.
 pub async fn report_state(shared: Arc<Shared>, socket: Arc<UdpSocket>, born_ms: u64) {
@@ -54,6 +58,37 @@
     }
 }
 
+/// Sends the targets' statements to the peers, a few at a time: to all when there is a new one, and
+/// to some at intervals, so that a peer that missed one learns of it.
+pub async fn repeat_statements(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let host = shared.settings().host.clone();
+    loop {
+        let added = shared.statements_added.notified();
+        let is_new = time::timeout(REPORT_INTERVAL, added).await.is_ok();
+        let now = shared.clock.now();
+        let statements = shared.targets.lock().statements.next(STATEMENTS_LIMIT);
+        if statements.is_empty() {
+            continue;
+        }
+        let statements = statements.iter().map(|s| encode_statement(s, now)).collect();
+        let datagram = Datagram { host: host.clone(), statements, ..Datagram::default() };
+        if is_new {
+            broadcast(&shared, &socket, datagram, |_| true).await;
+        } else {
+            let bytes = datagram.encode_to_vec();
+            for address in some_gateways(&shared, now) {
+                send(&shared, &socket, &bytes, address).await;
+            }
+        }
+    }
+}
+
+/// Returns the addresses of a few live gateways.
+fn some_gateways(shared: &Shared, now: Duration) -> Vec<SocketAddr> {
+    let gateways = shared.gateways.lock();
+    gateways.alive(now).map(|(_, g)| g.address).choose_multiple(&mut rand::rng(), REPEAT_FANOUT)
+}
+
 /// Sends pending outcomes to the peers in batches.
 pub async fn send_outcomes(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let host = shared.settings().host.clone();
@@ -133,6 +168,15 @@
     silent.map(|(_, g)| g.address).choose_multiple(&mut rand::rng(), KNOWN_GATEWAYS_LIMIT)
 }
 
+fn encode_statement(statement: &Statement, now: Duration) -> message::Statement {
+    message::Statement {
+        target: statement.target.to_string(),
+        born_ms: statement.born_ms,
+        age_ms: now.saturating_sub(statement.at).as_millis() as u64,
+        leaving: statement.leaving,
+    }
+}
+
 fn encode_load(load: &gray::Load) -> message::Load {
     let (keys, counts) = load.iter().copied().unzip();
     message::Load { keys, counts }
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -17,6 +17,9 @@
     /// Outcomes of attempts at targets, newest last.
     #[prost(message, repeated, tag = "3")]
     pub outcomes: Vec<Outcome>,
+    /// What targets stated about themselves.
+    #[prost(message, repeated, tag = "7")]
+    pub statements: Vec<Statement>,
     /// Other gateways that the sender knows.
     #[prost(message, repeated, tag = "4")]
     pub known: Vec<KnownGateway>,
@@ -96,6 +99,23 @@
     pub took_ms: u32,
 }
 
+/// What a target stated about itself beside a response.
+#[derive(Clone, PartialEq, Message)]
+pub struct Statement {
+    /// The target's identity.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The incarnation of the target.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+    /// How long ago the response arrived, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+}
+
 /// A gateway that the sender knows.
 #[derive(Clone, PartialEq, Message)]
 pub struct KnownGateway {
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -17,6 +17,7 @@
     gray::{Choice, Criteria, NoCapacity, Verdict},
     poller::Member,
     route::{Route, Split, Table},
+    statement::{Notice, Statement},
 };
 use citron_adapter::settings::Settings;
 use citron_daemon::Clock;
@@ -63,6 +64,8 @@
     pub pending_outcomes: Mutex<Vec<Outcome>>,
     /// Wakes the task that sends outcomes.
     pub outcomes_added: Notify,
+    /// Wakes the task that repeats the targets' statements.
+    pub statements_added: Notify,
     /// Wakes the task that reports this gateway's state.
     pub state_changed: Notify,
     /// Wakes all connections of callers when the shutdown begins.
@@ -103,6 +106,7 @@
             budgets: RetryBudgets::default(),
             pending_outcomes: Mutex::default(),
             outcomes_added: Notify::new(),
+            statements_added: Notify::new(),
             state_changed: Notify::new(),
             shutdown_started: Notify::new(),
             splits: Mutex::default(),
@@ -288,6 +292,36 @@
         self.targets.lock().begin_attempt(criteria, trial_rank, now)
     }
 
+    /// Records what a target stated about itself beside a response.
+    pub fn record_notice(&self, target: &Target, notice: Notice) {
+        let now = self.clock.now();
+        let statement = Statement {
+            target: Arc::clone(&target.id),
+            born_ms: target.born_ms,
+            leaving: notice.leaving,
+            at: now,
+        };
+        if self.apply_statement(statement, Source::Target) {
+            self.statements_added.notify_one();
+        }
+    }
+
+    /// Applies what a target stated about itself to this gateway or to a peer; returns true if it
+    /// says something new.
+    pub fn apply_statement(&self, statement: Statement, source: Source) -> bool {
+        let mut targets = self.targets.lock();
+        if !targets.statements.apply(statement.clone()) {
+            return false;
+        }
+        if statement.leaving {
+            targets.catalog.mark_leaving(&statement.target, statement.born_ms);
+        }
+        drop(targets);
+        let Statement { target, leaving, .. } = statement;
+        log::info!("event=target-stated target={target} leaving={leaving} source={source}");
+        true
+    }
+
     /// Records how an attempt ended after `took`, and queues the outcome for the peers if it should
     /// be reported to them.
     pub fn end_attempt(&self, target: &Target, verdict: Option<Verdict>, took: Duration) {
--- a/crates/citron-gateway/src/targets.rs
+++ b/crates/citron-gateway/src/targets.rs
@@ -5,6 +5,7 @@
 use citron::{
     catalog::{Catalog, Change, Target},
     gray::{Choice, Criteria, NoCapacity, View},
+    statement::Statements,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -17,6 +18,8 @@
     pub catalog: Catalog,
     /// Failure estimates and load.
     pub view: View,
+    /// What the targets stated about themselves.
+    pub statements: Statements,
     rng: ChaCha8Rng,
 }
 
@@ -35,6 +38,7 @@
         Self {
             catalog: Catalog::default(),
             view: View::new(domain),
+            statements: Statements::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -52,7 +56,7 @@
         if !update(&mut self.catalog) {
             return None;
         }
-        self.view.retain(&self.catalog);
+        self.forget_unlisted();
         let held = self.catalog.lapsed().filter(|(id, _)| !before.contains(id));
         Some(held.map(|(id, until)| Held { id: Arc::clone(id), until }).collect())
     }
@@ -64,11 +68,16 @@
         self.catalog.set_keep_until(keep_until);
         let expired = self.catalog.expire(now);
         if !expired.is_empty() {
-            self.view.retain(&self.catalog);
+            self.forget_unlisted();
         }
         expired
     }
 
+    fn forget_unlisted(&mut self) {
+        self.view.retain(&self.catalog);
+        self.statements.retain(|statement| self.catalog.get(&statement.target).is_some());
+    }
+
     /// Chooses a target for an attempt, see [`View::begin_attempt`].
     ///
     /// # Errors
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -32,8 +32,12 @@
     ServeAndClose,
     /// Answers with a failure of its own.
     Fail,
+    /// Serves with these further headers, each ending with a line break.
+    ServeWith(&'static str),
     /// Says that it did not run the request.
     Shed,
+    /// Says the same with these further headers, each ending with a line break.
+    ShedWith(&'static str),
     /// Says that it is another target.
     Misdirect,
     /// Runs the request and answers nothing.
@@ -108,6 +112,7 @@
     id: String,
     plan: Mutex<Plan>,
     seen: Mutex<Vec<Seen>>,
+    refused: Mutex<Vec<Seen>>,
     left: Mutex<Vec<(String, Instant)>>,
     connections: Mutex<u32>,
 }
@@ -135,6 +140,7 @@
             id: id.to_owned(),
             plan: Mutex::new(Box::new(|_| Act::Serve)),
             seen: Mutex::default(),
+            refused: Mutex::default(),
             left: Mutex::default(),
             connections: Mutex::default(),
         });
@@ -189,6 +195,11 @@
         self.shared.seen.lock().clone()
     }
 
+    /// Returns the requests that it refused without running them.
+    pub fn refused(&self) -> Vec<Seen> {
+        self.shared.refused.lock().clone()
+    }
+
     /// Returns how often it ran the request with this id.
     pub fn runs(&self, id: &str) -> usize {
         self.shared.seen.lock().iter().filter(|seen| seen.id() == id).count()
@@ -214,13 +225,17 @@
     let mut buffer = Vec::new();
     while let Some(seen) = read(&mut stream, &mut buffer).await {
         let act = (shared.plan.lock())(&seen);
-        if act == Act::Shed || act == Act::Misdirect {
-            let head = if act == Act::Shed {
-                "503 Service Unavailable\r\nNot-Executed: 1"
-            } else {
-                "421 Misdirected Request\r\nInstance-Id: i-other"
-            };
-            let text = format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n");
+        let refusal = match act {
+            Act::Shed => Some(("503 Service Unavailable\r\nNot-Executed: 1", "")),
+            Act::ShedWith(rest) => Some(("503 Service Unavailable\r\nNot-Executed: 1", rest)),
+            Act::Misdirect => Some(("421 Misdirected Request\r\nInstance-Id: i-other", "")),
+            _ => None,
+        };
+        if let Some((head, rest)) = refusal {
+            let id = seen.id();
+            shared.refused.lock().push(seen.clone());
+            let text =
+                format!("HTTP/1.1 {head}\r\nAttempt-Id: {id}\r\n{rest}Content-Length: 0\r\n\r\n");
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
@@ -253,6 +268,7 @@
             head("200 OK", &id, &signature, &length) + &body
         }
         Act::Serve => head("200 OK", &id, &signature, &length) + &body,
+        Act::ServeWith(rest) => head("200 OK", &id, &signature, &(length + rest)) + &body,
         Act::ServeTwice => {
             let one = head("200 OK", &id, &signature, &length) + &body;
             one.clone() + &one
@@ -313,7 +329,9 @@
             shared.left.lock().push((id, Instant::now()));
             return false;
         }
-        Act::Shed | Act::Misdirect => unreachable!("answered before the request runs"),
+        Act::Shed | Act::ShedWith(_) | Act::Misdirect => {
+            unreachable!("answered before the request runs")
+        }
     };
     stream.write_all(text.as_bytes()).await.is_ok()
 }
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod queue;
 pub mod route;
 pub mod shutdown;
+pub mod statement;
 pub mod watcher;
