Send a target nothing while it asks for a pause

Now platform/ decodes Retry-After of a 503, also in fractions of a second, the choice of a target leaves it out until then, in attempts, tests and hedges alike, and a refusal names the time at which the first target is available again. The pause binds only the gateway that was asked.

--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -149,7 +149,9 @@
                         series.attempts()
                     );
                     self.shared.metrics.record_refusal(cause.into());
-                    return (refusal::response(outcome, cause), series.attempts());
+                    let unavailable_for = self.shared.unavailable_for(&self.service);
+                    let response = refusal::response(outcome, cause, unavailable_for);
+                    return (response, series.attempts());
                 }
             }
         }
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -181,7 +181,7 @@
         let echoed = text(&head.headers, ATTEMPT_ID);
         let is_foreign = echoed.is_some_and(|echoed| echoed != self.id);
         if !is_foreign && head.status != StatusCode::MISDIRECTED_REQUEST {
-            self.shared.record_notice(target, notice::decode(&head.headers));
+            self.shared.record_notice(target, notice::decode(head.status, &head.headers));
         }
         if head.headers.contains_key(NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -6,16 +6,21 @@
 
 use crate::http1::Response;
 
-/// The delay, in seconds, after which a caller may retry a refused request at the latest.
+/// The delay, in seconds, after which a caller may retry a refused request if nothing is known that
+/// takes longer.
 const RETRY_AFTER_S: f64 = 0.25;
 
 /// Returns the response to a request that ended without one from a target.
 ///
-/// Status 503 states that the request has not run and never will; 502 and 504 leave this open.
-pub fn response(outcome: Outcome, cause: Cause) -> Response {
+/// Status 503 states that the request has not run and never will; 502 and 504 leave this open. No
+/// target is available for `unavailable_for`.
+pub fn response(outcome: Outcome, cause: Cause, unavailable_for: Duration) -> Response {
     let reason: &'static str = cause.into();
     match (outcome, cause) {
-        (Outcome::NotRun, _) => Response::error(503, reason).retry_after(RETRY_AFTER_S),
+        (Outcome::NotRun, _) => {
+            let seconds = unavailable_for.as_secs_f64().max(RETRY_AFTER_S);
+            Response::error(503, reason).retry_after(seconds)
+        }
         (_, Cause::DeadlinePassed | Cause::TargetTimedOut) => Response::error(504, reason),
         _ => Response::error(502, reason),
     }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -292,9 +292,22 @@
         self.targets.lock().begin_attempt(criteria, trial_rank, now)
     }
 
+    /// Returns how long no target of a service may receive requests, zero if one may now.
+    pub fn unavailable_for(&self, service: &str) -> Duration {
+        let now = self.clock.now();
+        let targets = self.targets.lock();
+        let available_at = targets.view.next_available(&targets.catalog, service, now);
+        available_at.map_or(Duration::ZERO, |at| at.saturating_sub(now))
+    }
+
     /// Records what a target stated about itself beside a response.
     pub fn record_notice(&self, target: &Target, notice: Notice) {
         let now = self.clock.now();
+        if let Some(pause) = notice.pause {
+            let pause_ms = pause.as_millis();
+            log::info!("event=target-paused target={} pause_ms={pause_ms}", target.id);
+            self.targets.lock().view.pause(target, now.saturating_add(pause), now);
+        }
         let statement = Statement {
             target: Arc::clone(&target.id),
             born_ms: target.born_ms,
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -51,6 +51,8 @@
     path_estimate: FailureEstimate,
     in_flight: u32,
     shed_backoff_until: Duration,
+    /// Until when the target wants no requests from this gateway.
+    paused_until: Duration,
     /// When the latest known attempt started; its outcome may arrive much later.
     last_attempt_at: Duration,
     /// Whether the last outcome was [`Verdict::Served`].
@@ -128,6 +130,7 @@
             .serving(service, now)
             .filter(|target| !tried.contains(&target.id))
             .filter(|target| !self.states.get(&target.id).is_some_and(|s| s.is_misdirected(target)))
+            .filter(|target| self.available_at(target) <= now)
             .collect();
         let candidates: Vec<Candidate> = targets
             .iter()
@@ -230,6 +233,29 @@
         self.state(target, now).misdirected = true;
     }
 
+    /// Sends the target no requests until `until`, as it asked this gateway for.
+    pub fn pause(&mut self, target: &Target, until: Duration, now: Duration) {
+        let state = self.state(target, now);
+        state.paused_until = state.paused_until.max(until);
+    }
+
+    /// Returns when a target of the service may receive requests again if none may now.
+    pub fn next_available(
+        &self,
+        catalog: &Catalog,
+        service: &str,
+        now: Duration,
+    ) -> Option<Duration> {
+        let available = catalog.serving(service, now).map(|target| self.available_at(target));
+        available.min().filter(|at| *at > now)
+    }
+
+    /// Returns from when on this gateway may send the target requests.
+    fn available_at(&self, target: &Target) -> Duration {
+        let state = self.states.get(&target.id).filter(|state| state.born_ms == target.born_ms);
+        state.map_or(Duration::ZERO, |state| state.paused_until)
+    }
+
     /// Removes the state of targets that are no longer listed and have no request in flight.
     pub fn retain(&mut self, catalog: &Catalog) {
         self.states.retain(|id, state| state.in_flight > 0 || catalog.get(id).is_some());
@@ -330,6 +356,7 @@
             path_estimate: FailureEstimate::new(now),
             in_flight: 0,
             shed_backoff_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
             last_attempt_at: Duration::ZERO,
             last_succeeded: false,
             misdirected: false,
--- a/crates/citron/src/statement.rs
+++ b/crates/citron/src/statement.rs
@@ -14,6 +14,8 @@
 pub struct Notice {
     /// Whether it is leaving.
     pub leaving: bool,
+    /// How long the receiving gateway must not send it requests.
+    pub pause: Option<Duration>,
 }
 
 /// The newest statement of one incarnation of a target.
