--- a/crates/citron-proxy/src/send.rs
+++ b/crates/citron-proxy/src/send.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use citron::{attempt::AttemptResult, choice};
 use reqwest::{
-    Client, Response, Url,
-    header::{HeaderMap, HeaderValue},
+    Client, Response, StatusCode, Url,
+    header::{HeaderValue, RETRY_AFTER},
 };
 use tokio::time;
 
@@ -116,7 +116,7 @@
     }
     let shed = response.status() == 503
         && response.headers().get(TARGET_OUTCOME).is_some_and(|value| value == "not-run");
-    attempt.slot.assignment.record_response(target_report(response.headers()), shed);
+    attempt.slot.assignment.record_response(target_report(&response), shed);
     if shed {
         return Err(AttemptResult::Shed);
     }
@@ -127,15 +127,27 @@
     }
 }
 
-/// Returns the load and state that a target reports in its response.
-fn target_report(headers: &HeaderMap) -> choice::TargetReport {
+/// Returns the load, the state and the pause that a target reports in its response.
+fn target_report(response: &Response) -> choice::TargetReport {
+    let headers = response.headers();
     let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
     choice::TargetReport {
         load: text(TARGET_LOAD).and_then(|text| text.parse().ok()),
         state: text(TARGET_STATE).and_then(|text| text.parse().ok()).unwrap_or_default(),
+        pause: text(RETRY_AFTER.as_str()).filter(|_| is_refusal).and_then(seconds),
     }
 }
 
+/// Parses a number of seconds; one that cannot be read is logged.
+fn seconds(text: &str) -> Option<Duration> {
+    let parsed = text.trim().parse().ok().and_then(|value| Duration::try_from_secs_f64(value).ok());
+    if parsed.is_none() {
+        log::debug!("ignored a target's header {RETRY_AFTER}: {text:?} is no number of seconds");
+    }
+    parsed
+}
+
 fn request(shared: &Shared, attempt: &Attempt<'_>) -> Option<reqwest::Request> {
     let inbound = attempt.inbound;
     let url = url(&attempt.slot.target.address.to_string(), &inbound.path_and_query)?;
--- /dev/null
+++ b/crates/citron-proxy/tests/notice.rs
@@ -0,0 +1,73 @@
+//! What targets state about themselves in their responses: that they drain, and pauses.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use support::{Action, ReceivedRequest, Rig, Script, respond};
+use tokio::time::{self, Instant};
+
+const PAUSE: &str = "HTTP/1.1 503 Busy\r\ncitron-request-id: {id}\r\ncitron-target-outcome: not-run\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n";
+
+fn good() -> Vec<Action> {
+    vec![respond("200 OK", "", "fine")]
+}
+
+/// Returns the script of a target whose first response is `first`, and all later ones good.
+fn first_response(first: Vec<Action>) -> Script {
+    let count = AtomicUsize::new(0);
+    Arc::new(move |_: &ReceivedRequest| match count.fetch_add(1, Ordering::SeqCst) {
+        0 => first.clone(),
+        _ => good(),
+    })
+}
+
+/// Starts a proxy before a target with this first response and a target that always serves, and
+/// sends requests until the first target has met one.
+async fn meet_first_target(first: Vec<Action>) -> Rig {
+    let rig = Rig::start(vec![first_response(first), Arc::new(|_: &ReceivedRequest| good())]).await;
+    for _ in 0..200 {
+        if !rig.targets[0].received().is_empty() {
+            return rig;
+        }
+        assert_eq!(lookup(&rig).await, 200);
+    }
+    panic!("the first target met no request");
+}
+
+async fn lookup(rig: &Rig) -> u16 {
+    let request = "GET /lots/1 HTTP/1.1\r\nhost: x\r\ncitron-customer: roaster\r\n\r\n";
+    rig.call(request).await.status
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_asks_for_a_pause_gets_nothing_until_its_end() {
+    let rig = meet_first_target(vec![Action::Write(PAUSE.to_owned())]).await;
+    let until = Instant::now() + Duration::from_millis(1400);
+    while Instant::now() < until {
+        assert_eq!(lookup(&rig).await, 200);
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(rig.targets[0].received().len(), 1, "requests during the pause");
+    time::sleep(Duration::from_millis(200)).await;
+    for _ in 0..100 {
+        assert_eq!(lookup(&rig).await, 200);
+    }
+    assert!(rig.targets[0].received().len() > 1, "it serves after the pause");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_whose_response_says_that_it_drains_gets_no_more_requests() {
+    let draining = respond("200 OK", "citron-target-state: draining\r\n", "fine");
+    let rig = meet_first_target(vec![draining]).await;
+    for _ in 0..100 {
+        assert_eq!(lookup(&rig).await, 200);
+    }
+    assert_eq!(rig.targets[0].received().len(), 1);
+}
--- a/crates/citron-stand/src/bench/choice/simulation.rs
+++ b/crates/citron-stand/src/bench/choice/simulation.rs
@@ -247,7 +247,11 @@
 }
 
 fn answer_of(busy: u32) -> TargetReport {
-    TargetReport { load: Some(Load { in_use: busy, slots: SLOTS }), state: State::Ready }
+    TargetReport {
+        load: Some(Load { in_use: busy, slots: SLOTS }),
+        state: State::Ready,
+        ..TargetReport::default()
+    }
 }
 
 fn domain(index: usize) -> String {
--- a/crates/citron-stand/src/bench/decision.rs
+++ b/crates/citron-stand/src/bench/decision.rs
@@ -65,7 +65,8 @@
             table.on_start(&pick.target);
             table.on_end(&pick.target);
             let load = Load { in_use: rng.random_range(0..3), slots: 3 };
-            let answer = TargetReport { load: Some(load), state: State::Ready };
+            let answer =
+                TargetReport { load: Some(load), state: State::Ready, ..TargetReport::default() };
             table.on_response(&pick.target, answer, Duration::from_millis(50), now);
         }
     }
--- a/crates/citron/src/choice/pool.rs
+++ b/crates/citron/src/choice/pool.rs
@@ -68,6 +68,8 @@
     share: u32,
     estimate: LoadEstimate,
     hold_until: Duration,
+    /// Until when the target wants no requests from this proxy.
+    paused_until: Duration,
 }
 
 #[derive(Debug)]
@@ -132,6 +134,7 @@
                     share: 0,
                     estimate: LoadEstimate::unknown(now),
                     hold_until: Duration::ZERO,
+                    paused_until: Duration::ZERO,
                 });
             }
         }
@@ -326,7 +329,8 @@
         if free {
             entry.hold_until = Duration::ZERO;
         }
-        let changed = self.entries[index].set_state(report.state, now);
+        entry.pause(report, now);
+        let changed = entry.set_state(report.state, now);
         if free {
             self.mark_recent(index);
         }
@@ -346,6 +350,7 @@
         // On average, one of the slots is free again after this time.
         let hold = (response_time / (2 * slots)).clamp(SHED_HOLD_MIN, SHED_HOLD_MAX);
         entry.hold_until = now + hold;
+        entry.pause(report, now);
         entry.set_state(report.state, now)
     }
 
@@ -372,7 +377,7 @@
 
     fn is_usable(&self, args: &PickArgs<'_>, proxies: u32, now: Duration) -> bool {
         self.is_eligible()
-            && now >= self.hold_until
+            && now >= self.hold_until.max(self.paused_until)
             && self.in_flight < self.max_in_flight(proxies)
             && (args.idempotent || !self.trial)
             && !args.exclude.contains(&&*self.target.name)
@@ -384,6 +389,11 @@
         self.target.slots.max(1).min(connections.max(1))
     }
 
+    fn pause(&mut self, report: TargetReport, now: Duration) {
+        let until = now.saturating_add(report.pause.unwrap_or_default());
+        self.paused_until = self.paused_until.max(until);
+    }
+
     fn weight_at(&self, now: Duration) -> f64 {
         let Some(from) = self.ramp_from else { return self.weight };
         let part = now.saturating_sub(from).as_secs_f64() / RAMP.as_secs_f64();
--- a/crates/citron/src/choice/target.rs
+++ b/crates/citron/src/choice/target.rs
@@ -1,6 +1,6 @@
 //! Listed targets, and what they report in their responses.
 
-use std::{str::FromStr, sync::Arc};
+use std::{str::FromStr, sync::Arc, time::Duration};
 
 use strum::{Display, EnumString};
 
@@ -62,4 +62,6 @@
     pub load: Option<Load>,
     /// The reported state.
     pub state: State,
+    /// How long the target wants no further requests from this proxy.
+    pub pause: Option<Duration>,
 }
--- a/crates/citron/tests/choice.rs
+++ b/crates/citron/tests/choice.rs
@@ -85,11 +85,11 @@
         balancer.upsert([Target { leaving: true, ..target(0) }], Duration::ZERO);
     } => |balancer| assert!(!counts(balancer, true, 0).contains_key("t0"));
     a_draining_target_gets_nothing: |balancer| {
-        let report = TargetReport { load: None, state: State::Draining };
+        let report = TargetReport { load: None, state: State::Draining, ..TargetReport::default() };
         balancer.on_response("t0", report, Duration::from_millis(50), Duration::ZERO);
     } => |balancer| assert!(!counts(balancer, true, 0).contains_key("t0"));
     a_target_that_sheds_as_it_drains_gets_nothing: |balancer| {
-        balancer.on_shed("t0", TargetReport { load: None, state: State::Draining }, Duration::ZERO);
+        balancer.on_shed("t0", TargetReport { load: None, state: State::Draining, ..TargetReport::default() }, Duration::ZERO);
     } => |balancer| assert!(!counts(balancer, true, 60_000).contains_key("t0"));
     a_removed_target_gets_nothing: |balancer| balancer.remove("t0") => |balancer| {
         assert!(!counts(balancer, true, 0).contains_key("t0"));
@@ -119,7 +119,7 @@
         assert!(cold * 3 < warm, "{cold} of 2000 cold, {warm} warm");
     };
     a_cold_response_lowers_the_weight: |balancer| {
-        let report = TargetReport { load: None, state: State::Cold };
+        let report = TargetReport { load: None, state: State::Cold, ..TargetReport::default() };
         balancer.on_response("t0", report, Duration::from_millis(50), Duration::from_secs(60));
     } => |balancer| {
         let cold = counts(balancer, true, 60_000).get("t0").copied().unwrap_or(0);
@@ -138,7 +138,7 @@
         assert_eq!(pick(balancer, &exclude, true, 0, 3), None);
     };
     a_target_reported_full_is_avoided: |balancer| {
-        let report = TargetReport { load: Some(Load { in_use: 3, slots: 3 }), state: State::Ready };
+        let report = TargetReport { load: Some(Load { in_use: 3, slots: 3 }), state: State::Ready, ..TargetReport::default() };
         balancer.on_response("t0", report, Duration::from_millis(50), Duration::ZERO);
     } => |balancer| assert!(!counts(balancer, true, 0).contains_key("t0"));
 }
@@ -199,7 +199,11 @@
                     balancer.on_shed(&name, TargetReport::default(), now);
                 } else {
                     let load = Load { in_use: rng.random_range(0..=3), slots: 3 };
-                    let report = TargetReport { load: Some(load), state: State::Ready };
+                    let report = TargetReport {
+                        load: Some(load),
+                        state: State::Ready,
+                        ..TargetReport::default()
+                    };
                     balancer.on_response(&name, report, Duration::from_millis(20), now);
                 }
             }
