Decode the limit that a target names, tell the peers of it and log it

The logs could not tell whether any host learns of a limit. No choice is changed: the limit is only decoded, shared and shown (target-stated, citron_targets_limited).

--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -152,6 +152,7 @@
     metrics.gateways_alive.set(shared.gateways.lock().alive(now).count() as i64);
     metrics.targets_suspected.set(shared.targets.lock().view.suspected_count(now) as i64);
     metrics.targets_held.set(shared.targets.lock().catalog.lapsed().count() as i64);
+    metrics.targets_limited.set(shared.targets.lock().statements.limited_count() as i64);
     metrics.idle_connections.set(shared.pool.len() as i64);
     metrics.store_lost.set(i64::from(shared.link.is_down()));
     metrics.store_silent_seconds.set(shared.link.silent_for(now).as_secs_f64());
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub targets_suspected: IntGauge,
     /// Targets that are kept although their entries vanished.
     pub targets_held: IntGauge,
+    /// Targets that name a limit of requests.
+    pub targets_limited: IntGauge,
     /// Idle connections to targets.
     pub idle_connections: IntGauge,
     /// 1 while the last call to the store failed, else 0.
@@ -182,6 +184,10 @@
                 "citron_targets_held",
                 "Targets that are kept although their entries vanished around an outage",
             )?,
+            targets_limited: gauge(
+                "citron_targets_limited",
+                "Targets that name a limit of requests for all gateways together",
+            )?,
             log_lines_dropped: gauge(
                 "citron_log_lines_dropped",
                 "Log lines that were dropped since the start",
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -127,6 +127,7 @@
         target: Arc::from(statement.target.as_str()),
         born_ms: statement.born_ms,
         leaving: statement.leaving,
+        limit_per_s: statement.limit_per_s.filter(|limit| limit.is_finite() && *limit >= 0.0),
         at: now.saturating_sub(Duration::from_millis(statement.age_ms)),
     }
 }
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -174,6 +174,7 @@
         born_ms: statement.born_ms,
         age_ms: now.saturating_sub(statement.at).as_millis() as u64,
         leaving: statement.leaving,
+        limit_per_s: statement.limit_per_s,
     }
 }
 
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -114,6 +114,9 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "4")]
     pub leaving: bool,
+    /// How many requests a second it takes from all gateways together, if it names a limit.
+    #[prost(double, optional, tag = "5")]
+    pub limit_per_s: Option<f64>,
 }
 
 /// A gateway that the sender knows.
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -312,6 +312,7 @@
             target: Arc::clone(&target.id),
             born_ms: target.born_ms,
             leaving: notice.leaving,
+            limit_per_s: notice.limit_per_s,
             at: now,
         };
         if self.apply_statement(statement, Source::Target) {
@@ -330,8 +331,11 @@
             targets.catalog.mark_leaving(&statement.target, statement.born_ms);
         }
         drop(targets);
-        let Statement { target, leaving, .. } = statement;
-        log::info!("event=target-stated target={target} leaving={leaving} source={source}");
+        let Statement { target, leaving, limit_per_s, .. } = statement;
+        let limit_per_s = limit_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        log::info!(
+            "event=target-stated target={target} leaving={leaving} limit_per_s={limit_per_s} source={source}"
+        );
         true
     }
 
--- a/crates/citron/src/statement.rs
+++ b/crates/citron/src/statement.rs
@@ -9,6 +9,10 @@
     time::Duration,
 };
 
+/// How much later than the newest response with a limit one without it must arrive to lift the
+/// limit, so that a response which was overtaken on its way does not.
+const LIFT_DELAY: Duration = Duration::from_millis(500);
+
 /// What a target states beside one response.
 #[derive(Debug, Copy, Clone, Default, PartialEq)]
 pub struct Notice {
@@ -16,6 +20,8 @@
     pub leaving: bool,
     /// How long the receiving gateway must not send it requests.
     pub pause: Option<Duration>,
+    /// How many requests a second it takes from all gateways together, if it names a limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// The newest statement of one incarnation of a target.
@@ -27,6 +33,8 @@
     pub born_ms: u64,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// How many requests a second it takes from all gateways together, if it names a limit.
+    pub limit_per_s: Option<f64>,
     /// When the response arrived that stated it.
     pub at: Duration,
 }
@@ -50,9 +58,14 @@
             if known.born_ms > statement.born_ms || known.at >= statement.at {
                 return false;
             }
+            let lifts = known.limit_per_s.is_some() && statement.limit_per_s.is_none();
+            if lifts && statement.at < known.at + LIFT_DELAY {
+                return false;
+            }
             statement.leaving |= known.leaving;
         }
-        let is_new = statement.leaving != known.is_some_and(|known| known.leaving);
+        let before = known.map_or((false, None), |known| (known.leaving, known.limit_per_s));
+        let is_new = (statement.leaving, statement.limit_per_s) != before;
         if is_new {
             self.queue.retain(|target| *target != statement.target);
             self.queue.push_front(Arc::clone(&statement.target));
@@ -63,6 +76,11 @@
         is_new
     }
 
+    /// Returns the number of targets that name a limit.
+    pub fn limited_count(&self) -> usize {
+        self.by_target.values().filter(|statement| statement.limit_per_s.is_some()).count()
+    }
+
     /// Forgets the statements of targets that `is_listed` returns false for.
     pub fn retain(&mut self, is_listed: impl Fn(&Statement) -> bool) {
         self.by_target.retain(|_, statement| is_listed(statement));
--- a/crates/citron/tests/statement.rs
+++ b/crates/citron/tests/statement.rs
@@ -5,7 +5,12 @@
 use citron::statement::{Statement, Statements};
 
 fn stated(target: &str, born_ms: u64, leaving: bool, at_ms: u64) -> Statement {
-    Statement { target: Arc::from(target), born_ms, leaving, at: Duration::from_millis(at_ms) }
+    let at = Duration::from_millis(at_ms);
+    Statement { target: Arc::from(target), born_ms, leaving, limit_per_s: None, at }
+}
+
+fn limited(limit_per_s: f64, at_ms: u64) -> Statement {
+    Statement { limit_per_s: Some(limit_per_s), ..stated("t", 1, false, at_ms) }
 }
 
 /// Names a case: the statements in the order in which they arrive, and which of them are news.
@@ -29,6 +34,12 @@
     a_new_incarnation_does_not_leave:
         stated("t", 1, true, 10) => true, stated("t", 2, false, 20) => false,
         stated("t", 2, true, 30) => true;
+    a_limit_is_news_when_it_changes:
+        limited(2.0, 10) => true, limited(2.0, 20) => false, limited(3.5, 30) => true;
+    a_limit_that_is_older_is_no_news: limited(2.0, 20) => true, limited(3.5, 10) => false;
+    a_response_without_a_limit_lifts_it: limited(2.0, 10) => true, stated("t", 1, false, 600) => true;
+    a_response_that_was_overtaken_does_not_lift_the_limit:
+        limited(2.0, 10) => true, stated("t", 1, false, 400) => false;
     a_statement_of_an_old_incarnation_is_no_news:
         stated("t", 2, true, 10) => true, stated("t", 1, true, 20) => false;
 }
