Keep a target's limit over all gateways together

Class: a target's own word about itself that nobody read.

Now the limit is divided by rendezvous hashing among as many gateways as can each use half a request a second, those of the target's failure domain first, and each spends its share from a bucket of its own; first attempts, repeats, hedges and tests are all counted at the choice of the target. A share that shrinks does so at once; one that grows because the fleet changed waits for a handover, by when the gateway that had it has learned of the change or, hearing half of the fleet or less, has stopped. A limit ends with the first response without it, 0.5 s after the newest with it.

--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -142,6 +142,7 @@
         shared.pool.remove_expired();
         update_gauges(&shared);
         shared.expire_targets();
+        shared.update_limits();
     }
 }
 
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -15,6 +15,7 @@
     catalog::{Catalog, Change, Snapshot, Source, Target},
     gateways::Gateways,
     gray::{Choice, Criteria, NoCapacity, Verdict},
+    placement::Host,
     poller::Member,
     route::{Route, Split, Table},
     statement::{Notice, Statement},
@@ -323,22 +324,39 @@
     /// Applies what a target stated about itself to this gateway or to a peer; returns true if it
     /// says something new.
     pub fn apply_statement(&self, statement: Statement, source: Source) -> bool {
-        let mut targets = self.targets.lock();
-        if !targets.statements.apply(statement.clone()) {
+        let id = Arc::clone(&statement.target);
+        if !self.targets.lock().statements.apply(statement) {
             return false;
         }
-        if statement.leaving {
-            targets.catalog.mark_leaving(&statement.target, statement.born_ms);
+        let now = self.clock.now();
+        let settings = self.settings();
+        let is_ready = self.is_ready();
+        // Lock order: `gateways` before `targets`.
+        let gateways = self.gateways.lock();
+        let fleet = gateways.limit_fleet(own_host(&settings), is_ready, now);
+        let applied = self.targets.lock().apply_statement(&id, &fleet, now);
+        if let Some(Statement { target, leaving, limit_per_s, .. }) = applied {
+            let limit = limit_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+            log::info!(
+                "event=target-stated target={target} leaving={leaving} limit_per_s={limit} source={source}"
+            );
         }
-        drop(targets);
-        let Statement { target, leaving, limit_per_s, .. } = statement;
-        let limit_per_s = limit_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-        log::info!(
-            "event=target-stated target={target} leaving={leaving} limit_per_s={limit_per_s} source={source}"
-        );
         true
     }
 
+    /// Computes this gateway's shares of the targets' limits anew if the fleet has changed.
+    pub fn update_limits(&self) {
+        if self.targets.lock().view.limits.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let settings = self.settings();
+        let is_ready = self.is_ready();
+        let gateways = self.gateways.lock();
+        let fleet = gateways.limit_fleet(own_host(&settings), is_ready, now);
+        self.targets.lock().update_limits(&fleet, now);
+    }
+
     /// Records how an attempt ended after `took`, and queues the outcome for the peers if it should
     /// be reported to them.
     pub fn end_attempt(&self, target: &Target, verdict: Option<Verdict>, took: Duration) {
@@ -413,6 +431,10 @@
     }
 }
 
+fn own_host(settings: &Settings) -> Host<'_> {
+    Host { name: &settings.host, domain: &settings.domain }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
--- a/crates/citron-gateway/src/targets.rs
+++ b/crates/citron-gateway/src/targets.rs
@@ -5,7 +5,8 @@
 use citron::{
     catalog::{Catalog, Change, Target},
     gray::{Choice, Criteria, NoCapacity, View},
-    statement::Statements,
+    statement::{Statement, Statements},
+    target_limit::Fleet,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -73,6 +74,28 @@
         expired
     }
 
+    /// Applies the newest statement of a target, and returns it.
+    pub fn apply_statement(
+        &mut self,
+        id: &str,
+        fleet: &Fleet<'_>,
+        now: Duration,
+    ) -> Option<Statement> {
+        let statement = self.statements.get(id)?.clone();
+        let Statement { target, born_ms, leaving, limit_per_s, .. } = &statement;
+        if *leaving {
+            self.catalog.mark_leaving(target, *born_ms);
+        }
+        self.view.limits.set(target, *born_ms, *limit_per_s, now);
+        self.update_limits(fleet, now);
+        Some(statement)
+    }
+
+    /// Computes this gateway's shares of the targets' limits anew if the fleet or a limit changed.
+    pub fn update_limits(&mut self, fleet: &Fleet<'_>, now: Duration) {
+        self.view.limits.update(fleet, &self.catalog, now);
+    }
+
     fn forget_unlisted(&mut self) {
         self.view.retain(&self.catalog);
         self.statements.retain(|statement| self.catalog.get(&statement.target).is_some());
--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -10,6 +10,7 @@
 mod latency;
 pub mod limits;
 mod policy;
+pub mod target_limit;
 
 use std::fmt::{self, Display, Formatter};
 
@@ -54,6 +55,7 @@
     ("fairness", fairness::run),
     ("latency", latency::run),
     ("limits", limits::run),
+    ("target-limit", target_limit::run),
 ];
 
 /// Returns the whole number that follows a flag, or `default` if the flag is not given.
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -12,12 +12,18 @@
     outage::Contact,
     placement,
     poller::{self, Member},
+    target_limit,
 };
 
 /// After this long without a report a gateway is no longer advertised to callers.
 const ADVERTISE_TIMEOUT: Duration = Duration::from_millis(3500);
-/// After this long without a report another gateway polls the store in a gateway's place.
-const POLLER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// After this long without a report others take over what a gateway does for the fleet, if each
+/// report reaches all gateways of a failure domain.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How much longer than the takeover timeout a share of a target's limit is handed over.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(500);
+/// How long a gateway without a report still counts as part of the fleet.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(30);
 /// After this long without a report a gateway is not considered alive.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(10);
 /// After this long without a report a gateway is removed from the list.
@@ -69,6 +75,13 @@
     pub last_seen: Duration,
 }
 
+impl Gateway {
+    /// Returns the time since its last report, or else since it became known.
+    fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_seen)
+    }
+}
+
 /// All other known gateways, by host.
 #[derive(Debug, Default)]
 pub struct Gateways {
@@ -193,8 +206,8 @@
 
     /// Returns true if this gateway, `own`, is one of those that poll the store.
     pub fn is_poller(&self, own: Member<'_>, now: Duration) -> bool {
-        let fresh = |gateway: &Gateway| now.saturating_sub(gateway.last_seen) < POLLER_TIMEOUT;
-        let others = self.by_host.iter().filter(|(_, gateway)| fresh(gateway));
+        let timeout = self.takeover_timeout();
+        let others = self.by_host.iter().filter(|(_, gateway)| gateway.age(now) < timeout);
         let members = others.filter_map(|(host, gateway)| {
             let in_contact = gateway.report.as_ref()?.store_contact.is_some();
             Some(Member { host, in_contact })
@@ -202,6 +215,48 @@
         poller::is_poller(own, members)
     }
 
+    /// Returns the fleet among which targets' limits are divided, as seen by the gateway on `own`,
+    /// which `is_ready` to accept callers and whose process started at time zero.
+    pub fn limit_fleet<'a>(
+        &'a self,
+        own: placement::Host<'a>,
+        is_ready: bool,
+        now: Duration,
+    ) -> target_limit::Fleet<'a> {
+        let timeout = self.takeover_timeout();
+        let is_member = |gateway: &Gateway| match gateway.report {
+            Some(_) => gateway.age(now) < MEMBER_TIMEOUT,
+            None => gateway.age(now) < timeout * 2,
+        };
+        let members = 1 + self.by_host.values().filter(|gateway| is_member(gateway)).count();
+        let heard = self.by_host.iter().filter_map(|(host, gateway)| {
+            let report = gateway.report.as_ref()?;
+            (gateway.age(now) < timeout).then_some((host, report))
+        });
+        let hears_majority = (1 + heard.clone().count()) * 2 > members;
+        let others = heard.filter(|(_, report)| report.ready);
+        let others = others.map(|(name, report)| placement::Host { name, domain: &report.domain });
+        let handover = timeout + HANDOVER_MARGIN;
+        target_limit::Fleet {
+            own,
+            may_share: is_ready && hears_majority,
+            others: others.collect(),
+            handover,
+        }
+    }
+
+    /// Returns how long without a report others wait before they take over from a gateway. In a
+    /// large failure domain each report reaches only some gateways.
+    fn takeover_timeout(&self) -> Duration {
+        let domains = self.by_host.values().filter_map(|gateway| gateway.report.as_ref());
+        let domains = domains.fold(BTreeMap::<&str, usize>::new(), |mut counts, report| {
+            *counts.entry(&report.domain).or_default() += 1;
+            counts
+        });
+        let largest = domains.into_values().max().unwrap_or(0);
+        TAKEOVER_TIMEOUT * largest.div_ceil(FANOUT).max(1) as u32
+    }
+
     /// Returns the contacts with the store that the live gateways reported.
     pub fn store_contacts(&self, now: Duration) -> impl Iterator<Item = Contact> {
         self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref()?.store_contact)
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -11,7 +11,10 @@
     Candidate, Eligibility, FailureEstimate, NoCapacity, REPORT_THRESHOLD, SUSPECT_THRESHOLD,
     Verdict, choose, no_capacity,
 };
-use crate::catalog::{Catalog, Target};
+use crate::{
+    catalog::{Catalog, Target},
+    target_limit::Limits,
+};
 
 /// How long a target that shed a request is less likely to be chosen.
 const SHED_BACKOFF: Duration = Duration::from_millis(250);
@@ -39,6 +42,8 @@
 pub struct View {
     domain: Arc<str>,
     states: HashMap<Arc<str>, State>,
+    /// The limits that the targets name.
+    pub limits: Limits,
     loads: HashMap<Arc<str>, (Duration, Load)>,
 }
 
@@ -106,7 +111,12 @@
 impl View {
     /// Creates the view of a gateway in `domain`.
     pub fn new(domain: &str) -> Self {
-        Self { domain: Arc::from(domain), states: HashMap::new(), loads: HashMap::new() }
+        Self {
+            domain: Arc::from(domain),
+            states: HashMap::new(),
+            limits: Limits::default(),
+            loads: HashMap::new(),
+        }
     }
 
     /// Chooses a target that meets `criteria` and counts the attempt as in flight.
@@ -130,7 +140,7 @@
             .serving(service, now)
             .filter(|target| !tried.contains(&target.id))
             .filter(|target| !self.states.get(&target.id).is_some_and(|s| s.is_misdirected(target)))
-            .filter(|target| self.available_at(target) <= now)
+            .filter(|target| self.available_at(target, now) <= now)
             .collect();
         let candidates: Vec<Candidate> = targets
             .iter()
@@ -159,6 +169,8 @@
         let state = self.state(targets[index], now);
         state.in_flight += 1;
         state.last_attempt_at = now;
+        self.limits.record_request(&targets[index].id, now);
+        let state = self.state(targets[index], now);
         Ok(Choice {
             target: targets[index].clone(),
             failure_probability: candidates[index].failure_probability,
@@ -239,26 +251,29 @@
         state.paused_until = state.paused_until.max(until);
     }
 
-    /// Returns when a target of the service may receive requests again if none may now.
+    /// Returns when a target of the service may receive requests again if none may now and that is
+    /// known.
     pub fn next_available(
         &self,
         catalog: &Catalog,
         service: &str,
         now: Duration,
     ) -> Option<Duration> {
-        let available = catalog.serving(service, now).map(|target| self.available_at(target));
-        available.min().filter(|at| *at > now)
+        let available = catalog.serving(service, now).map(|target| self.available_at(target, now));
+        available.min().filter(|at| *at > now && *at < Duration::MAX)
     }
 
     /// Returns from when on this gateway may send the target requests.
-    fn available_at(&self, target: &Target) -> Duration {
+    fn available_at(&self, target: &Target, now: Duration) -> Duration {
         let state = self.states.get(&target.id).filter(|state| state.born_ms == target.born_ms);
-        state.map_or(Duration::ZERO, |state| state.paused_until)
+        let paused_until = state.map_or(Duration::ZERO, |state| state.paused_until);
+        paused_until.max(self.limits.available_at(&target.id, target.born_ms, now))
     }
 
     /// Removes the state of targets that are no longer listed and have no request in flight.
     pub fn retain(&mut self, catalog: &Catalog) {
         self.states.retain(|id, state| state.in_flight > 0 || catalog.get(id).is_some());
+        self.limits.retain(catalog);
     }
 
     /// Removes load reports that have expired.
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod route;
 pub mod shutdown;
 pub mod statement;
+pub mod target_limit;
 pub mod watcher;
--- a/crates/citron/src/statement.rs
+++ b/crates/citron/src/statement.rs
@@ -76,6 +76,11 @@
         is_new
     }
 
+    /// Returns the newest statement of a target.
+    pub fn get(&self, target: &str) -> Option<&Statement> {
+        self.by_target.get(target)
+    }
+
     /// Returns the number of targets that name a limit.
     pub fn limited_count(&self) -> usize {
         self.by_target.values().filter(|statement| statement.limit_per_s.is_some()).count()
