Keep a target's limit at the proxies of the product too

The product's own edge had the same gap as the gateway's. A target names its limit in citron-target-limit; the proxies divide it by the same decision among the hosts that the agents list, with the handover of allowances (5 s). Proxies do not tell each other of limits: each learns of one by its own responses, and one without a share asks again after 30 s or four times its equal part of the limit, whichever is longer.

--- a/crates/citron-gateway/src/targets.rs
+++ b/crates/citron-gateway/src/targets.rs
@@ -93,7 +93,9 @@
 
     /// Computes this gateway's shares of the targets' limits anew if the fleet or a limit changed.
     pub fn update_limits(&mut self, fleet: &Fleet<'_>, now: Duration) {
-        self.view.limits.update(fleet, &self.catalog, now);
+        let catalog = &self.catalog;
+        let domain_of = |id: &str| catalog.get(id).map(|target| &*target.domain);
+        self.view.limits.update(fleet, domain_of, now);
     }
 
     fn forget_unlisted(&mut self) {
--- a/crates/citron-proxy/src/header.rs
+++ b/crates/citron-proxy/src/header.rs
@@ -34,6 +34,8 @@
 pub const TARGET_LOAD: &str = "citron-target-load";
 /// The header by which a target reports whether it is ready, cold or draining.
 pub const TARGET_STATE: &str = "citron-target-state";
+/// The header by which a target names how many requests a second it takes from all proxies together.
+pub const TARGET_LIMIT: &str = "citron-target-limit";
 
 /// The header names that `connection` headers list, in lower case.
 pub type ConnectionOptions = SmallVec<[String; 2]>;
--- a/crates/citron-proxy/src/send.rs
+++ b/crates/citron-proxy/src/send.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     body::{Body, Upload},
-    header::{DEADLINE, REQUEST_ID, TARGET_LOAD, TARGET_OUTCOME, TARGET_STATE},
+    header::{DEADLINE, REQUEST_ID, TARGET_LIMIT, TARGET_LOAD, TARGET_OUTCOME, TARGET_STATE},
     inbound::InboundRequest,
     service::Slot,
     shared::Shared,
@@ -127,7 +127,7 @@
     }
 }
 
-/// Returns the load, the state and the pause that a target reports in its response.
+/// Returns what a target reports about itself in its response.
 fn target_report(response: &Response) -> choice::TargetReport {
     let headers = response.headers();
     let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
@@ -136,6 +136,7 @@
         load: text(TARGET_LOAD).and_then(|text| text.parse().ok()),
         state: text(TARGET_STATE).and_then(|text| text.parse().ok()).unwrap_or_default(),
         pause: text(RETRY_AFTER.as_str()).filter(|_| is_refusal).and_then(seconds),
+        limit_per_s: text(TARGET_LIMIT).and_then(rate),
     }
 }
 
@@ -148,6 +149,15 @@
     parsed
 }
 
+/// Parses a number of requests a second; one that cannot be read is logged.
+fn rate(text: &str) -> Option<f64> {
+    let parsed = text.trim().parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0);
+    if parsed.is_none() {
+        log::debug!("ignored a target's header {TARGET_LIMIT}: {text:?} is no rate");
+    }
+    parsed
+}
+
 fn request(shared: &Shared, attempt: &Attempt<'_>) -> Option<reqwest::Request> {
     let inbound = attempt.inbound;
     let url = url(&attempt.slot.target.address.to_string(), &inbound.path_and_query)?;
--- a/crates/citron-proxy/tests/notice.rs
+++ b/crates/citron-proxy/tests/notice.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use support::{Action, ReceivedRequest, Rig, Script, respond};
+use support::{Action, Caller, ReceivedRequest, Rig, Script, respond, spawn_named};
 use tokio::time::{self, Instant};
 
 const PAUSE: &str = "HTTP/1.1 503 Busy\r\ncitron-request-id: {id}\r\ncitron-target-outcome: not-run\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n";
@@ -71,3 +71,29 @@
     }
     assert_eq!(rig.targets[0].received().len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_that_a_target_names_binds_two_proxies_together() {
+    let limited: Script = Arc::new(|_: &ReceivedRequest| {
+        vec![respond("200 OK", "citron-target-limit: 2\r\n", "fine")]
+    });
+    let rig = Rig::start(vec![limited, Arc::new(|_: &ReceivedRequest| good())]).await;
+    rig.agent.send_members(&[("h1", "", true), ("h2", "", true)]);
+    let other = spawn_named("h2", &rig.agent, &[]).await;
+    let request = b"GET /lots/1 HTTP/1.1\r\nhost: x\r\ncitron-customer: roaster\r\n\r\n";
+    let send_for = async |span: Duration| {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            assert_eq!(lookup(&rig).await, 200);
+            let _ = Caller::new(other.addr()).call(request).await;
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    // A share is used after a handover of five seconds.
+    send_for(Duration::from_secs(6)).await;
+    let before = rig.targets[0].received().len();
+    send_for(Duration::from_secs(4)).await;
+    let received = rig.targets[0].received().len() - before;
+    assert!(received <= 2 * 4 * 3 / 2 + 5, "{received} requests in four seconds");
+    assert!(received >= 4, "{received} requests in four seconds");
+}
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -7,7 +7,6 @@
 };
 
 use citron::{
-    catalog::{Catalog, Snapshot, Source, Target},
     gateways::{Gateways, Report},
     placement::Host,
     target_limit::Limits,
@@ -117,7 +116,6 @@
 /// Simulates a fleet whose callers always have a request for the limited target.
 pub fn simulate(gateways: usize, limit_per_s: f64, trouble: Trouble, method: Method) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(SEED);
-    let catalog = catalog();
     let mut fleet: Vec<Gateway> = (0..gateways).map(Gateway::new).collect();
     let mut sent: Vec<Duration> = Vec::new();
     let steps = (WARM_UP + LENGTH).div_duration_f64(STEP) as u32;
@@ -128,7 +126,7 @@
         }
         exchange_reports(&mut fleet, trouble, now, &mut rng);
         for gateway in fleet.iter_mut().filter(|gateway| gateway.is_up) {
-            gateway.update(method, limit_per_s, &catalog, now);
+            gateway.update(method, limit_per_s, now);
             if now >= WARM_UP && gateway.may_send(method, limit_per_s, now) {
                 sent.push(now);
             }
@@ -151,23 +149,6 @@
     }
 }
 
-fn catalog() -> Catalog {
-    let mut catalog = Catalog::default();
-    let target = Target {
-        id: Arc::from(TARGET),
-        born_ms: 1,
-        service: Arc::from("desk"),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        domain: Arc::from("domain-0"),
-        slots: 3,
-        leaving: false,
-        warmup_ms: 0,
-    };
-    let snapshot = Snapshot { revision: 1, targets: vec![target], lapsed: Vec::new() };
-    catalog.replace(snapshot, Source::Store, Duration::ZERO);
-    catalog
-}
-
 fn exchange_reports(fleet: &mut [Gateway], trouble: Trouble, now: Duration, rng: &mut ChaCha8Rng) {
     let count = fleet.len();
     for sender in 0..count {
@@ -251,7 +232,7 @@
         }
     }
 
-    fn update(&mut self, method: Method, limit_per_s: f64, catalog: &Catalog, now: Duration) {
+    fn update(&mut self, method: Method, limit_per_s: f64, now: Duration) {
         let local = now.saturating_sub(self.started_at);
         if method != Method::Shares || now < WARM_UP {
             return;
@@ -263,7 +244,7 @@
         if is_first || is_tick(local, Duration::ZERO, UPDATE_INTERVAL) {
             let own = Host { name: &self.host, domain: &self.domain };
             let fleet = self.gateways.limit_fleet(own, true, local);
-            self.limits.update(&fleet, catalog, local);
+            self.limits.update(&fleet, |_| Some("domain-0"), local);
         }
     }
 
--- a/crates/citron/src/choice/balancer.rs
+++ b/crates/citron/src/choice/balancer.rs
@@ -4,7 +4,14 @@
 
 use rand_chacha::ChaCha8Rng;
 
+use smallvec::SmallVec;
+
 use super::{Pick, PickArgs, Proxy, Target, TargetReport, pool::Pool};
+use crate::{
+    limit::HANDOVER,
+    placement::Host,
+    target_limit::{Fleet, Limits},
+};
 
 /// Picks targets for the attempts of one proxy.
 #[derive(Debug)]
@@ -14,6 +21,7 @@
     proxies: Vec<Proxy>,
     pools: HashMap<Arc<str>, Pool>,
     services: HashMap<Arc<str>, Arc<str>>,
+    limits: Limits,
 }
 
 impl Balancer {
@@ -25,6 +33,7 @@
             proxies: vec![Proxy { domain: domain.into(), host: host.into() }],
             pools: HashMap::new(),
             services: HashMap::new(),
+            limits: Limits::default(),
         }
     }
 
@@ -70,6 +79,7 @@
     /// Removes a target.
     pub fn remove(&mut self, target: &str) {
         if let Some(service) = self.services.remove(target) {
+            self.limits.retain(|limited| limited != target);
             self.remove_from_pool(&service, target);
         }
     }
@@ -87,7 +97,39 @@
         now: Duration,
         rng: &mut ChaCha8Rng,
     ) -> Option<Pick> {
-        self.pools.get_mut(args.service)?.pick(args, now, rng)
+        if !self.limits.is_empty() {
+            self.update_limits(now);
+        }
+        let pool = self.pools.get_mut(args.service)?;
+        let pick = {
+            let exclude = args.exclude.iter().copied().chain(self.limits.unavailable(now));
+            let exclude: SmallVec<[&str; 8]> = exclude.collect();
+            pool.pick(&PickArgs { exclude: &exclude, ..*args }, now, rng)?
+        };
+        self.limits.record_request(&pick.target, now);
+        Some(pick)
+    }
+
+    /// Computes this proxy's shares of the targets' limits anew if the proxies or a limit changed.
+    fn update_limits(&mut self, now: Duration) {
+        let others = self.proxies.iter().filter(|proxy| proxy.host != self.host);
+        let others = others.map(|proxy| Host { name: &proxy.host, domain: &proxy.domain });
+        let others = others.collect();
+        let own = Host { name: &self.host, domain: &self.domain };
+        let fleet = Fleet { own, may_share: true, others, handover: HANDOVER };
+        let (pools, services) = (&self.pools, &self.services);
+        let domain_of = |target: &str| pools.get(services.get(target)?)?.domain(target);
+        self.limits.expire(fleet.others.len() + 1, now);
+        self.limits.update(&fleet, domain_of, now);
+    }
+
+    /// Applies the limit that a target's response names, or that it names none.
+    fn apply_limit(&mut self, target: &str, report: TargetReport, now: Duration) {
+        if report.limit_per_s.is_none() && self.limits.is_empty() {
+            return;
+        }
+        self.limits.set(&Arc::from(target), 0, report.limit_per_s, now);
+        self.update_limits(now);
     }
 
     /// Returns the mean time until a service's responses begin, or `None` if no listed target can
@@ -120,11 +162,13 @@
         took: Duration,
         now: Duration,
     ) {
+        self.apply_limit(target, report, now);
         self.update_pool(target, |pool| pool.on_response(target, report, took, now));
     }
 
     /// Applies that a target shed a request without running it, after [`Balancer::on_end`].
     pub fn on_shed(&mut self, target: &str, report: TargetReport, now: Duration) {
+        self.apply_limit(target, report, now);
         self.update_pool(target, |pool| pool.on_shed(target, report, now));
     }
 
--- a/crates/citron/src/choice/pool.rs
+++ b/crates/citron/src/choice/pool.rs
@@ -149,6 +149,11 @@
         self.recent.clear();
     }
 
+    /// Returns the failure domain of a target.
+    pub fn domain(&self, name: &str) -> Option<&str> {
+        self.by_name.get(name).map(|&index| &*self.entries[index].target.domain)
+    }
+
     /// Recomputes the shares and index lists after a change of targets, weights or proxies.
     pub fn rebuild(&mut self, me: &str, proxies: &[Proxy]) {
         self.eligible =
--- a/crates/citron/src/choice/target.rs
+++ b/crates/citron/src/choice/target.rs
@@ -56,7 +56,7 @@
 }
 
 /// The part of a response that affects later picks.
-#[derive(Debug, Default, Copy, Clone, Eq, PartialEq)]
+#[derive(Debug, Default, Copy, Clone, PartialEq)]
 pub struct TargetReport {
     /// The reported load, if any.
     pub load: Option<Load>,
@@ -64,4 +64,6 @@
     pub state: State,
     /// How long the target wants no further requests from this proxy.
     pub pause: Option<Duration>,
+    /// How many requests a second the target takes from all proxies together, if it names a limit.
+    pub limit_per_s: Option<f64>,
 }
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -273,7 +273,7 @@
     /// Removes the state of targets that are no longer listed and have no request in flight.
     pub fn retain(&mut self, catalog: &Catalog) {
         self.states.retain(|id, state| state.in_flight > 0 || catalog.get(id).is_some());
-        self.limits.retain(catalog);
+        self.limits.retain(|id| catalog.get(id).is_some());
     }
 
     /// Removes load reports that have expired.
--- a/crates/citron/src/target_limit.rs
+++ b/crates/citron/src/target_limit.rs
@@ -15,15 +15,17 @@
     time::Duration,
 };
 
-use crate::{
-    catalog::Catalog,
-    placement::{self, Host},
-};
+use crate::placement::{self, Host};
 
 /// The least share of one gateway, in requests a second; smaller limits have a single sharer.
 const SHARE_MIN_PER_S: f64 = 0.5;
 /// The least limit, in requests a second: without any response its end would not be noticed.
 const LIMIT_MIN_PER_S: f64 = 0.1;
+/// The least time for which a limit holds after it was last named, see [`Limits::expire`].
+const ASK_TERM_MIN: Duration = Duration::from_secs(30);
+/// The time between two requests of an equal part of the limit, multiplied by this, is the term of
+/// a small limit.
+const ASK_INTERVALS: f64 = 4.0;
 /// The span whose requests a sharer may send at once.
 const BURST: Duration = Duration::from_secs(1);
 
@@ -55,6 +57,7 @@
 struct Limit {
     born_ms: u64,
     per_s: f64,
+    named_at: Duration,
     share: Share,
 }
 
@@ -78,14 +81,32 @@
         self.is_stale = true;
         if let Some(per_s) = per_s {
             let share = known.map_or_else(|| Share::new(now), |known| known.share);
-            let limit = Limit { born_ms, per_s: per_s.max(LIMIT_MIN_PER_S), share };
+            let per_s = per_s.max(LIMIT_MIN_PER_S);
+            let limit = Limit { born_ms, per_s, named_at: now, share };
             self.by_target.insert(Arc::clone(target), limit);
         }
     }
 
-    /// Forgets the limits of targets that are no longer listed.
-    pub fn retain(&mut self, catalog: &Catalog) {
-        self.by_target.retain(|target, _| catalog.get(target).is_some());
+    /// Forgets the limits of targets that `is_listed` returns false for.
+    pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.by_target.retain(|target, _| is_listed(target));
+    }
+
+    /// Forgets limits that were not named for long, so that a gateway without a share asks again.
+    ///
+    /// Only gateways that do not tell each other of limits need this. They ask so rarely that all
+    /// of them together stay within a part of the limit.
+    pub fn expire(&mut self, gateways: usize, now: Duration) {
+        self.by_target.retain(|_, limit| {
+            let term = Duration::from_secs_f64(ASK_INTERVALS * gateways as f64 / limit.per_s);
+            now < limit.named_at + term.max(ASK_TERM_MIN)
+        });
+    }
+
+    /// Returns the limited targets to which this gateway may send no request now.
+    pub fn unavailable(&self, now: Duration) -> impl Iterator<Item = &str> {
+        let limits = self.by_target.iter();
+        limits.filter(move |(_, limit)| limit.share.available_at(now) > now).map(|(id, _)| &**id)
     }
 
     /// Returns true if no target names a limit.
@@ -94,7 +115,13 @@
     }
 
     /// Computes this gateway's shares anew if the fleet or a limit changed.
-    pub fn update(&mut self, fleet: &Fleet<'_>, catalog: &Catalog, now: Duration) {
+    /// `domain_of` returns the failure domain of a target.
+    pub fn update<'a>(
+        &mut self,
+        fleet: &Fleet<'_>,
+        domain_of: impl Fn(&str) -> Option<&'a str>,
+        now: Duration,
+    ) {
         let digest = fleet.digest();
         let is_other_fleet = self.fleet.replace(digest) != Some(digest);
         if !std::mem::take(&mut self.is_stale) && !is_other_fleet {
@@ -104,8 +131,7 @@
         // of them sees at another time.
         let handover = if is_other_fleet { fleet.handover } else { Duration::ZERO };
         for (id, limit) in &mut self.by_target {
-            let domain = catalog.get(id).map_or("", |target| &*target.domain);
-            let share = fleet.share(id, domain, limit.per_s);
+            let share = fleet.share(id, domain_of(id).unwrap_or_default(), limit.per_s);
             if limit.share.per_s.is_infinite() {
                 limit.share.start(share, now.max(fleet.handover), now);
             } else {
--- a/crates/citron/tests/target_limit.rs
+++ b/crates/citron/tests/target_limit.rs
@@ -1,13 +1,8 @@
 //! The share of a target's limit that one gateway may use.
 
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use citron::{
-    catalog::{Catalog, Snapshot, Source, Target},
     placement::Host,
     target_limit::{Fleet, Limits},
 };
@@ -16,23 +11,6 @@
 /// A time after the handover of a gateway that started at time zero.
 const START: Duration = Duration::from_secs(10);
 
-fn catalog() -> Catalog {
-    let mut catalog = Catalog::default();
-    let target = Target {
-        id: Arc::from("t0"),
-        born_ms: 1,
-        service: Arc::from("desk"),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        domain: Arc::from("a"),
-        slots: 3,
-        leaving: false,
-        warmup_ms: 0,
-    };
-    let snapshot = Snapshot { revision: 1, targets: vec![target], lapsed: Vec::new() };
-    catalog.replace(snapshot, Source::Store, Duration::ZERO);
-    catalog
-}
-
 fn names(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("entry-{n}")).collect()
 }
@@ -52,7 +30,7 @@
 fn limits(fleet: &Fleet<'_>, per_s: f64, now: Duration) -> Limits {
     let mut limits = Limits::default();
     limits.set(&Arc::from("t0"), 1, Some(per_s), now);
-    limits.update(fleet, &catalog(), now);
+    limits.update(fleet, |_| Some("a"), now);
     limits
 }
 
@@ -121,10 +99,10 @@
     let own = others.expect("all but one have no share");
     let mut limits = limits(&fleet(&names, own), 0.7, START);
     let alone = Fleet { others: Vec::new(), ..fleet(&names, own) };
-    limits.update(&alone, &catalog(), START);
+    limits.update(&alone, |_| Some("a"), START);
     assert_eq!(sent(&mut limits, START, HANDOVER), 0);
     assert!(sent(&mut limits, START + HANDOVER, Duration::from_secs(20)) >= 13);
-    limits.update(&fleet(&names, own), &catalog(), START * 4);
+    limits.update(&fleet(&names, own), |_| Some("a"), START * 4);
     assert_eq!(sent(&mut limits, START * 4, Duration::from_secs(20)), 0, "it is back");
 }
 
@@ -142,7 +120,7 @@
     let fleet = fleet(&names, 0);
     let mut limits = limits(&fleet, 8.0, START);
     limits.set(&Arc::from("t0"), 1, Some(1.0), START);
-    limits.update(&fleet, &catalog(), START);
+    limits.update(&fleet, |_| Some("a"), START);
     assert_eq!(sent(&mut limits, START, Duration::from_secs(4)), 3);
     limits.set(&Arc::from("t0"), 1, None, START * 2);
     assert_eq!(limits.available_at("t0", 1, START * 2), Duration::ZERO);
@@ -155,3 +133,13 @@
     assert!(limits.available_at("t0", 1, START) > START);
     assert_eq!(limits.available_at("t0", 2, START), Duration::ZERO);
 }
+
+#[test]
+fn a_limit_that_is_not_named_again_lapses() {
+    let names = names(18);
+    let mut limits = limits(&fleet(&names, 0), 0.6, START);
+    limits.expire(18, START + Duration::from_secs(119));
+    assert!(!limits.is_empty(), "18 gateways ask once in two minutes each, 0.15 a second in all");
+    limits.expire(18, START + Duration::from_secs(120));
+    assert!(limits.is_empty());
+}
