Read each entry of a list apart, so that an odd one hides no other

What other operators report: an entry that is deeply nested, or with a number too large, ended the processes that read the list, or they stopped following it. Here no process ended, but both clients failed to read the whole list or watch ('recursion limit exceeded'), so that a gateway that started was never ready, and one that ran took no change any more. A port out of range hid only its own entry before, too.

Cause: a list was decoded as one JSON value.

--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -106,6 +106,42 @@
     assert_eq!(fleet.send(&lookup("id-2")).await.status, 200);
 }
 
+/// Returns arrays nested in each other, deeper than JSON libraries read.
+fn nested() -> serde_json::Value {
+    (0..300).fold(serde_json::json!(1), |inner, _| serde_json::json!([inner]))
+}
+
+macro_rules! odd_entry_hides_no_change {
+    ($($name:ident: $entry:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let fleet = TestFleet::start(2).await;
+            fleet.store.put("servers", "odd", $entry);
+            let draining = &fleet.targets[0];
+            fleet.store.put("servers", &draining.id, draining.entry("draining"));
+            let late = gateway("entry-2", &fleet.store).await;
+            eventually("a gateway that lists it is ready", async || ready(&late).await == 200).await;
+            time::sleep(Duration::from_millis(1000)).await;
+            for n in 0..10 {
+                let id = format!("id-{n}");
+                assert_eq!(fleet.send(&lookup(&id)).await.status, 200);
+                assert_eq!(draining.runs(&id), 0);
+            }
+        }
+    )*};
+}
+
+odd_entry_hides_no_change! {
+    a_deeply_nested_entry_hides_no_change: serde_json::json!({"address": nested()});
+    a_deeply_nested_spec_hides_no_change: nested();
+    an_entry_with_a_port_out_of_range_hides_no_change:
+        serde_json::json!({"address": "127.0.0.1:99999", "born": 1,
+            "info": {"service": "desk", "zone": "a", "slots": 3}, "status": {"state": "ready"}});
+    an_entry_with_a_number_too_large_hides_no_change:
+        serde_json::json!({"address": "127.0.0.1:80", "born": 1,
+            "info": {"service": "desk", "zone": "a", "slots": 1e300}, "status": {"state": "ready"}});
+}
+
 #[tokio::test]
 async fn a_store_without_history_is_listed_again() {
     let fleet = TestFleet::start(2).await;
--- a/crates/citron-platform/src/client.rs
+++ b/crates/citron-platform/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::{error::Error as _, time::Duration};
 
+use bytes::Bytes;
 use reqwest::{
     Method, RequestBuilder, Response, StatusCode, Url,
     header::{ETAG, IF_MATCH, IF_NONE_MATCH},
@@ -136,7 +137,9 @@
     /// `Unreachable`, `Refused` or `Malformed`.
     pub async fn hosts(&self) -> Result<Hosts, Error> {
         let request = self.request(Method::GET, &["hosts"])?;
-        self.read_json(request, self.timeout).await
+        let body = self.read_body(request, self.timeout).await?;
+        Hosts::decode(&String::from_utf8_lossy(&body))
+            .map_err(|error| Error::Malformed { reason: error.to_string() })
     }
 
     fn request(&self, method: Method, segments: &[&str]) -> Result<RequestBuilder, Error> {
@@ -167,12 +170,16 @@
         request: RequestBuilder,
         timeout: Duration,
     ) -> Result<T, Error> {
-        let response = check_read_status(self.read(request, timeout).await?).await?;
-        let body = response.bytes().await.map_err(|error| unreachable(&error))?;
+        let body = self.read_body(request, timeout).await?;
         serde_json::from_slice(&body)
             .map_err(|error| Error::Malformed { reason: error.to_string() })
     }
 
+    async fn read_body(&self, request: RequestBuilder, timeout: Duration) -> Result<Bytes, Error> {
+        let response = check_read_status(self.read(request, timeout).await?).await?;
+        response.bytes().await.map_err(|error| unreachable(&error))
+    }
+
     async fn write(&self, request: RequestBuilder, bytes: usize) -> Result<Response, Error> {
         let response = request.timeout(self.timeout).send().await.map_err(|error| {
             // Only a failed connect proves that nothing was sent.
--- a/crates/citron-platform/src/host.rs
+++ b/crates/citron-platform/src/host.rs
@@ -1,6 +1,7 @@
 //! The platform's list of hosts, which may be stale.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use strum::{Display, EnumString};
 
 /// The list of live and leaving hosts.
@@ -13,6 +14,33 @@
     pub hosts: Vec<Host>,
 }
 
+/// The list with each entry as it was received.
+#[derive(Deserialize)]
+struct RawHosts<'a> {
+    #[serde(default)]
+    version: u64,
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
+}
+
+impl Hosts {
+    /// Decodes a list; an entry that cannot be decoded is logged and skipped.
+    ///
+    /// # Errors
+    /// Fails if the text is not a list.
+    pub fn decode(text: &str) -> serde_json::Result<Self> {
+        let raw: RawHosts<'_> = serde_json::from_str(text)?;
+        let decode = |entry: &&RawValue| match serde_json::from_str(entry.get()) {
+            Ok(host) => Some(host),
+            Err(error) => {
+                log::warn!("ignored an entry of the host list that cannot be decoded: {error}");
+                None
+            }
+        };
+        Ok(Self { version: raw.version, hosts: raw.hosts.iter().filter_map(decode).collect() })
+    }
+}
+
 /// One host of the list.
 #[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/citron-stand/src/lib.rs
+++ b/crates/citron-stand/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform, targets and callers, and the benches.
 
 pub mod bench;
+pub mod canned;
 pub mod command;
 pub mod endless;
 pub mod gateway;
