Take a refusal only for the request whose id it bears

What other operators report: an upstream wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run (REFUSED), or such a request ran at a second upstream (TWICE). Here it was the same at the gateway: an order got 503 and ran at two targets.

Cause: the gateway looked at Not-Executed and at 421 before the id. Now a refusal without the request's own id leaves the outcome open, like any other response that is not its own, and states nothing about the target.

--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -179,18 +179,25 @@
         let (head, mut body) = response.into_parts();
         let attempt = |result, verdict| Attempt::new(result, Some(verdict));
         let echoed = text(&head.headers, ATTEMPT_ID);
-        let is_foreign = echoed.is_some_and(|echoed| echoed != self.id);
-        if !is_foreign && head.status != StatusCode::MISDIRECTED_REQUEST {
+        let is_own = echoed == Some(self.id);
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let is_refusal = head.headers.contains_key(NOT_RUN) || is_misdirected;
+        let is_signed = head.headers.contains_key(SIGNATURE);
+        // An earlier response may have been sent once more; only the id tells which request it is
+        // for.
+        let needs_id = is_refusal || head.status.is_success();
+        if !is_own && (echoed.is_some() || needs_id) {
+            return attempt(AttemptResult::Foreign, Verdict::Failed);
+        }
+        if is_misdirected {
+            self.shared.targets.lock().view.mark_misdirected(target, self.shared.clock.now());
+        } else {
             self.shared.record_notice(target, notice::decode(head.status, &head.headers));
         }
-        if head.headers.contains_key(NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST {
-            if head.status == StatusCode::MISDIRECTED_REQUEST {
-                self.shared.targets.lock().view.mark_misdirected(target, self.shared.clock.now());
-            }
+        if is_refusal {
             return attempt(AttemptResult::Shed, Verdict::Shed);
         }
-        let is_signed = head.headers.contains_key(SIGNATURE);
-        if is_foreign || (head.status.is_success() && !(is_signed && echoed.is_some())) {
+        if head.status.is_success() && !is_signed {
             return attempt(AttemptResult::Foreign, Verdict::Failed);
         }
         let head_only = self.head.method == Method::HEAD;
--- a/crates/citron-gateway/tests/attempt.rs
+++ b/crates/citron-gateway/tests/attempt.rs
@@ -58,6 +58,52 @@
 attempt_test!(an_invalid_response_is_dropped, Act::Garbage, order, 502, runs 1..=1);
 attempt_test!(a_second_response_is_dropped, Act::ServeTwice, lookup, 200, runs 1..=1);
 
+macro_rules! refusal_of_another_request {
+    ($($name:ident: $status:literal, $id_header:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let act = Act::RefuseAnother { status: $status, id_header: $id_header };
+            let fleet = TestFleet::start(2).await;
+            // The connections are kept and reused.
+            for n in 0..4 {
+                assert_eq!(fleet.send(&lookup(&format!("before-{n}"))).await.status, 200);
+            }
+            fleet.targets.iter().for_each(|target| target.set(act));
+            let response = fleet.send(&order("id-1")).await;
+            let runs: usize = fleet.targets.iter().map(|target| target.runs("id-1")).sum();
+            assert_eq!((response.status, runs), (502, 1), "{response:?}");
+        }
+    )*};
+}
+
+refusal_of_another_request! {
+    a_refusal_of_another_request_is_no_refusal: "503 Service Unavailable", "Attempt-Id: another\r\n";
+    a_refusal_of_another_request_for_its_rate_is_no_refusal:
+        "429 Too Many Requests", "Attempt-Id: another\r\n";
+    a_misdirection_of_another_request_is_none: "421 Misdirected Request", "Attempt-Id: another\r\n";
+    a_refusal_without_an_id_is_no_refusal: "503 Service Unavailable", "";
+    a_misdirection_without_an_id_is_none: "421 Misdirected Request", "";
+}
+
+macro_rules! head_that_breaks_off {
+    ($($name:ident: $text:literal;)*) => {$(
+        attempt_test!($name, Act::BreakOff($text), order, 502, runs 1..=1);
+    )*};
+}
+
+head_that_breaks_off! {
+    a_status_line_that_breaks_off_is_no_response: "HTTP/1.1 200 O";
+    a_head_that_breaks_off_after_its_status_is_no_response: "HTTP/1.1 200 OK\r\n";
+    a_head_that_breaks_off_in_a_name_is_no_response:
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: sig\r\nConte";
+    a_head_that_breaks_off_in_its_length_is_no_response:
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: sig\r\nContent-Length: 1";
+    a_head_that_breaks_off_after_a_line_is_no_response:
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: sig\r\n";
+    a_head_that_breaks_off_in_its_last_line_is_no_response:
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: sig\r\n\r";
+}
+
 #[tokio::test]
 async fn a_lookup_is_served_by_the_second_target() {
     for act in [Act::Fail, Act::Reset, Act::Shed, Act::CutBody, Act::Hang, Act::WrongId] {
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -40,6 +40,15 @@
     ShedWith(&'static str),
     /// Says that it is another target.
     Misdirect,
+    /// Runs the request, and refuses with this status and the id of an earlier one, or without an id.
+    RefuseAnother {
+        /// The status line without the protocol.
+        status: &'static str,
+        /// The header with the id, with its line break.
+        id_header: &'static str,
+    },
+    /// Runs the request, sends these bytes with its id in place of `{id}`, and closes the connection.
+    BreakOff(&'static str),
     /// Runs the request and answers nothing.
     Hang,
     /// Runs the request and resets the connection.
@@ -292,6 +301,13 @@
             let rest = format!("Content-Length: {LONG_BYTES}\r\n");
             head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES)
         }
+        Act::RefuseAnother { status, id_header } => {
+            format!("HTTP/1.1 {status}\r\n{id_header}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        }
+        Act::BreakOff(text) => {
+            let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+            return false;
+        }
         Act::Fail => head("500 Internal Server Error", &id, &signature, &length) + &body,
         Act::WrongId => head("200 OK", "another", &signature, &length) + &body,
         Act::Unsigned => head("200 OK", &id, "", &length) + &body,
