--- a/crates/citron-proxy/tests/attempt.rs
+++ b/crates/citron-proxy/tests/attempt.rs
@@ -135,6 +135,44 @@
     1
 );
 fault!(lookup_without_id, "GET", "/lots/1", "", [write(NO_ID)], FINE, 2);
+fault!(
+    order_shed_without_an_id,
+    "POST",
+    "/lots/1",
+    "",
+    [write("HTTP/1.1 503 Busy\r\ncitron-target-outcome: not-run\r\ncontent-length: 0\r\n\r\n")],
+    (502, "unknown", "foreign-answer"),
+    1
+);
+
+/// Sends an order to a target that closes the connection in the middle of its response's head.
+macro_rules! head_that_breaks_off {
+    ($($name:ident: $text:literal;)*) => {$(
+        fault!(
+            $name,
+            "POST",
+            "/lots/1",
+            "",
+            [vec![Action::Write($text.to_owned()), Action::Close]],
+            (502, "unknown", "target-broken"),
+            1
+        );
+    )*};
+}
+
+head_that_breaks_off! {
+    a_status_line_that_breaks_off_is_no_response: "HTTP/1.1 200 O";
+    a_head_that_breaks_off_after_its_status_is_no_response: "HTTP/1.1 200 OK\r\n";
+    a_head_that_breaks_off_in_a_name_is_no_response:
+        "HTTP/1.1 200 OK\r\ncitron-request-id: {id}\r\nconte";
+    a_head_that_breaks_off_in_its_length_is_no_response:
+        "HTTP/1.1 200 OK\r\ncitron-request-id: {id}\r\ncontent-length: 1";
+    a_head_that_breaks_off_after_a_line_is_no_response:
+        "HTTP/1.1 200 OK\r\ncitron-request-id: {id}\r\n";
+    a_head_that_breaks_off_in_its_last_line_is_no_response:
+        "HTTP/1.1 200 OK\r\ncitron-request-id: {id}\r\n\r";
+}
+
 fault!(
     order_shed_by_a_foreign_response,
     "POST",
