Ask for the routes again if the store was already further when the watch began

Found by reading: the poller's watch of the routes looked only at revisions that were named after it had begun. A change that the targets' poll had shown just before, and whose watch then hung, would have waited for the next change.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -177,6 +177,8 @@
         calls.push(self.call(wait));
         let mut next_call_at = time::Instant::now() + wait + POLL_INTERVAL;
         let mut revisions = shared.store_revision.subscribe();
+        // The store may have been further already when this call began.
+        revisions.mark_changed();
         let is_watch = wait > POLL_TIMEOUT;
         loop {
             tokio::select! {
