Let the soak silence the store just after a change

A plan now changes the routes and an entry, waits until the watches have returned, and silences the store.

--- a/crates/citron-agent/tests/process.rs
+++ b/crates/citron-agent/tests/process.rs
@@ -48,7 +48,21 @@
 
     async fn get(&self, path: &str) -> Value {
         let url = format!("http://{}{path}", self.address("listen"));
-        reqwest::get(url).await.unwrap().json().await.unwrap()
+        match reqwest::get(&url).await {
+            Ok(response) => response.json().await.unwrap(),
+            Err(error) => {
+                panic!("{url} of {}: {error:?}; it is {}", self.ready["host"], self.state())
+            }
+        }
+    }
+
+    /// Returns the state of the process as the kernel has it, such as `Z (zombie)`.
+    fn state(&self) -> String {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let state = |status: String| {
+            status.lines().find_map(|line| line.strip_prefix("State:")).map(str::to_owned)
+        };
+        status.ok().and_then(state).unwrap_or_else(|| "gone".to_owned())
     }
 
     /// Returns the state of another host in its member list, or an empty string.
--- a/crates/citron-stand/src/soak.rs
+++ b/crates/citron-stand/src/soak.rs
@@ -24,6 +24,8 @@
     time::{self, Instant},
 };
 
+use crate::gateway::store::Mood;
+
 use self::{
     plan::{Action, Kind, Step},
     promise::Bounds,
@@ -43,6 +45,8 @@
 /// The least share of requests that must be answered well after the recovery.
 const RECOVERED_SHARE: f64 = 0.95;
 
+/// By when the watches that wait have returned a change; the gateways' next ones begin later.
+const WATCH_ANSWERED: Duration = Duration::from_millis(100);
 /// The time between two looks at whether the harness stands still.
 const TICK: Duration = Duration::from_millis(50);
 /// A look so much later than planned tells that it did.
@@ -208,6 +212,13 @@
             world.upset_store(mood, time).await;
             Ok(())
         }
+        Action::SilenceAfterChange(time) => {
+            world.change();
+            world.refresh_entry();
+            time::sleep(WATCH_ANSWERED).await;
+            world.upset_store(Mood::Silent, time).await;
+            Ok(())
+        }
         Action::ForgetHistory => {
             world.forget_history();
             Ok(())
--- a/crates/citron-stand/src/soak/plan.rs
+++ b/crates/citron-stand/src/soak/plan.rs
@@ -32,6 +32,8 @@
     Reload(usize),
     /// The store treats all calls otherwise for a while.
     Store(Mood, Duration),
+    /// The operator moves a route and the store is silent just after it, as the watches begin anew.
+    SilenceAfterChange(Duration),
     /// The store discards its history.
     ForgetHistory,
     /// One gateway's link to the store fails for a while.
@@ -106,7 +108,8 @@
         65..74 => Action::TargetLink(target, fault(rng), time),
         74..84 => Action::Replace(target),
         84..90 => Action::Vanish(target),
-        _ => Action::Change,
+        90..96 => Action::Change,
+        _ => Action::SilenceAfterChange(time),
     }
 }
 
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -179,6 +179,11 @@
         self.store.put("config", "main", config);
     }
 
+    /// Writes the entry of a target again as it is, which is a change to those that watch.
+    pub fn refresh_entry(&self) {
+        self.register(&self.place(0), "ready");
+    }
+
     /// Sets how the store treats all calls, for a while.
     pub async fn upset_store(&self, mood: Mood, time: Duration) {
         self.store.set(mood);
