Lose no statement that a target leaves beside one on its limit

Found on the last reading: a target that leaves within half a second of naming a limit, or whose leaving arrives after a newer statement from another gateway, stayed in use until the store's entry arrived. Two statements of an incarnation are merged now: leaving is never lost, the limit is that of the newer one. Three new cases failed before. Besides: an origin of its own instead of the list's source, and no return value that nobody reads.

--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -14,7 +14,10 @@
 };
 
 use citron::{
-    catalog::Source, gateways::Report, gray::Verdict, outage::Contact, statement::Statement,
+    gateways::Report,
+    gray::Verdict,
+    outage::Contact,
+    statement::{Origin, Statement},
 };
 use prost::Message;
 use rand::seq::IteratorRandom;
@@ -70,7 +73,7 @@
     }
     apply_outcomes(shared, &datagram.outcomes, now);
     for statement in &datagram.statements {
-        shared.apply_statement(decode_statement(statement, now), Source::Peer);
+        shared.apply_statement(&decode_statement(statement, now), Origin::Peer);
     }
     if let Some(load) = &datagram.load {
         let host = Arc::from(datagram.host.as_str());
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -18,7 +18,7 @@
     placement::Host,
     poller::Member,
     route::{Route, Split, Table},
-    statement::{Notice, Statement},
+    statement::{Notice, Origin, Statement},
 };
 use citron_adapter::settings::Settings;
 use citron_daemon::Clock;
@@ -316,15 +316,14 @@
             limit_per_s: notice.limit_per_s,
             at: now,
         };
-        if self.apply_statement(statement, Source::Target) {
+        if self.apply_statement(&statement, Origin::Target) {
             self.statements_added.notify_one();
         }
     }
 
     /// Applies what a target stated about itself to this gateway or to a peer; returns true if it
     /// says something new.
-    pub fn apply_statement(&self, statement: Statement, source: Source) -> bool {
-        let id = Arc::clone(&statement.target);
+    pub fn apply_statement(&self, statement: &Statement, origin: Origin) -> bool {
         if !self.targets.lock().statements.apply(statement) {
             return false;
         }
@@ -334,11 +333,11 @@
         // Lock order: `gateways` before `targets`.
         let gateways = self.gateways.lock();
         let fleet = gateways.limit_fleet(own_host(&settings), is_ready, now);
-        let applied = self.targets.lock().apply_statement(&id, &fleet, now);
+        let applied = self.targets.lock().apply_statement(&statement.target, &fleet, now);
         if let Some(Statement { target, leaving, limit_per_s, .. }) = applied {
             let limit = limit_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
             log::info!(
-                "event=target-stated target={target} leaving={leaving} limit_per_s={limit} source={source}"
+                "event=target-stated target={target} leaving={leaving} limit_per_s={limit} source={origin}"
             );
         }
         true
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -69,8 +69,6 @@
     Store,
     /// Another gateway, which tells an entry that is gone from one that it keeps.
     Peer,
-    /// The target's own response.
-    Target,
 }
 
 /// What a peer needs to catch up with this list.
@@ -184,14 +182,14 @@
         self.targets.get(id)
     }
 
-    /// Marks an incarnation as leaving, also one that is not listed yet; returns true if a listed
-    /// target was not known to be leaving.
-    pub fn mark_leaving(&mut self, id: &Arc<str>, born_ms: u64) -> bool {
+    /// Marks an incarnation as leaving, also one that is not listed yet.
+    pub fn mark_leaving(&mut self, id: &Arc<str>, born_ms: u64) {
         if self.leaving_incarnations.get(id).is_none_or(|known| *known < born_ms) {
             self.remember_leaving(id, born_ms);
         }
-        let listed = self.targets.get_mut(id).filter(|target| target.born_ms == born_ms);
-        listed.is_some_and(|target| !std::mem::replace(&mut target.leaving, true))
+        if let Some(target) = self.targets.get_mut(id).filter(|target| target.born_ms == born_ms) {
+            target.leaving = true;
+        }
     }
 
     /// Returns the targets of a service that may receive requests.
@@ -277,7 +275,7 @@
     fn remove(&mut self, id: &Arc<str>, source: Source, now: Duration) {
         match source {
             Source::Store => self.lapse(id, self.keep_until, now),
-            Source::Peer | Source::Target => {
+            Source::Peer => {
                 self.lapsed.remove(id);
                 self.targets.remove(id);
             }
--- a/crates/citron/src/choice/balancer.rs
+++ b/crates/citron/src/choice/balancer.rs
@@ -3,7 +3,6 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use rand_chacha::ChaCha8Rng;
-
 use smallvec::SmallVec;
 
 use super::{Pick, PickArgs, Proxy, Target, TargetReport, pool::Pool};
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -166,11 +166,10 @@
         {
             return Err(saturated);
         }
+        self.limits.record_request(&targets[index].id, now);
         let state = self.state(targets[index], now);
         state.in_flight += 1;
         state.last_attempt_at = now;
-        self.limits.record_request(&targets[index].id, now);
-        let state = self.state(targets[index], now);
         Ok(Choice {
             target: targets[index].clone(),
             failure_probability: candidates[index].failure_probability,
--- a/crates/citron/src/statement.rs
+++ b/crates/citron/src/statement.rs
@@ -13,6 +13,16 @@
 /// limit, so that a response which was overtaken on its way does not.
 const LIFT_DELAY: Duration = Duration::from_millis(500);
 
+/// Where a statement comes from.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Origin {
+    /// The target's own response.
+    Target,
+    /// Another gateway.
+    Peer,
+}
+
 /// What a target states beside one response.
 #[derive(Debug, Copy, Clone, Default, PartialEq)]
 pub struct Notice {
@@ -47,31 +57,35 @@
     queue: VecDeque<Arc<str>>,
 }
 
+impl Statement {
+    /// Returns what this statement and another of the same incarnation say together: the newer one,
+    /// except that a target which leaves does not come back.
+    fn merge(&self, other: &Self) -> Self {
+        let leaving = self.leaving || other.leaving;
+        let lifts = self.limit_per_s.is_some() && other.limit_per_s.is_none();
+        let is_newer = other.at > self.at && !(lifts && other.at < self.at + LIFT_DELAY);
+        let newest = if is_newer { other } else { self };
+        Self { leaving, ..newest.clone() }
+    }
+}
+
 impl Statements {
     /// Applies a statement; returns true if it says something new.
-    ///
-    /// A target that leaves does not come back in the same incarnation.
-    pub fn apply(&mut self, mut statement: Statement) -> bool {
+    pub fn apply(&mut self, statement: &Statement) -> bool {
         let known = self.by_target.get(&statement.target);
         let known = known.filter(|known| known.born_ms >= statement.born_ms);
-        if let Some(known) = known {
-            if known.born_ms > statement.born_ms || known.at >= statement.at {
-                return false;
-            }
-            let lifts = known.limit_per_s.is_some() && statement.limit_per_s.is_none();
-            if lifts && statement.at < known.at + LIFT_DELAY {
-                return false;
-            }
-            statement.leaving |= known.leaving;
+        if known.is_some_and(|known| known.born_ms > statement.born_ms) {
+            return false;
         }
         let before = known.map_or((false, None), |known| (known.leaving, known.limit_per_s));
-        let is_new = (statement.leaving, statement.limit_per_s) != before;
+        let merged = known.map_or_else(|| statement.clone(), |known| known.merge(statement));
+        let is_new = (merged.leaving, merged.limit_per_s) != before;
         if is_new {
-            self.queue.retain(|target| *target != statement.target);
-            self.queue.push_front(Arc::clone(&statement.target));
+            self.queue.retain(|target| *target != merged.target);
+            self.queue.push_front(Arc::clone(&merged.target));
         }
         if is_new || known.is_some() {
-            self.by_target.insert(Arc::clone(&statement.target), statement);
+            self.by_target.insert(Arc::clone(&merged.target), merged);
         }
         is_new
     }
--- a/crates/citron/tests/statement.rs
+++ b/crates/citron/tests/statement.rs
@@ -19,7 +19,7 @@
         #[test]
         fn $name() {
             let mut statements = Statements::default();
-            $(assert_eq!(statements.apply($statement), $is_new);)*
+            $(assert_eq!(statements.apply(&$statement), $is_new);)*
         }
     )*};
 }
@@ -34,6 +34,10 @@
     a_new_incarnation_does_not_leave:
         stated("t", 1, true, 10) => true, stated("t", 2, false, 20) => false,
         stated("t", 2, true, 30) => true;
+    a_target_that_leaves_is_news_also_late:
+        limited(2.0, 20) => true, stated("t", 1, true, 10) => true;
+    a_target_that_leaves_is_news_also_beside_a_limit:
+        limited(2.0, 10) => true, stated("t", 1, true, 20) => true;
     a_limit_is_news_when_it_changes:
         limited(2.0, 10) => true, limited(2.0, 20) => false, limited(3.5, 30) => true;
     a_limit_that_is_older_is_no_news: limited(2.0, 20) => true, limited(3.5, 10) => false;
@@ -48,7 +52,7 @@
 fn new_statements_are_sent_first_and_all_are_repeated_in_turn() {
     let mut statements = Statements::default();
     for n in (0..5).rev() {
-        statements.apply(stated(&format!("t{n}"), 1, true, 10));
+        statements.apply(&stated(&format!("t{n}"), 1, true, 10));
     }
     let mut seen: Vec<String> = Vec::new();
     for _ in 0..3 {
@@ -58,15 +62,24 @@
     }
     assert_eq!(seen, ["t0", "t1", "t2", "t3", "t4", "t0"]);
     assert_eq!(statements.next(9).len(), 5);
-    statements.apply(stated("t5", 1, true, 20));
+    statements.apply(&stated("t5", 1, true, 20));
     assert_eq!(&*statements.next(1)[0].target, "t5");
 }
 
+#[test]
+fn a_target_that_leaves_keeps_the_limit_that_it_just_named() {
+    let mut statements = Statements::default();
+    statements.apply(&limited(2.0, 10));
+    statements.apply(&stated("t", 1, true, 20));
+    let newest = statements.get("t").expect("a statement");
+    assert_eq!((newest.leaving, newest.limit_per_s), (true, Some(2.0)));
+}
+
 #[test]
 fn statements_of_targets_that_are_gone_are_forgotten() {
     let mut statements = Statements::default();
-    statements.apply(stated("t0", 1, true, 10));
-    statements.apply(stated("t1", 1, true, 10));
+    statements.apply(&stated("t0", 1, true, 10));
+    statements.apply(&stated("t1", 1, true, 10));
     statements.retain(|statement| &*statement.target == "t1");
     let left = statements.next(9);
     assert_eq!(left.len(), 1);
