--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -114,6 +114,8 @@
     backoff: Backoff,
     /// Whether the last call was abandoned, so that the next one must not wait.
     has_abandoned: bool,
+    /// Whether it asked at short intervals before its last call.
+    is_polling: bool,
 }
 
 /// Why a call that waits for changes is abandoned.
@@ -129,12 +131,22 @@
 impl Follower {
     fn open(shared: Arc<Shared>, store: Store, subject: Subject) -> Self {
         let backoff = Backoff::default();
-        Self { shared, store, subject, cursor: None, backoff, has_abandoned: false }
+        Self {
+            shared,
+            store,
+            subject,
+            cursor: None,
+            backoff,
+            has_abandoned: false,
+            is_polling: false,
+        }
     }
 
     async fn run(mut self) {
         loop {
+            self.log_polling();
             let wait = self.wait();
+            let begun_at = self.shared.clock.now();
             let response = self.response(wait).await;
             self.has_abandoned = response.is_err();
             match response {
@@ -142,13 +154,26 @@
                 Ok(None) => self.backoff.wait(&self.shared, self.subject.kind()).await,
                 Err(reason) => {
                     let kind = self.subject.kind();
-                    log::info!("event=watch-renewed call={kind} reason={reason}");
+                    let waited = self.shared.clock.now().saturating_sub(begun_at);
+                    log::info!(
+                        "event=watch-renewed call={kind} reason={reason} waited_ms={}",
+                        waited.as_millis()
+                    );
                     self.shared.link.record_abandoned();
                 }
             }
         }
     }
 
+    /// Logs when this follower begins or ceases to ask at short intervals.
+    fn log_polling(&mut self) {
+        let polls = self.polls();
+        if std::mem::replace(&mut self.is_polling, polls) != polls {
+            let event = if polls { "polling-begun" } else { "polling-ended" };
+            log::info!("event={event} call={}", self.subject.kind());
+        }
+    }
+
     /// Returns how long the next call may wait for changes.
     ///
     /// After a failure or a silence, a recovery must be noticed at once, not with the next change.
