--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use citron_stand::relay::{self, Cut};
+use citron::poller::{self, Member};
+use citron_gateway::Gateway;
+use citron_stand::relay::{self, Cut, Relay};
 use support::{
     Request, TestFleet, config, eventually, gateway, gateway_at, lookup, order, ready, resolve,
     store::{Mood, Store},
@@ -338,6 +340,66 @@
     a_watch_begun_in_a_silence_hides_no_later_change: 2500 ms, 2500 ms later;
 }
 
+/// The hosts of a fleet with more gateways than poll the store.
+const HOSTS: [&str; 5] = ["entry-1", "entry-2", "entry-3", "entry-4", "entry-5"];
+
+/// A gateway with its own path to the store.
+struct Linked {
+    host: &'static str,
+    gateway: Gateway,
+    link: Relay,
+}
+
+impl Linked {
+    async fn start(host: &'static str, store: &Store) -> Self {
+        let link = relay::bind("127.0.0.1:0".parse().expect("an address"), store.addr());
+        let link = link.await.expect("a relay");
+        let gateway = gateway_at(host, link.addr()).await;
+        eventually("the gateway is ready", async || ready(&gateway).await == 200).await;
+        Self { host, gateway, link }
+    }
+
+    /// Returns true if it polls in a fleet of all `HOSTS`.
+    fn is_poller(&self) -> bool {
+        let member = |host| Member { host, in_contact: true };
+        let others = HOSTS.into_iter().filter(|host| *host != self.host).map(member);
+        poller::is_poller(member(self.host), others)
+    }
+
+    fn cut_off(&self) {
+        self.link.cut(Cut { to_server: true, to_client: true, existing_only: false });
+    }
+}
+
+/// Two gateways ask the store for all others, whose watches hang since a silence of the store. Both
+/// lose their path to it just before the change.
+#[tokio::test]
+async fn a_change_reaches_all_gateways_although_the_pollers_are_cut_off_after_a_silence() {
+    let fleet = TestFleet::start(2).await;
+    let mut linked = Vec::new();
+    for host in &HOSTS[1..] {
+        linked.push(Linked::start(host, &fleet.store).await);
+    }
+    time::sleep(Duration::from_millis(1500)).await;
+    silence_the_store_as_watches_begin(&fleet, Duration::from_millis(2500)).await;
+    time::sleep(Duration::from_millis(3000)).await;
+    let pollers: Vec<_> = linked.iter().filter(|linked| linked.is_poller()).collect();
+    assert_eq!(pollers.len(), poller::POLLERS, "choose other hosts, of which the first is none");
+    pollers.iter().for_each(|linked| linked.cut_off());
+    time::sleep(Duration::from_millis(50)).await;
+    let mut spec = config("r9", 1.0);
+    spec["hosts"][0]["paths"][0]["pathPrefix"] = "/moved/".into();
+    fleet.store.put("config", "main", spec);
+    time::sleep(Duration::from_millis(1000)).await;
+    let gateways = [("entry-1", &fleet.gateway)].into_iter();
+    for (host, gateway) in gateways.chain(linked.iter().map(|l| (l.host, &l.gateway))) {
+        let request = Request { path: "/moved/1", ..lookup("id-1") };
+        let mut caller = support::caller::Caller::connect(gateway.callers()).await;
+        caller.send(&request.text()).await;
+        assert_eq!(caller.answer().await.status, 200, "{host}");
+    }
+}
+
 #[tokio::test]
 async fn orders_avoid_a_target_that_failed_for_another_gateway() {
     let fleet = TestFleet::start(3).await;
