--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -1,66 +1,46 @@
 //! Follows the store: the operator's routes and the targets' entries; registers this gateway there.
 //!
-//! A watch that was begun while the store was silent may never return. A few gateways poll the
-//! targets instead, and begin a further call while one is unanswered. The store counts all changes
-//! with one revision, which tells them whether the routes may have changed too. The other gateways
-//! pull from them what their own watch does not deliver.
+//! A watch that was begun while the store was silent may never return. A few gateways therefore poll
+//! the targets, begin a further call while one is unanswered, and tell the others what the store
+//! confirmed. The store counts all changes with one revision, which tells whether the routes may have
+//! changed too. A gateway whose state was not confirmed for long checks it itself, beside its
+//! watches, and one that learns that the store has returned begins them anew.
 
-use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+mod backoff;
+mod call;
+mod registry;
 
-use citron::catalog::{Snapshot, Source};
-use citron_adapter::{
-    gateways, routes,
-    store::{Error, Store, WatchResult},
-    targets,
-};
+pub use self::registry::run as registry;
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use citron::freshness::CheckTimer;
+use citron_adapter::store::{Error, Store};
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
-use tokio::{sync::Notify, time};
+use tokio::time;
 
+use self::{
+    backoff::Backoff,
+    call::{Call, Response, Subject},
+};
 use crate::shared::Shared;
 
 /// How long a watch call waits for changes.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 /// How long a watch call of a gateway that polls waits for changes.
-const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+const POLL_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a poll may stay unanswered before a further one is made beside it.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
-/// The maximum number of unanswered polls of one follower.
-const POLLS_LIMIT: usize = 4;
-/// The interval at which a follower that waits long checks whether its gateway has to poll.
-const POLLER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same for a call at a gateway that does not poll.
+const CALL_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum number of unanswered calls of one follower.
+const CALLS_LIMIT: usize = 4;
+/// The interval at which a follower whose watch waits long checks whether its gateway has to poll
+/// and whether the watch may hang.
+const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The minimum interval between two watch calls of one follower, so that changes arrive in batches.
 const WATCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
-/// The minimum delay after the first failed call; the delay doubles with each further failure.
-const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
-/// The maximum delay after a failed call.
-const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
-/// The same at a gateway that polls.
-const POLL_RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
-
-/// The kind of object that a follower watches.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-enum Subject {
-    Routes,
-    Targets,
-}
-
-impl Subject {
-    fn kind(self) -> &'static str {
-        match self {
-            Self::Routes => routes::KIND,
-            Self::Targets => targets::KIND,
-        }
-    }
-
-    /// Returns what wakes the follower when a peer is ahead of its watch.
-    fn overdue(self, shared: &Shared) -> &Notify {
-        match self {
-            Self::Routes => &shared.routes_overdue,
-            Self::Targets => &shared.targets_overdue,
-        }
-    }
-}
 
 /// Follows the routes until the process ends.
 pub async fn routes(shared: Arc<Shared>, store: Store) {
@@ -72,38 +52,6 @@
     Follower::open(shared, store, Subject::Targets).run().await;
 }
 
-/// Registers this gateway's datagram address in the store, then reads those of the other gateways.
-pub async fn gateways(shared: Arc<Shared>, store: Store, own: SocketAddr) {
-    let mut backoff = Backoff::default();
-    let host = shared.settings().host.clone();
-    while let Err(error) = store.put(gateways::KIND, &host, &gateways::encode(own)).await {
-        backoff.record_failure("register", &error);
-        backoff.wait(&shared, "register").await;
-    }
-    loop {
-        match store.list(gateways::KIND).await {
-            Ok(list) => {
-                let now = shared.clock.now();
-                let mut known = shared.gateways.lock();
-                for (other, address) in gateways::decode_list(&list.objects) {
-                    if other != host && known.learn(&other, address, now) {
-                        log::info!(
-                            "event=gateway-learned host={other} address={address} source=store"
-                        );
-                    }
-                }
-                drop(known);
-                shared.state_changed.notify_one();
-                return;
-            }
-            Err(error) => {
-                backoff.record_failure("list-gateways", &error);
-                backoff.wait(&shared, "list-gateways").await;
-            }
-        }
-    }
-}
-
 /// Follows one kind of objects: lists them, then watches for changes.
 struct Follower {
     shared: Arc<Shared>,
@@ -112,10 +60,13 @@
     /// The revision from which the next watch continues, `None` if the next call is a list.
     cursor: Option<u64>,
     backoff: Backoff,
+    checks: CheckTimer,
     /// Whether the last call was abandoned, so that the next one must not wait.
     has_abandoned: bool,
     /// Whether it asked at short intervals before its last call.
     is_polling: bool,
+    /// Its turn, from 0 to 1, when all gateways call the store for the same reason.
+    turn: f64,
 }
 
 /// Why a call that waits for changes is abandoned.
@@ -126,34 +77,43 @@
     PeerAhead,
     /// This gateway has to poll from now on.
     Polling,
+    /// The store has returned from a silence since the watch began.
+    StoreReturned,
 }
 
 impl Follower {
     fn open(shared: Arc<Shared>, store: Store, subject: Subject) -> Self {
-        let backoff = Backoff::default();
         Self {
             shared,
             store,
             subject,
             cursor: None,
-            backoff,
+            backoff: Backoff::default(),
+            checks: CheckTimer::new(&mut rand::rng()),
             has_abandoned: false,
             is_polling: false,
+            turn: rand::rng().random_range(0.0..1.0),
         }
     }
 
     async fn run(mut self) {
+        let kind = self.subject.kind();
         loop {
             self.log_polling();
             let wait = self.wait();
             let begun_at = self.shared.clock.now();
-            let response = self.response(wait).await;
+            let response = if wait > POLL_TIMEOUT {
+                self.watch(begun_at, wait).await
+            } else {
+                self.poll(begun_at, wait).await
+            };
             self.has_abandoned = response.is_err();
             match response {
-                Ok(Some(cursor)) => self.record_response(cursor).await,
-                Ok(None) => self.backoff.wait(&self.shared, self.subject.kind()).await,
+                // A list after a watch without history must not be delayed.
+                Ok(true) if self.cursor.is_none() => {}
+                Ok(true) => time::sleep(WATCH_INTERVAL_MIN).await,
+                Ok(false) => self.backoff.wait(&self.shared, kind).await,
                 Err(reason) => {
-                    let kind = self.subject.kind();
                     let waited = self.shared.clock.now().saturating_sub(begun_at);
                     log::info!(
                         "event=watch-renewed call={kind} reason={reason} waited_ms={}",
@@ -191,90 +151,152 @@
         self.subject == Subject::Targets && self.shared.is_poller()
     }
 
-    /// Makes calls, of which the first waits for `wait`, until one is answered; returns the next
-    /// cursor, or `None` if all failed.
+    /// Makes a call that waits shortly, and further ones beside it while it is unanswered; returns
+    /// false if all failed.
     ///
     /// # Errors
-    /// Fails if the call should not be waited for any longer.
-    async fn response(&mut self, wait: Duration) -> Result<Option<Option<u64>>, Abandoned> {
+    /// Fails if a peer has newer state.
+    async fn poll(&mut self, begun_at: Duration, wait: Duration) -> Result<bool, Abandoned> {
         let shared = Arc::clone(&self.shared);
         let mut calls = FuturesUnordered::new();
         calls.push(self.call(wait));
-        let mut next_call_at = time::Instant::now() + wait + POLL_INTERVAL;
-        let mut revisions = shared.store_revision.subscribe();
-        // The store may have been further already when this call began.
-        revisions.mark_changed();
-        let is_watch = wait > POLL_TIMEOUT;
+        let interval = if shared.is_poller() { POLL_INTERVAL } else { CALL_INTERVAL };
+        let mut next_call_at = begun_at + wait + interval;
         loop {
             tokio::select! {
-                Some(call) = calls.next() => match call.result {
-                    Ok(cursor) => return Ok(Some(cursor)),
-                    Err(error) => {
-                        self.record_failure(&error, call.begun_at, call.wait);
-                        // A watch that is left may hang for the same reason.
-                        if is_watch {
-                            return Ok(None);
-                        }
+                Some(call) = calls.next() => {
+                    if call.result.is_ok() && call.begun_at > begun_at && !calls.is_empty() {
+                        shared.link.record_unanswered(begun_at);
                     }
-                },
+                    if self.record(call).is_some() {
+                        return Ok(true);
+                    }
+                    if calls.is_empty() {
+                        return Ok(false);
+                    }
+                }
                 () = self.subject.overdue(&shared).notified(), if !wait.is_zero() => {
                     return Err(Abandoned::PeerAhead);
                 }
-                () = time::sleep(POLLER_CHECK_INTERVAL), if is_watch && calls.len() == 1 => {
-                    if self.polls() {
-                        return Err(Abandoned::Polling);
-                    }
-                }
-                Ok(()) = revisions.changed(), if is_watch && calls.len() < POLLS_LIMIT => {
-                    let is_behind = self.cursor < Some(*revisions.borrow_and_update());
-                    if is_behind && shared.is_poller() {
+                () = time::sleep_until(shared.clock.instant(next_call_at)) => {
+                    next_call_at += interval;
+                    if calls.len() < CALLS_LIMIT {
                         calls.push(self.call(Duration::ZERO));
                     }
                 }
-                () = time::sleep_until(next_call_at), if !is_watch => {
-                    next_call_at += POLL_INTERVAL;
-                    if calls.len() < POLLS_LIMIT && shared.is_poller() {
-                        calls.push(self.call(Duration::ZERO));
+            }
+        }
+    }
+
+    /// Makes a call that waits long, and checks beside it when they are due, until one brings news;
+    /// returns false if one failed, as the others may hang for the same reason.
+    ///
+    /// # Errors
+    /// Fails if the watch should not be waited for any longer.
+    async fn watch(&mut self, begun_at: Duration, wait: Duration) -> Result<bool, Abandoned> {
+        let shared = Arc::clone(&self.shared);
+        let mut calls = FuturesUnordered::new();
+        calls.push(self.call(wait));
+        let mut revisions = shared.store_revision.subscribe();
+        loop {
+            let now = shared.clock.now();
+            self.check_watch(begun_at, now)?;
+            let check_at = self.check_at(begun_at);
+            if check_at.is_some_and(|at| at <= now) && calls.len() < CALLS_LIMIT {
+                self.checks.restart(now, &mut rand::rng());
+                calls.push(self.call(Duration::ZERO));
+            }
+            let next_at = check_at.unwrap_or(Duration::MAX).saturating_sub(now);
+            let pause = next_at.clamp(WATCH_INTERVAL_MIN / 10, WATCH_CHECK_INTERVAL);
+            tokio::select! {
+                Some(call) = calls.next() => {
+                    let is_check = call.wait.is_zero();
+                    match self.record(call) {
+                        Some(response) if is_check && !response.has_news => {}
+                        Some(_) => return Ok(true),
+                        None => return Ok(false),
                     }
                 }
-            }
-            if calls.is_empty() {
-                return Ok(None);
+                () = self.subject.overdue(&shared).notified() => return Err(Abandoned::PeerAhead),
+                Ok(()) = revisions.changed() => {}
+                () = time::sleep(pause) => {}
             }
         }
     }
 
+    /// # Errors
+    /// Fails if the watch that was begun at `begun_at` should not be waited for any longer.
+    fn check_watch(&self, begun_at: Duration, now: Duration) -> Result<(), Abandoned> {
+        if self.polls() {
+            return Err(Abandoned::Polling);
+        }
+        let Some(returned_at) = self.shared.store_returned_at(now) else { return Ok(()) };
+        let turn_at = returned_at + self.shared.gateways.lock().call_spread().mul_f64(self.turn);
+        if begun_at < returned_at && now >= turn_at {
+            return Err(Abandoned::StoreReturned);
+        }
+        Ok(())
+    }
+
+    /// Returns when the next check beside a watch that was begun at `begun_at` is due, `None` if
+    /// nothing is to be checked.
+    fn check_at(&self, begun_at: Duration) -> Option<Duration> {
+        let is_behind = self.cursor < Some(*self.shared.store_revision.borrow());
+        match self.subject {
+            Subject::Routes if !is_behind => None,
+            Subject::Routes if self.shared.is_poller() => Some(self.checks.not_before()),
+            _ => Some(self.checks.due_at(self.shared.confirmed_at().unwrap_or(begun_at))),
+        }
+    }
+
     /// Makes a call that may wait for `wait`.
     fn call(&self, wait: Duration) -> impl Future<Output = Call> + use<> {
         let shared = Arc::clone(&self.shared);
         let (store, subject, cursor) = (self.store.clone(), self.subject, self.cursor);
-        let begun_at = shared.clock.now();
-        async move {
-            let result = match cursor {
-                None => list(&shared, &store, subject).await,
-                Some(revision) => watch(&shared, &store, subject, revision, wait).await,
-            };
-            Call { result, begun_at, wait }
+        async move { call::make(&shared, &store, subject, cursor, wait).await }
+    }
+
+    /// Records how a call ended, and returns its response if there was one.
+    fn record(&mut self, call: Call) -> Option<Response> {
+        let Call { result, begun_at, wait } = call;
+        match result {
+            Ok(response) => {
+                self.record_response(&response, begun_at, wait);
+                Some(response)
+            }
+            Err(error) => {
+                self.record_failure(&error, begun_at, wait);
+                None
+            }
         }
     }
 
-    async fn record_response(&mut self, cursor: Option<u64>) {
+    fn record_response(&mut self, response: &Response, begun_at: Duration, wait: Duration) {
         let kind = self.subject.kind();
         let had_failed = self.backoff.failed();
         if had_failed {
-            log::info!("event=store-regained call={kind} failures={}", self.backoff.failures);
+            log::info!("event=store-regained call={kind} failures={}", self.backoff.failures());
         }
+        self.shared.link.record_answered(begun_at);
         self.shared.record_store_response(kind, had_failed);
         self.backoff = Backoff::default();
         self.shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
-        self.cursor = cursor;
-        if let Some(revision) = cursor {
-            self.shared.store_revision.send_if_modified(|latest| {
-                let is_newer = revision > *latest;
-                *latest = revision.max(*latest);
-                is_newer
-            });
-            time::sleep(WATCH_INTERVAL_MIN).await;
+        self.cursor = response.cursor;
+        if wait.is_zero() {
+            self.checks.record_response(self.shared.clock.now().saturating_sub(begun_at));
+        }
+        let Some(revision) = response.cursor else { return };
+        // A response without news was made after the whole wait.
+        let confirmed_at = if response.has_news { begun_at } else { begun_at + wait };
+        self.shared.freshness.lock().record(self.subject.confirmed(), revision, confirmed_at);
+        self.shared.store_revision.send_if_modified(|latest| {
+            let is_newer = revision > *latest;
+            *latest = revision.max(*latest);
+            is_newer
+        });
+        if wait <= POLL_TIMEOUT {
+            // What the store confirmed spares the other gateways their own checks.
+            self.shared.state_changed.notify_one();
         }
     }
 
@@ -288,108 +310,11 @@
             "event=store-call-failed call={kind} waited_ms={waited_ms} reason={:?}",
             error.to_string()
         );
+        if *error == Error::TimedOut {
+            self.shared.link.record_unanswered(begun_at);
+        }
         let due = (begun_at + wait).min(now);
         self.shared.record_store_failure(!self.backoff.failed(), due);
         self.backoff.record_failure(kind, error);
     }
 }
-
-/// A call that ended.
-struct Call {
-    /// The next cursor.
-    result: Result<Option<u64>, Error>,
-    begun_at: Duration,
-    /// How long it was to wait for changes.
-    wait: Duration,
-}
-
-async fn list(shared: &Shared, store: &Store, subject: Subject) -> Result<Option<u64>, Error> {
-    let list = store.list(subject.kind()).await?;
-    match subject {
-        Subject::Routes => {
-            for object in list.objects.iter().filter(|object| object.name == routes::NAME) {
-                apply_routes(shared, object);
-            }
-        }
-        Subject::Targets => {
-            let targets = targets::decode_list(&list.objects);
-            shared.replace_targets(
-                Snapshot { revision: list.revision, targets, lapsed: Vec::new() },
-                Source::Store,
-            );
-        }
-    }
-    Ok(Some(list.revision))
-}
-
-async fn watch(
-    shared: &Shared,
-    store: &Store,
-    subject: Subject,
-    revision: u64,
-    wait: Duration,
-) -> Result<Option<u64>, Error> {
-    let kind = subject.kind();
-    let (as_of, events) = match store.watch(kind, revision, wait).await? {
-        WatchResult::HistoryGone => {
-            log::info!("event=history-gone kind={kind} revision={revision}");
-            return Ok(None);
-        }
-        WatchResult::Changes(as_of, events) => (as_of, events),
-    };
-    match subject {
-        Subject::Routes => {
-            for event in events.iter().filter(|e| e.object.name == routes::NAME && !e.deleted) {
-                apply_routes(shared, &event.object);
-            }
-        }
-        Subject::Targets if events.is_empty() => {}
-        Subject::Targets => {
-            // A deleted object carries its last revision before the deletion.
-            let deleted = events.iter().any(|event| event.deleted);
-            let newest = events.iter().map(|event| event.object.revision).max().unwrap_or(as_of);
-            let content = if deleted { as_of } else { newest };
-            shared.apply_target_changes(content, targets::decode_events(&events), Source::Store);
-        }
-    }
-    Ok(Some(as_of))
-}
-
-fn apply_routes(shared: &Shared, object: &citron_adapter::store::Object) {
-    match routes::decode(object) {
-        Ok(table) => {
-            shared.apply_routes(table, Source::Store);
-        }
-        Err(reason) => log::error!(
-            "event=routes-rejected revision={} reason={reason:?} kept=the-routes-in-force",
-            object.revision
-        ),
-    }
-}
-
-/// Exponential backoff with jitter after failed calls to the store.
-#[derive(Debug, Default)]
-struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    fn failed(&self) -> bool {
-        self.failures > 0
-    }
-
-    fn record_failure(&mut self, call: &str, error: &Error) {
-        if self.failures == 0 {
-            log::warn!("event=store-lost call={call} reason={:?}", error.to_string());
-        }
-        self.failures += 1;
-    }
-
-    async fn wait(&self, shared: &Shared, call: &str) {
-        let longest = if shared.is_poller() { POLL_RETRY_DELAY_MAX } else { RETRY_DELAY_MAX };
-        let delay = (RETRY_DELAY_MIN * 2_u32.pow(self.failures.min(8))).min(longest);
-        let delay = delay.mul_f64(rand::rng().random_range(0.5..1.0));
-        shared.metrics.store_calls.with_label_values(&[call, "retried"]).inc();
-        time::sleep(delay).await;
-    }
-}
--- /dev/null
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -0,0 +1,149 @@
+//! One call to the store that lists a kind of objects or watches it, and applies what it returns.
+
+use std::time::Duration;
+
+use citron::{
+    catalog::{Snapshot, Source},
+    freshness,
+};
+use citron_adapter::{
+    routes,
+    store::{Error, Event, Object, Store, WatchResult},
+    targets,
+};
+use tokio::sync::Notify;
+
+use crate::shared::Shared;
+
+/// The kind of object that a call reads.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Subject {
+    Routes,
+    Targets,
+}
+
+impl Subject {
+    pub fn kind(self) -> &'static str {
+        match self {
+            Self::Routes => routes::KIND,
+            Self::Targets => targets::KIND,
+        }
+    }
+
+    /// Returns what a response about these objects confirms.
+    pub fn confirmed(self) -> freshness::Subject {
+        match self {
+            Self::Routes => freshness::Subject::Routes,
+            Self::Targets => freshness::Subject::Targets,
+        }
+    }
+
+    /// Returns what wakes the follower when a peer is ahead of its watch.
+    pub fn overdue(self, shared: &Shared) -> &Notify {
+        match self {
+            Self::Routes => &shared.routes_overdue,
+            Self::Targets => &shared.targets_overdue,
+        }
+    }
+}
+
+/// A call that ended.
+pub struct Call {
+    pub result: Result<Response, Error>,
+    pub begun_at: Duration,
+    /// How long it was to wait for changes.
+    pub wait: Duration,
+}
+
+/// A response, whose content was applied.
+pub struct Response {
+    /// The revision from which the next watch continues, `None` if the store has no history since
+    /// the last one.
+    pub cursor: Option<u64>,
+    /// Whether it brought objects or changes.
+    pub has_news: bool,
+}
+
+/// Lists the objects, or waits up to `wait` for changes after `cursor`.
+pub async fn make(
+    shared: &Shared,
+    store: &Store,
+    subject: Subject,
+    cursor: Option<u64>,
+    wait: Duration,
+) -> Call {
+    let begun_at = shared.clock.now();
+    let result = match cursor {
+        None => list(shared, store, subject).await,
+        Some(revision) => watch(shared, store, subject, revision, wait).await,
+    };
+    Call { result, begun_at, wait }
+}
+
+async fn list(shared: &Shared, store: &Store, subject: Subject) -> Result<Response, Error> {
+    let list = store.list(subject.kind()).await?;
+    match subject {
+        Subject::Routes => {
+            for object in list.objects.iter().filter(|object| object.name == routes::NAME) {
+                apply_routes(shared, object);
+            }
+        }
+        Subject::Targets => {
+            let targets = targets::decode_list(&list.objects);
+            shared.replace_targets(
+                Snapshot { revision: list.revision, targets, lapsed: Vec::new() },
+                Source::Store,
+            );
+        }
+    }
+    Ok(Response { cursor: Some(list.revision), has_news: true })
+}
+
+async fn watch(
+    shared: &Shared,
+    store: &Store,
+    subject: Subject,
+    revision: u64,
+    wait: Duration,
+) -> Result<Response, Error> {
+    let kind = subject.kind();
+    let (as_of, events) = match store.watch(kind, revision, wait).await? {
+        WatchResult::HistoryGone => {
+            log::info!("event=history-gone kind={kind} revision={revision}");
+            return Ok(Response { cursor: None, has_news: true });
+        }
+        WatchResult::Changes(as_of, events) => (as_of, events),
+    };
+    apply(shared, subject, as_of, &events);
+    Ok(Response { cursor: Some(as_of), has_news: !events.is_empty() })
+}
+
+fn apply(shared: &Shared, subject: Subject, as_of: u64, events: &[Event]) {
+    match subject {
+        Subject::Routes => {
+            for event in events.iter().filter(|e| e.object.name == routes::NAME && !e.deleted) {
+                apply_routes(shared, &event.object);
+            }
+        }
+        Subject::Targets if events.is_empty() => {}
+        Subject::Targets => {
+            // A deleted object carries its last revision before the deletion.
+            let deleted = events.iter().any(|event| event.deleted);
+            let newest = events.iter().map(|event| event.object.revision).max().unwrap_or(as_of);
+            let content = if deleted { as_of } else { newest };
+            shared.apply_target_changes(content, targets::decode_events(events), Source::Store);
+        }
+    }
+}
+
+fn apply_routes(shared: &Shared, object: &Object) {
+    match routes::decode(object) {
+        Ok(table) => {
+            shared.apply_routes(table, Source::Store);
+        }
+        Err(reason) => log::error!(
+            "event=routes-rejected revision={} reason={reason:?} kept=the-routes-in-force",
+            object.revision
+        ),
+    }
+}
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -67,7 +67,7 @@
         shared.set_listen_addrs(directory.addr(), ready.addr(), servers[0].addr());
         tokio::spawn(follow::routes(Arc::clone(&shared), store.clone()));
         tokio::spawn(follow::targets(Arc::clone(&shared), store.clone()));
-        tokio::spawn(follow::gateways(Arc::clone(&shared), store, socket_addr));
+        tokio::spawn(follow::registry(Arc::clone(&shared), store, socket_addr));
         let accept = tokio::spawn(accept(Arc::clone(&shared), listener));
         let http = reqwest::Client::builder()
             .no_proxy()
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -16,7 +16,7 @@
 use citron::{
     gateways::Report,
     gray::Verdict,
-    outage::Contact,
+    outage::{Contact, Silence},
     statement::{Origin, Statement},
 };
 use prost::Message;
@@ -68,9 +68,7 @@
         return;
     }
     let now = shared.clock.now();
-    if datagram.wants_relay {
-        relay(shared, socket, &datagram).await;
-    }
+    relay(shared, socket, &datagram).await;
     apply_outcomes(shared, &datagram.outcomes, now);
     for statement in &datagram.statements {
         shared.apply_statement(&decode_statement(statement, now), Origin::Peer);
@@ -89,7 +87,8 @@
         }
     }
     let Some(state) = datagram.state else { return };
-    let Some(report) = decode_state(&state, now) else {
+    let delay = report_delay(shared, &datagram.host, &state, now);
+    let Some(report) = decode_state(&state, now.saturating_sub(delay)) else {
         shared.metrics.datagrams_unreadable.inc();
         return;
     };
@@ -159,8 +158,18 @@
     send(shared, socket, &datagram, to).await;
 }
 
-fn decode_state(state: &State, now: Duration) -> Option<Report> {
-    let ago = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
+/// Returns how long a report was held back on its way, zero if its sender tells no time.
+fn report_delay(shared: &Shared, host: &str, state: &State, now: Duration) -> Duration {
+    if state.sent_ms == 0 {
+        return Duration::ZERO;
+    }
+    let sent_at = Duration::from_millis(state.sent_ms);
+    shared.gateways.lock().report_delay(host, state.born_ms, sent_at, now)
+}
+
+/// Decodes a report that was made at `made_at` by this gateway's clock.
+fn decode_state(state: &State, made_at: Duration) -> Option<Report> {
+    let ago = |age_ms| made_at.saturating_sub(Duration::from_millis(age_ms));
     let store_contact = state
         .store_response_age_ms
         .map(|age_ms| Contact { since: ago(state.store_answers_for_ms), last: ago(age_ms) });
@@ -173,6 +182,11 @@
         routes_version: state.routes_version,
         targets_revision: state.targets_revision,
         store_contact,
+        confirmed_at: state.confirmed_age_ms.map(ago),
+        store_silence: state.store_silence.map(|silence| Silence {
+            unanswered_at: ago(silence.unanswered_age_ms),
+            returned_at: silence.returned_age_ms.map(ago),
+        }),
     })
 }
 
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -38,7 +38,8 @@
     let mut wants_reply = true;
     loop {
         let now = shared.clock.now();
-        let datagram = state_datagram(&shared, born_ms, wants_reply, &own_address);
+        let mut datagram = state_datagram(&shared, born_ms, wants_reply, &own_address);
+        datagram.reaches_all = shared.is_poller();
         broadcast(&shared, &socket, datagram.clone(), |_| true).await;
         let bytes = datagram.encode_to_vec();
         for address in silent_gateways(&shared, now) {
@@ -139,23 +140,26 @@
     let domain = shared.settings().domain.clone();
     let now = shared.clock.now();
     let receivers = shared.gateways.lock().broadcast_receivers(&domain, now, &mut rand::rng());
-    let near = datagram.encode_to_vec();
-    datagram.wants_relay = true;
-    let far = datagram.encode_to_vec();
     for receiver in receivers.into_iter().filter(wanted) {
-        let bytes = if receiver.relays { &far } else { &near };
-        send(shared, socket, bytes, receiver.address).await;
+        datagram.wants_relay = receiver.relays;
+        datagram.relay_part = receiver.part.filter(|_| datagram.reaches_all);
+        send(shared, socket, &datagram.encode_to_vec(), receiver.address).await;
     }
 }
 
-/// Relays a datagram from another failure domain to the gateways of this one.
+/// Relays a datagram from another failure domain to the gateways of this one, or one of this domain
+/// to the part of it that the sender named.
 pub async fn relay(shared: &Shared, socket: &UdpSocket, datagram: &Datagram) {
+    if datagram.wants_relay {
+        broadcast(shared, socket, datagram.clone(), |receiver| !receiver.relays).await;
+    }
+    let Some(part) = datagram.relay_part else { return };
     let domain = shared.settings().domain.clone();
     let now = shared.clock.now();
-    let receivers = shared.gateways.lock().broadcast_receivers(&domain, now, &mut rand::rng());
-    let bytes = Datagram { wants_relay: false, ..datagram.clone() }.encode_to_vec();
-    for receiver in receivers.into_iter().filter(|receiver| !receiver.relays) {
-        send(shared, socket, &bytes, receiver.address).await;
+    let receivers = shared.gateways.lock().part_receivers(&domain, part, now);
+    let bytes = Datagram { relay_part: None, ..datagram.clone() }.encode_to_vec();
+    for address in receivers {
+        send(shared, socket, &bytes, address).await;
     }
 }
 
@@ -200,6 +204,12 @@
         datagrams: own_address.to_owned(),
         store_answers_for_ms: contact.map_or(0, |contact| age_ms(contact.since)),
         store_response_age_ms: contact.map(|contact| age_ms(contact.last)),
+        sent_ms: now.as_millis() as u64,
+        confirmed_age_ms: shared.freshness.lock().confirmed_at().map(age_ms),
+        store_silence: shared.link.silence().map(|silence| message::Silence {
+            unanswered_age_ms: age_ms(silence.unanswered_at),
+            returned_age_ms: silence.returned_at.map(age_ms),
+        }),
     };
     Datagram { host: settings.host.clone(), state: Some(state), ..Datagram::default() }
 }
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -26,6 +26,13 @@
     /// Whether the receiver should relay the datagram within its failure domain.
     #[prost(bool, tag = "6")]
     pub wants_relay: bool,
+    /// Whether the datagram must reach all gateways, also in a failure domain with more of them than
+    /// a broadcast reaches.
+    #[prost(bool, tag = "8")]
+    pub reaches_all: bool,
+    /// The part of its failure domain to which the receiver should relay the datagram.
+    #[prost(uint32, optional, tag = "9")]
+    pub relay_part: Option<u32>,
     /// The sender's requests in flight at targets; replaces its previous report.
     #[prost(message, optional, tag = "5")]
     pub load: Option<Load>,
@@ -77,11 +84,33 @@
     /// The address at which the sender receives datagrams, `ip:port`.
     #[prost(string, tag = "9")]
     pub datagrams: String,
+    /// The sender's clock, in milliseconds since its process started.
+    #[prost(uint64, tag = "12")]
+    pub sent_ms: u64,
+    /// How long ago the store confirmed to the sender that its routes and targets are current, in
+    /// milliseconds; absent if it never did.
+    #[prost(uint64, optional, tag = "13")]
+    pub confirmed_age_ms: Option<u64>,
+    /// The last silence of the store that the sender noticed.
+    #[prost(message, optional, tag = "14")]
+    pub store_silence: Option<Silence>,
     /// Whether the sender requests a reply with the gateways that the receiver knows.
     #[prost(bool, tag = "8")]
     pub wants_reply: bool,
 }
 
+/// A silence of the store.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Silence {
+    /// How long ago the latest unanswered call was begun, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub unanswered_age_ms: u64,
+    /// How long ago the first call was begun that was answered afterwards, in milliseconds; absent
+    /// if there was none yet.
+    #[prost(uint64, optional, tag = "2")]
+    pub returned_age_ms: Option<u64>,
+}
+
 /// The outcome of one attempt at a target.
 #[derive(Clone, PartialEq, Message)]
 pub struct Outcome {
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use citron::catalog::{Source, Update};
+use citron::{
+    catalog::{Source, Update},
+    freshness::CONFIRMATION_MAX_AGE,
+};
 use tokio::time;
 
 use crate::shared::Shared;
@@ -14,8 +17,8 @@
 /// The delay before a gateway that is behind a peer pulls from it while the store responds, so that
 /// the store can deliver the update first.
 const PULL_DELAY: Duration = Duration::from_millis(400);
-/// The delay while the store does not respond.
-const PULL_DELAY_STORE_DOWN: Duration = Duration::from_millis(50);
+/// The delay while the store does not respond, or has not confirmed this gateway's state for long.
+const PULL_DELAY_UNCONFIRMED: Duration = Duration::from_millis(50);
 /// The timeout of a request to a peer.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -25,7 +28,10 @@
 /// that went silent, and its follower is woken.
 pub async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
     let was_down = shared.link.is_down();
-    time::sleep(if was_down { PULL_DELAY_STORE_DOWN } else { PULL_DELAY }).await;
+    let age = shared.confirmation_age(shared.clock.now());
+    let is_confirmed = age.is_some_and(|age| age < CONFIRMATION_MAX_AGE);
+    let is_store_first = is_confirmed && !was_down;
+    time::sleep(if is_store_first { PULL_DELAY } else { PULL_DELAY_UNCONFIRMED }).await;
     shared.pull_scheduled.store(false, Ordering::Relaxed);
     let is_overdue = !was_down && !shared.link.is_down();
     let now = shared.clock.now();
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -13,6 +13,7 @@
 use citron::{
     attempt::RetryBudgetParams,
     catalog::{Catalog, Change, Snapshot, Source, Target},
+    freshness::Freshness,
     gateways::Gateways,
     gray::{Choice, Criteria, NoCapacity, Verdict},
     placement::Host,
@@ -79,6 +80,8 @@
     pub link: StoreLink,
     /// The newest revision of the store that any response named.
     pub store_revision: watch::Sender<u64>,
+    /// What the store's responses to this gateway confirm.
+    pub freshness: Mutex<Freshness>,
     /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
     pub routes_overdue: Notify,
     /// Wakes the follower of the targets when a peer has a newer list than its watch delivered.
@@ -115,6 +118,7 @@
             announced_ready: AtomicBool::new(false),
             link: StoreLink::default(),
             store_revision: watch::Sender::default(),
+            freshness: Mutex::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
             pull_scheduled: AtomicBool::new(false),
@@ -237,6 +241,26 @@
         self.gateways.lock().is_poller(own, now)
     }
 
+    /// Returns when this gateway's routes and targets were last known to be current: by a response
+    /// of the store to it, or to a peer whose state is not newer.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        let version = self.routes().map_or(0, |routes| routes.version);
+        let revision = self.targets.lock().catalog.revision();
+        let peers = self.gateways.lock().confirmed_at(version, revision);
+        self.freshness.lock().confirmed_at().max(peers)
+    }
+
+    /// Returns how long ago this gateway's routes and targets were last known to be current, `None`
+    /// if they never were.
+    pub fn confirmation_age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_at().map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns when the store last returned from a silence that this gateway or a peer noticed.
+    pub fn store_returned_at(&self, now: Duration) -> Option<Duration> {
+        self.gateways.lock().store_returned_at(self.link.silence(), now)
+    }
+
     /// Returns until when target entries that vanish are kept.
     fn keep_until(&self, now: Duration) -> Duration {
         self.link.keep_until(self.gateways.lock().store_contacts(now), now)
--- a/crates/citron-gateway/src/store_link.rs
+++ b/crates/citron-gateway/src/store_link.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use citron::outage::{Contact, Link};
+use citron::outage::{Contact, Link, Silence};
 use parking_lot::Mutex;
 
 /// The gateway's link to the store, over all its followers.
@@ -49,6 +49,21 @@
         self.0.lock().link.record_abandoned();
     }
 
+    /// Records that the call begun at `begun_at` is overdue and unanswered.
+    pub fn record_unanswered(&self, begun_at: Duration) {
+        self.0.lock().link.record_unanswered(begun_at);
+    }
+
+    /// Records that the call begun at `begun_at` was answered.
+    pub fn record_answered(&self, begun_at: Duration) {
+        self.0.lock().link.record_answered(begun_at);
+    }
+
+    /// Returns the last silence of the store that this gateway noticed.
+    pub fn silence(&self) -> Option<Silence> {
+        self.0.lock().link.silence()
+    }
+
     /// Returns true if the last call of any follower failed.
     pub fn is_down(&self) -> bool {
         self.0.lock().failing_followers > 0
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -229,6 +229,8 @@
             routes_version: 1,
             targets_revision: 1,
             store_contact: None,
+            confirmed_at: None,
+            store_silence: None,
         }
     }
 
--- /dev/null
+++ b/crates/citron/src/freshness.rs
@@ -0,0 +1,123 @@
+//! How old a gateway's knowledge of the store may be.
+//!
+//! The absence of news proves nothing: a watch may hang, and a gateway that asks for the others may
+//! be gone. Only a response of the store confirms that a gateway's state is current, or the report
+//! of a peer that had such a response and whose state is not newer. A gateway whose confirmation is
+//! old asks the store itself.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+/// After this long without a confirmation a gateway asks the store itself.
+pub const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(700);
+/// How long a check may stay unanswered before a further one is made beside it.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// How much later than due a check is made at most, so that the response to the first one at any
+/// gateway spares the others theirs.
+const CHECK_SPREAD: Duration = Duration::from_millis(100);
+/// The same while the store takes long to respond.
+const CHECK_SPREAD_MAX: Duration = Duration::from_secs(1);
+
+/// What the responses of the store to this gateway confirm, for its routes and its targets.
+#[derive(Debug, Default, Clone)]
+pub struct Freshness {
+    routes: Confirmation,
+    targets: Confirmation,
+}
+
+/// The subject of a response.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub enum Subject {
+    /// The operator's routes.
+    Routes,
+    /// The targets' entries.
+    Targets,
+}
+
+/// A moment at which the known state of a subject was complete.
+#[derive(Debug, Default, Copy, Clone)]
+struct Confirmation {
+    /// The store's revision then.
+    revision: u64,
+    /// The moment, `None` before the first response.
+    at: Option<Duration>,
+}
+
+impl Freshness {
+    /// Records a response that brought the state of `subject` up to the store's `revision` as it was
+    /// at `at`.
+    ///
+    /// The store counts all changes with one revision. If it is still the one to which the other
+    /// subject is complete, that one has not changed either.
+    pub fn record(&mut self, subject: Subject, revision: u64, at: Duration) {
+        let (own, other) = match subject {
+            Subject::Routes => (&mut self.routes, &mut self.targets),
+            Subject::Targets => (&mut self.targets, &mut self.routes),
+        };
+        if revision < own.revision {
+            return;
+        }
+        *own = Confirmation { revision, at: own.at.max(Some(at)) };
+        if other.at.is_some() && other.revision == revision {
+            other.at = other.at.max(Some(at));
+        }
+    }
+
+    /// Returns when both subjects were last known to be complete.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        Some(self.routes.at?.min(self.targets.at?))
+    }
+}
+
+/// Decides when a gateway checks a state that the store did not confirm for long.
+#[derive(Debug, Clone)]
+pub struct CheckTimer {
+    /// How much later than due the next check is made.
+    spread: Duration,
+    /// The earliest time of the next check.
+    not_before: Duration,
+    /// How long the store took to respond to the latest check.
+    response_time: Duration,
+}
+
+impl CheckTimer {
+    /// Creates a timer that no check has restarted yet.
+    pub fn new(rng: &mut impl Rng) -> Self {
+        let mut timer = Self {
+            spread: Duration::ZERO,
+            not_before: Duration::ZERO,
+            response_time: Duration::ZERO,
+        };
+        timer.draw_spread(rng);
+        timer
+    }
+
+    /// Returns when the next check of a state that was confirmed at `confirmed_at` is due.
+    pub fn due_at(&self, confirmed_at: Duration) -> Duration {
+        (confirmed_at + CONFIRMATION_MAX_AGE + self.spread).max(self.not_before)
+    }
+
+    /// Returns the earliest time of the next check, whenever the state was confirmed.
+    pub fn not_before(&self) -> Duration {
+        self.not_before
+    }
+
+    /// Records that a check is made.
+    pub fn restart(&mut self, now: Duration, rng: &mut impl Rng) {
+        self.not_before = now + CHECK_INTERVAL;
+        self.draw_spread(rng);
+    }
+
+    /// Records a response to a check, which took `response_time`.
+    pub fn record_response(&mut self, response_time: Duration) {
+        self.response_time = response_time;
+        self.not_before = Duration::ZERO;
+    }
+
+    /// A gateway learns that another one's check was answered only after the response time.
+    fn draw_spread(&mut self, rng: &mut impl Rng) {
+        let longest = (CHECK_SPREAD + self.response_time * 2).min(CHECK_SPREAD_MAX);
+        self.spread = longest.mul_f64(rng.random_range(0.0..1.0));
+    }
+}
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     catalog::Target,
-    outage::Contact,
+    delay::Delay,
+    outage::{self, Contact, Silence},
     placement,
     poller::{self, Member},
     target_limit,
@@ -17,7 +18,10 @@
 
 /// After this long without a report a gateway is no longer advertised to callers.
 const ADVERTISE_TIMEOUT: Duration = Duration::from_millis(3500);
-/// After this long without a report others take over what a gateway does for the fleet, if each
+/// After this long without a report a gateway that polls the store is replaced. The reports of those
+/// that poll reach all gateways.
+const POLLER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// After this long without a report others take over a gateway's share of a target's limit, if each
 /// report reaches all gateways of a failure domain.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How much longer than the takeover timeout a share of a target's limit is handed over.
@@ -31,8 +35,12 @@
 /// The number of ready gateways from which a failure domain serves its callers on its own.
 const DOMAIN_GATEWAYS_MIN: usize = 2;
 
-/// The maximum number of gateways of its own failure domain that a gateway sends a broadcast to.
+/// The maximum number of gateways of its own failure domain that a gateway sends a broadcast to, and
+/// the number of parts of a larger domain to which these pass on what must reach all.
 const FANOUT: usize = 32;
+/// How much the fleet's calls are spread out, per gateway, when all gateways call the store for the
+/// same reason.
+const CALL_SPREAD_PER_GATEWAY: Duration = Duration::from_millis(1);
 
 /// A receiver of a broadcast datagram.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
@@ -41,6 +49,9 @@
     pub address: SocketAddr,
     /// Whether the receiver relays the datagram within its failure domain.
     pub relays: bool,
+    /// The part of its failure domain to which the receiver passes on what must reach all, if the
+    /// domain has more gateways than a broadcast reaches.
+    pub part: Option<u32>,
 }
 
 /// What a gateway reports about itself.
@@ -62,6 +73,11 @@
     pub targets_revision: u64,
     /// Its contact with the store by the receiver's clock, `None` if the store does not respond.
     pub store_contact: Option<Contact>,
+    /// When the store confirmed to it that these routes and targets are current, by the receiver's
+    /// clock.
+    pub confirmed_at: Option<Duration>,
+    /// The last silence of the store that it noticed, by the receiver's clock.
+    pub store_silence: Option<Silence>,
 }
 
 /// What is known of one gateway.
@@ -86,6 +102,8 @@
 #[derive(Debug, Default)]
 pub struct Gateways {
     by_host: BTreeMap<Arc<str>, Gateway>,
+    /// How reports are delayed, by host, with the start of the process that sent them.
+    delays: BTreeMap<Arc<str>, (u64, Delay)>,
 }
 
 impl Gateways {
@@ -99,6 +117,22 @@
         true
     }
 
+    /// Returns how long the report that the process of `born_ms` on `host` sent at `sent_at`, by its
+    /// own clock, was held back on its way.
+    pub fn report_delay(
+        &mut self,
+        host: &str,
+        born_ms: u64,
+        sent_at: Duration,
+        now: Duration,
+    ) -> Duration {
+        let entry = self.delays.entry(Arc::from(host)).or_default();
+        if entry.0 != born_ms {
+            *entry = (born_ms, Delay::default());
+        }
+        entry.1.record(sent_at, now)
+    }
+
     /// Applies a gateway's report; returns true if the gateway was not alive before.
     pub fn apply_report(
         &mut self,
@@ -122,6 +156,7 @@
             self.by_host.iter().filter(|(_, g)| silent(g)).map(|(h, _)| Arc::clone(h)).collect();
         for host in &gone {
             self.by_host.remove(host);
+            self.delays.remove(host);
         }
         gone
     }
@@ -204,10 +239,33 @@
         others.filter(|other| *other > own).count()
     }
 
+    /// Returns when the store last confirmed, to any gateway, a state that is not newer than
+    /// `routes_version` and `targets_revision`.
+    pub fn confirmed_at(&self, routes_version: u64, targets_revision: u64) -> Option<Duration> {
+        let reports = self.by_host.values().filter_map(|gateway| gateway.report.as_ref());
+        let not_newer = reports.filter(|report| {
+            report.routes_version <= routes_version && report.targets_revision <= targets_revision
+        });
+        not_newer.filter_map(|report| report.confirmed_at).max()
+    }
+
+    /// Returns when the store last returned from a silence that this gateway or another noticed.
+    pub fn store_returned_at(&self, own: Option<Silence>, now: Duration) -> Option<Duration> {
+        let contacts: Vec<Contact> = self.store_contacts(now).collect();
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        let silences = reports.filter_map(|report| report.store_silence.as_ref());
+        outage::last_return(silences.chain(&own), &contacts)
+    }
+
+    /// Returns over how long the calls are spread out when all gateways call the store for the same
+    /// reason.
+    pub fn call_spread(&self) -> Duration {
+        CALL_SPREAD_PER_GATEWAY * self.by_host.len() as u32
+    }
+
     /// Returns true if this gateway, `own`, is one of those that poll the store.
     pub fn is_poller(&self, own: Member<'_>, now: Duration) -> bool {
-        let timeout = self.takeover_timeout();
-        let others = self.by_host.iter().filter(|(_, gateway)| gateway.age(now) < timeout);
+        let others = self.by_host.iter().filter(|(_, gateway)| gateway.age(now) < POLLER_TIMEOUT);
         let members = others.filter_map(|(host, gateway)| {
             let in_contact = gateway.report.as_ref()?.store_contact.is_some();
             Some(Member { host, in_contact })
@@ -277,16 +335,33 @@
                 Some(other) if other != domain => {
                     far.entry(other).or_default().push(gateway.address);
                 }
-                _ => near.push(Receiver { address: gateway.address, relays: false }),
+                _ => near.push(Receiver { address: gateway.address, relays: false, part: None }),
             }
         }
         near.shuffle(rng);
-        near.truncate(FANOUT);
+        if near.len() > FANOUT {
+            near.truncate(FANOUT);
+            for (part, receiver) in (0..).zip(&mut near) {
+                receiver.part = Some(part);
+            }
+        }
         let relays = far.into_values().filter_map(|addresses| addresses.choose(rng).copied());
-        near.extend(relays.map(|address| Receiver { address, relays: true }));
+        near.extend(relays.map(|address| Receiver { address, relays: true, part: None }));
         near
     }
 
+    /// Returns the addresses of the gateways in `part` of a failure domain with more gateways than a
+    /// broadcast reaches.
+    pub fn part_receivers(&self, domain: &str, part: u32, now: Duration) -> Vec<SocketAddr> {
+        let in_part = |host: &str| placement::weight(&["part"], host) % FANOUT as u64;
+        let alive = self.alive(now).filter(|(host, gateway)| {
+            let report = gateway.report.as_ref();
+            report.is_none_or(|report| &*report.domain == domain)
+                && in_part(host) == u64::from(part)
+        });
+        alive.map(|(_, gateway)| gateway.address).collect()
+    }
+
     /// Returns the address of the live gateway with the largest lead, preferably in `domain`.
     fn peer_ahead(
         &self,
--- a/crates/citron/src/outage.rs
+++ b/crates/citron/src/outage.rs
@@ -29,6 +29,28 @@
     pub last: Duration,
 }
 
+/// Returns when the store last returned from a silence, given what gateways noticed; calls that were
+/// begun before may never be answered.
+///
+/// A silence of a second or more that does not end the `contacts` of all other gateways was only of
+/// the path of the one that noticed it.
+pub fn last_return<'a>(
+    silences: impl Iterator<Item = &'a Silence>,
+    contacts: &[Contact],
+) -> Option<Duration> {
+    let is_common = |silence: &&Silence| {
+        let Some(returned_at) = silence.returned_at else { return true };
+        let covers = |contact: &Contact| {
+            contact.since <= silence.unanswered_at && contact.last + OUTAGE_MIN >= returned_at
+        };
+        returned_at < silence.unanswered_at + OUTAGE_MIN || !contacts.iter().any(covers)
+    };
+    let silences: SmallVec<[&Silence; 32]> = silences.filter(is_common).collect();
+    let unanswered_at = silences.iter().map(|silence| silence.unanswered_at).max()?;
+    let returns = silences.iter().filter_map(|silence| silence.returned_at);
+    returns.filter(|returned_at| *returned_at > unanswered_at).min()
+}
+
 /// A gateway's own link to the store, over all its calls.
 #[derive(Debug, Default)]
 pub struct Link {
@@ -40,6 +62,18 @@
     lost_at: Duration,
     /// Whether a call was abandoned since the latest response.
     has_abandoned: bool,
+    /// The last silence that this gateway noticed.
+    silence: Option<Silence>,
+}
+
+/// A span in which the store, or the path to it, left calls unanswered. Calls that were begun before
+/// its end may never be answered.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct Silence {
+    /// When the latest unanswered call was begun.
+    pub unanswered_at: Duration,
+    /// When the first call was begun that was answered afterwards, `None` if there was none yet.
+    pub returned_at: Option<Duration>,
 }
 
 impl Link {
@@ -64,6 +98,28 @@
         Some(self.lost_at)
     }
 
+    /// Records that the call begun at `begun_at` is overdue and unanswered.
+    pub fn record_unanswered(&mut self, begun_at: Duration) {
+        let is_known = |silence: Silence| begun_at <= silence.unanswered_at;
+        if !self.silence.is_some_and(is_known) {
+            self.silence = Some(Silence { unanswered_at: begun_at, returned_at: None });
+        }
+    }
+
+    /// Records that the call begun at `begun_at` was answered.
+    pub fn record_answered(&mut self, begun_at: Duration) {
+        if let Some(silence) = &mut self.silence
+            && begun_at > silence.unanswered_at
+        {
+            silence.returned_at.get_or_insert(begun_at);
+        }
+    }
+
+    /// Returns the last silence that this gateway noticed.
+    pub fn silence(&self) -> Option<Silence> {
+        self.silence
+    }
+
     /// Records a call without a response, which was due at `due`.
     pub fn record_failure(&mut self, due: Duration) {
         let last = self.contact.map_or(Duration::ZERO, |contact| contact.last);
--- /dev/null
+++ b/crates/citron/tests/freshness.rs
@@ -0,0 +1,104 @@
+//! When a gateway's state counts as confirmed, and when it checks it itself.
+
+use std::time::Duration;
+
+use citron::{
+    delay::Delay,
+    freshness::{CONFIRMATION_MAX_AGE, CheckTimer, Freshness, Subject},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Names a case: the responses (subject, revision, time in ms), and when the state was confirmed.
+macro_rules! confirmed {
+    ($name:ident, $responses:expr, $confirmed:expr) => {
+        #[test]
+        fn $name() {
+            let mut freshness = Freshness::default();
+            let responses: &[(Subject, u64, u64)] = &$responses;
+            for (subject, revision, millis) in responses.iter().copied() {
+                freshness.record(subject, revision, at(millis));
+            }
+            let confirmed: Option<u64> = $confirmed;
+            assert_eq!(freshness.confirmed_at(), confirmed.map(at));
+        }
+    };
+}
+
+use Subject::{Routes, Targets};
+
+confirmed!(nothing_is_confirmed_before_both_subjects_are_known, [(Targets, 5, 100)], None);
+confirmed!(the_older_subject_counts, [(Routes, 5, 100), (Targets, 6, 200)], Some(100));
+confirmed!(
+    an_unchanged_revision_confirms_both_subjects,
+    [(Routes, 5, 100), (Targets, 5, 900)],
+    Some(900)
+);
+confirmed!(
+    a_newer_revision_leaves_the_other_subject_open,
+    [(Routes, 5, 100), (Targets, 5, 200), (Targets, 6, 900)],
+    Some(200)
+);
+confirmed!(
+    a_late_response_confirms_nothing,
+    [(Routes, 6, 100), (Targets, 6, 300), (Targets, 5, 900)],
+    Some(300)
+);
+
+#[test]
+fn a_check_is_due_shortly_after_the_longest_age() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..100 {
+        let due = CheckTimer::new(&mut rng).due_at(at(5000));
+        let late = due - at(5000) - CONFIRMATION_MAX_AGE;
+        assert!(late < at(100), "{late:?}");
+    }
+}
+
+#[test]
+fn an_unanswered_check_is_repeated_after_a_second() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut timer = CheckTimer::new(&mut rng);
+    timer.restart(at(6000), &mut rng);
+    assert_eq!(timer.due_at(at(5000)), at(7000));
+    timer.record_response(at(4));
+    assert!(timer.due_at(at(6000)) < at(7000), "an answered check is no reason to wait");
+}
+
+#[test]
+fn checks_are_spread_wider_while_the_store_responds_slowly() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut timer = CheckTimer::new(&mut rng);
+    timer.record_response(at(300));
+    let late = |timer: &CheckTimer| timer.due_at(at(5000)) - at(5000) - CONFIRMATION_MAX_AGE;
+    let mut longest = Duration::ZERO;
+    for _ in 0..100 {
+        timer.restart(at(0), &mut rng);
+        longest = longest.max(late(&timer));
+    }
+    assert!(longest > at(500) && longest <= at(700), "{longest:?}");
+}
+
+#[test]
+fn a_message_that_a_relay_held_back_is_recognized() {
+    let mut delay = Delay::default();
+    assert_eq!(delay.record(at(100), at(5100)), at(0));
+    assert_eq!(delay.record(at(200), at(5203)), at(3));
+    assert_eq!(delay.record(at(300), at(8300)), at(3000));
+    assert_eq!(delay.record(at(3400), at(8400)), at(0));
+}
+
+#[test]
+fn a_sender_whose_clock_stood_still_is_believed_again_later() {
+    let mut delay = Delay::default();
+    delay.record(at(100), at(5100));
+    assert_eq!(delay.record(at(200), at(8200)), at(3000));
+    for second in 1..30 {
+        delay.record(at(200 + second * 1000), at(8200 + second * 1000));
+    }
+    assert_eq!(delay.record(at(30_200), at(38_200)), at(0));
+}
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -5,7 +5,8 @@
 use citron::{
     catalog::Target,
     gateways::{Gateways, Report},
-    outage::Contact,
+    outage::{Contact, Silence},
+    poller::{Member, POLLERS},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +25,8 @@
         routes_version: u64::from(port),
         targets_revision: 5,
         store_contact: None,
+        confirmed_at: None,
+        store_silence: None,
     }
 }
 
@@ -160,3 +163,67 @@
     let firsts = all.iter().filter(|(host, domain)| rank(host, domain, at(100)) == 0);
     assert_eq!(firsts.count(), 1, "exactly one gateway sends the first trial");
 }
+
+#[test]
+fn only_reports_of_a_state_that_is_not_newer_confirm_ones_own() {
+    let mut gateways = fleet();
+    let reports = [("a1", 10, 1000), ("a2", 20, 2000), ("b1", 30, 3000)];
+    for (host, version, confirmed_at) in reports {
+        let confirmed_at = Some(at(confirmed_at));
+        let report = Report { confirmed_at, ..report("a", version, true) };
+        gateways.apply_report(host, address(12), report, at(3000));
+    }
+    assert_eq!(gateways.confirmed_at(20, 5), Some(at(2000)));
+    assert_eq!(gateways.confirmed_at(20, 4), None, "all have newer targets");
+    assert_eq!(gateways.confirmed_at(9, 5), None, "all have newer routes");
+}
+
+#[test]
+fn a_peer_that_noticed_a_silence_tells_when_the_store_returned() {
+    let mut gateways = fleet();
+    let store_silence = Some(Silence { unanswered_at: at(4000), returned_at: Some(at(5000)) });
+    let report = Report { store_silence, ..report("a", 10, true) };
+    gateways.apply_report("a1", address(12), report, at(5100));
+    assert_eq!(gateways.store_returned_at(None, at(5200)), Some(at(5000)));
+    assert_eq!(gateways.store_returned_at(None, at(60_000)), None, "it is long silent itself");
+}
+
+/// The hosts of a fleet that poll at `now`, of which `silent` have not reported since the start.
+fn pollers(hosts: &[String], silent: &[String], now: Duration) -> Vec<String> {
+    let is_poller = |own: &String| {
+        let mut gateways = Gateways::default();
+        for host in hosts.iter().filter(|host| *host != own) {
+            let heard_at = if silent.contains(host) { at(0) } else { now };
+            let contact = Some(Contact { since: at(0), last: heard_at });
+            let report = Report { store_contact: contact, ..report("a", 10, true) };
+            gateways.apply_report(host, address(12), report, heard_at);
+        }
+        gateways.is_poller(Member { host: own, in_contact: true }, now)
+    };
+    hosts.iter().filter(|host| !silent.contains(host) && is_poller(host)).cloned().collect()
+}
+
+#[test]
+fn lost_pollers_are_replaced_well_within_the_time_in_which_a_change_must_be_in_force() {
+    let hosts: Vec<String> = (0..200).map(|n| format!("entry-{n}")).collect();
+    let before = pollers(&hosts, &[], at(0));
+    assert_eq!(before.len(), POLLERS);
+    assert!(pollers(&hosts, &before, at(1400)).is_empty());
+    let after = pollers(&hosts, &before, at(1500));
+    assert_eq!(after.len(), POLLERS, "also in a failure domain larger than a broadcast reaches");
+}
+
+#[test]
+fn what_must_reach_all_gateways_of_a_large_domain_is_passed_on_in_parts() {
+    let mut gateways = Gateways::default();
+    for n in 0..500_u16 {
+        let report = report("a", 1000 + n, true);
+        gateways.apply_report(&format!("entry-{n}"), address(1000 + n), report, at(0));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let receivers = gateways.broadcast_receivers("a", at(100), &mut rng);
+    let parts = receivers.iter().filter_map(|receiver| receiver.part);
+    let reached: BTreeSet<SocketAddr> =
+        parts.flat_map(|part| gateways.part_receivers("a", part, at(100))).collect();
+    assert_eq!(reached.len(), 500);
+}
--- a/crates/citron/tests/outage.rs
+++ b/crates/citron/tests/outage.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use citron::outage::{Contact, Link};
+use citron::outage::{self, Contact, Link, Silence};
 
 /// How long entries are kept after an outage.
 const GRACE_MS: u64 = 2000;
@@ -161,3 +161,62 @@
     assert_eq!(link.contact(at(6600)), Some(contact(6500, 6600)));
     assert_eq!(link.silent_for(at(6600)), Duration::ZERO);
 }
+
+fn silence(unanswered_at: u64, returned_at: Option<u64>) -> Silence {
+    Silence { unanswered_at: at(unanswered_at), returned_at: returned_at.map(at) }
+}
+
+/// Names a case: the silences that gateways noticed, the contacts of all, and when the store
+/// returned, in ms.
+macro_rules! returned {
+    ($name:ident, $silences:expr, $contacts:expr, $returned:expr) => {
+        #[test]
+        fn $name() {
+            let silences: &[Silence] = &$silences;
+            let returned: Option<u64> = $returned;
+            let last = outage::last_return(silences.iter(), &$contacts);
+            assert_eq!(last, returned.map(at));
+        }
+    };
+}
+
+returned!(no_silence_has_no_return, [], [contact(0, 9000)], None);
+returned!(a_silence_that_lasts_has_no_return, [silence(4000, None)], [], None);
+returned!(
+    gateways_that_notice_the_return_later_do_not_move_it,
+    [silence(4000, Some(7600)), silence(6900, Some(8400)), silence(5000, Some(8900))],
+    [contact(7600, 9000)],
+    Some(7600)
+);
+returned!(
+    a_later_silence_has_its_own_return,
+    [silence(4000, Some(7600)), silence(12_000, Some(14_000))],
+    [contact(14_000, 14_500)],
+    Some(14_000)
+);
+returned!(
+    a_gateway_that_was_cut_off_alone_saw_no_silence_of_the_store,
+    [silence(4000, Some(7600))],
+    [contact(0, 7500), contact(7600, 7700)],
+    None
+);
+returned!(
+    a_short_silence_breaks_no_contact,
+    [silence(4000, Some(4600))],
+    [contact(0, 4700)],
+    Some(4600)
+);
+
+#[test]
+fn a_call_begun_in_a_silence_says_nothing_of_its_end() {
+    let mut link = Link::default();
+    link.record_unanswered(at(4000));
+    link.record_answered(at(3900));
+    assert_eq!(link.silence(), Some(silence(4000, None)));
+    link.record_answered(at(5000));
+    link.record_answered(at(6000));
+    link.record_unanswered(at(3000));
+    assert_eq!(link.silence(), Some(silence(4000, Some(5000))));
+    link.record_unanswered(at(7000));
+    assert_eq!(link.silence(), Some(silence(7000, None)));
+}
