Space checks whose answers confirm nothing

The store's revision had gone back, so that no response confirmed. Answered checks are 0.3 s apart now.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -283,7 +283,7 @@
         self.shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
         self.cursor = response.cursor;
         if wait.is_zero() {
-            self.checks.record_response(self.shared.clock.now().saturating_sub(begun_at));
+            self.checks.record_response(begun_at, self.shared.clock.now());
         }
         let Some(revision) = response.cursor else { return };
         // A response without news was made after the whole wait.
--- a/crates/citron/src/freshness.rs
+++ b/crates/citron/src/freshness.rs
@@ -13,6 +13,9 @@
 pub const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(700);
 /// How long a check may stay unanswered before a further one is made beside it.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The minimum interval between an answered check and the next one, if the response confirmed
+/// nothing.
+const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(300);
 /// How much later than due a check is made at most, so that the response to the first one at any
 /// gateway spares the others theirs.
 const CHECK_SPREAD: Duration = Duration::from_millis(100);
@@ -109,10 +112,10 @@
         self.draw_spread(rng);
     }
 
-    /// Records a response to a check, which took `response_time`.
-    pub fn record_response(&mut self, response_time: Duration) {
-        self.response_time = response_time;
-        self.not_before = Duration::ZERO;
+    /// Records that a check made at `begun_at` was answered at `now`.
+    pub fn record_response(&mut self, begun_at: Duration, now: Duration) {
+        self.response_time = now.saturating_sub(begun_at);
+        self.not_before = now + CHECK_INTERVAL_MIN;
     }
 
     /// A gateway learns that another one's check was answered only after the response time.
