--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -171,9 +171,14 @@
         let keep_until = self.keep_until(now);
         let mut targets = self.targets.lock();
         let held = targets.update(keep_until, |catalog| catalog.replace(snapshot, source, now));
-        let count = targets.catalog.len();
+        let (count, current) = (targets.catalog.len(), targets.catalog.revision());
         drop(targets);
-        let Some(held) = held else { return false };
+        let Some(held) = held else {
+            log::info!(
+                "event=targets-ignored revision={revision} current={current} source={source}"
+            );
+            return false;
+        };
         log::info!("event=targets-taken revision={revision} targets={count} source={source}");
         self.finish_update(revision, &held, now);
         true
@@ -191,7 +196,13 @@
         let keep_until = self.keep_until(now);
         let descriptions: Vec<String> = changes.iter().map(targets::describe).collect();
         let apply = |catalog: &mut Catalog| catalog.apply(revision, changes, source, now);
-        let Some(held) = self.targets.lock().update(keep_until, apply) else { return false };
+        let Some(held) = self.targets.lock().update(keep_until, apply) else {
+            let current = self.targets.lock().catalog.revision();
+            log::info!(
+                "event=changes-ignored revision={revision} current={current} source={source}"
+            );
+            return false;
+        };
         log::info!(
             "event=targets-changed revision={revision} changes={} source={source}",
             descriptions.join(",")
