--- a/crates/citron-stand/src/gateway/store.rs
+++ b/crates/citron-stand/src/gateway/store.rs
@@ -11,12 +11,15 @@
 use citron_daemon::Server;
 use parking_lot::Mutex;
 use rocket::{
-    State, delete, get, http::Status, post, put, response::status::Custom, routes,
+    State, delete, fairing::AdHoc, get, http::Status, post, put, response::status::Custom, routes,
     serde::json::Json,
 };
 use serde_json::{Value, json};
 use tokio::{sync::Notify, time};
 
+/// The header that names the era in all answers.
+const ERA: &str = "Store-Era";
+
 /// How the store treats all calls.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum Mood {
@@ -49,12 +52,20 @@
 
 #[derive(Debug)]
 struct Contents {
+    /// Rises by one each time the store comes back from a copy.
+    era: u64,
+    saved: Copy,
+    mood: Mood,
+    calls: u64,
+}
+
+/// What the store holds, from which it may come back.
+#[derive(Debug, Clone)]
+pub struct Copy {
     revision: u64,
     oldest: u64,
     objects: BTreeMap<(String, String), Value>,
     history: Vec<(u64, String, Value)>,
-    mood: Mood,
-    calls: u64,
 }
 
 type Answer = Custom<Json<Value>>;
@@ -62,18 +73,20 @@
 impl Store {
     /// Starts an empty store on a free port.
     pub async fn bind() -> Self {
-        let state = Contents {
-            revision: 3,
-            oldest: 0,
-            objects: BTreeMap::new(),
-            history: Vec::new(),
-            mood: Mood::Well,
-            calls: 0,
-        };
+        let saved = Copy { revision: 3, oldest: 0, objects: BTreeMap::new(), history: Vec::new() };
+        let state = Contents { era: 1, saved, mood: Mood::Well, calls: 0 };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Notify::new() });
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let current = Arc::clone(&shared);
+        let era = AdHoc::on_response("era", move |_, response| {
+            let era = current.state.lock().era;
+            Box::pin(async move {
+                response.set_raw_header(ERA, era.to_string());
+            })
+        });
         let rocket = rocket::custom(citron_daemon::config(addr))
             .manage(Arc::clone(&shared))
+            .attach(era)
             .mount("/v1/objects", routes![list, one, create, replace, remove]);
         let server = citron_daemon::bind(rocket, addr).await.expect("a store");
         Self { server, shared }
@@ -86,13 +99,13 @@
 
     /// Writes an object as its owner does.
     pub fn put(&self, kind: &str, name: &str, spec: impl Borrow<Value>) {
-        self.shared.state.lock().write(kind, name, spec.borrow());
+        self.shared.state.lock().saved.write(kind, name, spec.borrow());
         self.shared.changed.notify_waiters();
     }
 
     /// Removes an object as its owner does.
     pub fn delete(&self, kind: &str, name: &str) {
-        self.shared.state.lock().remove(kind, name);
+        self.shared.state.lock().saved.remove(kind, name);
         self.shared.changed.notify_waiters();
     }
 
@@ -105,8 +118,23 @@
     /// Discards the history and cuts the watches that wait.
     pub fn forget_history(&self) {
         let mut state = self.shared.state.lock();
-        state.oldest = state.revision;
-        state.history.clear();
+        state.saved.oldest = state.saved.revision;
+        state.saved.history.clear();
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns a copy of what it holds.
+    pub fn copy(&self) -> Copy {
+        self.shared.state.lock().saved.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out
+    /// again. Watches that wait are never answered.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.shared.state.lock();
+        state.saved = copy;
+        state.era += 1;
         drop(state);
         self.shared.changed.notify_waiters();
     }
@@ -114,7 +142,7 @@
     /// Returns what an object says.
     pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
         let key = (kind.to_owned(), name.to_owned());
-        self.shared.state.lock().objects.get(&key).map(|object| object["spec"].clone())
+        self.shared.state.lock().saved.objects.get(&key).map(|object| object["spec"].clone())
     }
 
     /// Returns how many calls came.
@@ -123,7 +151,7 @@
     }
 }
 
-impl Contents {
+impl Copy {
     fn write(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         self.revision += 1;
         let object = json!({
@@ -174,7 +202,7 @@
 }
 
 /// Does a write when and as the store's mood has it.
-async fn write(shared: &Shared, act: impl FnOnce(&mut Contents) -> Answer) -> Answer {
+async fn write(shared: &Shared, act: impl FnOnce(&mut Copy) -> Answer) -> Answer {
     if let Err(refusal) = admit(shared).await {
         return refusal;
     }
@@ -182,7 +210,7 @@
     if let Mood::WritingLate(millis) = mood {
         time::sleep(Duration::from_millis(millis)).await;
     }
-    let answer = act(&mut shared.state.lock());
+    let answer = act(&mut shared.state.lock().saved);
     shared.changed.notify_waiters();
     match mood {
         Mood::LosingAnswers | Mood::WritingLate(_) => silence().await,
@@ -208,8 +236,9 @@
     if let Err(refusal) = admit(shared).await {
         return refusal;
     }
+    let era = shared.state.lock().era;
     let Some(since) = watch else {
-        let state = shared.state.lock();
+        let state = &shared.state.lock().saved;
         let of_kind = state
             .objects
             .iter()
@@ -227,15 +256,16 @@
             if matches!(state.mood, Mood::Refusing(_)) {
                 return Custom(Status::ServiceUnavailable, Json(Value::Null));
             }
-            let is_silent = state.mood == Mood::Silent;
-            if since < state.oldest && !is_silent {
+            let is_silent = state.mood == Mood::Silent || state.era != era;
+            let saved = &state.saved;
+            if !(saved.oldest..=saved.revision).contains(&since) && !is_silent {
                 return Custom(Status::Gone, Json(Value::Null));
             }
-            let newer = state.history.iter().filter(|(at, k, _)| *at > since && k == kind);
+            let newer = saved.history.iter().filter(|(at, k, _)| *at > since && k == kind);
             let events: Vec<Value> = newer.map(|(_, _, event)| event.clone()).collect();
             let is_due = !events.is_empty() || time::Instant::now() >= deadline;
             if is_due && !is_silent {
-                return ok(json!({"events": events, "asOf": state.revision}));
+                return ok(json!({"events": events, "asOf": saved.revision}));
             }
             is_silent
         };
@@ -252,7 +282,7 @@
     if let Err(refusal) = admit(shared).await {
         return refusal;
     }
-    match shared.state.lock().objects.get(&(kind.to_owned(), name.to_owned())) {
+    match shared.state.lock().saved.objects.get(&(kind.to_owned(), name.to_owned())) {
         Some(object) => ok(object.clone()),
         None => Custom(Status::NotFound, Json(Value::Null)),
     }
