Tell positions of the store by era and revision

Cause: after the store comes back from an older copy its revisions are lower than those held, so that lists were dropped; nothing told the eras apart. The same in all that keeps or compares a revision: catalog and change log, cursors, what wakes followers, reports and pulls between gateways, what confirms a state.

A Position is an era and a revision, in this order; an older build's is of era 0 and never newer than a known one, its requests for changes get the whole list. A watch answered in another era has no history, also where the store has passed the revision again. A later era ends an outage however short, so that entries of the lost span are kept for two seconds.

--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::{catalog::Update, route::Table};
+use citron::{catalog::Update, position::Position, route::Table};
 use citron_adapter::ingress::{ADDRESSES_LIMIT, ResolveResponse};
 use citron_daemon::Server;
 use eyre::WrapErr;
@@ -87,13 +87,14 @@
     shared.routes().map(|table| Json((*table).clone())).ok_or(Status::ServiceUnavailable)
 }
 
-#[get("/targets?<since>")]
-fn peer_targets(shared: &State<Arc<Shared>>, since: u64) -> JsonResult<Update> {
+#[get("/targets?<since>&<era>")]
+fn peer_targets(shared: &State<Arc<Shared>>, since: u64, era: Option<u64>) -> JsonResult<Update> {
     let targets = shared.targets.lock();
-    if targets.catalog.revision() == 0 {
+    if targets.catalog.position().revision == 0 {
         return Err(Status::ServiceUnavailable);
     }
-    Ok(Json(targets.catalog.since(since)))
+    let position = Position { era: era.unwrap_or(0), revision: since };
+    Ok(Json(targets.catalog.since(position)))
 }
 
 #[get("/metrics")]
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -14,7 +14,7 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use citron::freshness::CheckTimer;
+use citron::{freshness::CheckTimer, position::Position};
 use citron_adapter::store::{Error, Store};
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
@@ -57,8 +57,8 @@
     shared: Arc<Shared>,
     store: Store,
     subject: Subject,
-    /// The revision from which the next watch continues, `None` if the next call is a list.
-    cursor: Option<u64>,
+    /// The position from which the next watch continues, `None` if the next call is a list.
+    cursor: Option<Position>,
     backoff: Backoff,
     checks: CheckTimer,
     /// Whether the last call was abandoned, so that the next one must not wait.
@@ -79,6 +79,8 @@
     Polling,
     /// The store has returned from a silence since the watch began.
     StoreReturned,
+    /// The store has come back from an older copy since the watch began.
+    StoreRestored,
 }
 
 impl Follower {
@@ -120,6 +122,9 @@
                         waited.as_millis()
                     );
                     self.shared.link.record_abandoned();
+                    if reason == Abandoned::StoreRestored {
+                        self.cursor = None;
+                    }
                 }
             }
         }
@@ -197,7 +202,7 @@
         let shared = Arc::clone(&self.shared);
         let mut calls = FuturesUnordered::new();
         calls.push(self.call(wait));
-        let mut revisions = shared.store_revision.subscribe();
+        let mut positions = shared.store_position.subscribe();
         loop {
             let now = shared.clock.now();
             self.check_watch(begun_at, now)?;
@@ -218,7 +223,7 @@
                     }
                 }
                 () = self.subject.overdue(&shared).notified() => return Err(Abandoned::PeerAhead),
-                Ok(()) = revisions.changed() => {}
+                Ok(()) = positions.changed() => {}
                 () = time::sleep(pause) => {}
             }
         }
@@ -230,18 +235,25 @@
         if self.polls() {
             return Err(Abandoned::Polling);
         }
-        let Some(returned_at) = self.shared.store_returned_at(now) else { return Ok(()) };
-        let turn_at = returned_at + self.shared.gateways.lock().call_spread().mul_f64(self.turn);
-        if begun_at < returned_at && now >= turn_at {
-            return Err(Abandoned::StoreReturned);
+        let gateways = self.shared.gateways.lock();
+        let turn = gateways.call_spread().mul_f64(self.turn);
+        let era = *self.shared.store_era.borrow();
+        let noticed = gateways.store_era(now).filter(|(noticed, _)| *noticed == era);
+        let is_turn = noticed.is_none_or(|(_, since)| now >= since + turn);
+        if is_turn && self.cursor.is_some_and(|cursor| cursor.era < era) {
+            return Err(Abandoned::StoreRestored);
+        }
+        let returned_at = gateways.store_returned_at(self.shared.link.silence(), now);
+        match returned_at {
+            Some(at) if begun_at < at && now >= at + turn => Err(Abandoned::StoreReturned),
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// Returns when the next check beside a watch that was begun at `begun_at` is due, `None` if
     /// nothing is to be checked.
     fn check_at(&self, begun_at: Duration) -> Option<Duration> {
-        let is_behind = self.cursor < Some(*self.shared.store_revision.borrow());
+        let is_behind = self.cursor < Some(*self.shared.store_position.borrow());
         match self.subject {
             Subject::Routes if !is_behind => None,
             Subject::Routes if self.shared.is_poller() => Some(self.checks.not_before()),
@@ -285,13 +297,13 @@
         if wait.is_zero() {
             self.checks.record_response(begun_at, self.shared.clock.now());
         }
-        let Some(revision) = response.cursor else { return };
+        let Some(position) = response.cursor else { return };
         // A response without news was made after the whole wait.
         let confirmed_at = if response.has_news { begun_at } else { begun_at + wait };
-        self.shared.freshness.lock().record(self.subject.confirmed(), revision, confirmed_at);
-        self.shared.store_revision.send_if_modified(|latest| {
-            let is_newer = revision > *latest;
-            *latest = revision.max(*latest);
+        self.shared.freshness.lock().record(self.subject.confirmed(), position, confirmed_at);
+        self.shared.store_position.send_if_modified(|latest| {
+            let is_newer = position > *latest;
+            *latest = position.max(*latest);
             is_newer
         });
         if wait <= POLL_TIMEOUT {
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -5,6 +5,7 @@
 use citron::{
     catalog::{Snapshot, Source},
     freshness,
+    position::Position,
 };
 use citron_adapter::{
     routes,
@@ -57,9 +58,9 @@
 
 /// A response, whose content was applied.
 pub struct Response {
-    /// The revision from which the next watch continues, `None` if the store has no history since
+    /// The position from which the next watch continues, `None` if the store has no history since
     /// the last one.
-    pub cursor: Option<u64>,
+    pub cursor: Option<Position>,
     /// Whether it brought objects or changes.
     pub has_news: bool,
 }
@@ -69,19 +70,20 @@
     shared: &Shared,
     store: &Store,
     subject: Subject,
-    cursor: Option<u64>,
+    cursor: Option<Position>,
     wait: Duration,
 ) -> Call {
     let begun_at = shared.clock.now();
     let result = match cursor {
         None => list(shared, store, subject).await,
-        Some(revision) => watch(shared, store, subject, revision, wait).await,
+        Some(position) => watch(shared, store, subject, position, wait).await,
     };
     Call { result, begun_at, wait }
 }
 
 async fn list(shared: &Shared, store: &Store, subject: Subject) -> Result<Response, Error> {
     let list = store.list(subject.kind()).await?;
+    shared.record_era(list.position.era);
     match subject {
         Subject::Routes => {
             for object in list.objects.iter().filter(|object| object.name == routes::NAME) {
@@ -91,34 +93,35 @@
         Subject::Targets => {
             let targets = targets::decode_list(&list.objects);
             shared.replace_targets(
-                Snapshot { revision: list.revision, targets, lapsed: Vec::new() },
+                Snapshot { position: list.position, targets, lapsed: Vec::new() },
                 Source::Store,
             );
         }
     }
-    Ok(Response { cursor: Some(list.revision), has_news: true })
+    Ok(Response { cursor: Some(list.position), has_news: true })
 }
 
 async fn watch(
     shared: &Shared,
     store: &Store,
     subject: Subject,
-    revision: u64,
+    position: Position,
     wait: Duration,
 ) -> Result<Response, Error> {
     let kind = subject.kind();
-    let (as_of, events) = match store.watch(kind, revision, wait).await? {
+    let (as_of, events) = match store.watch(kind, position, wait).await? {
         WatchResult::HistoryGone => {
-            log::info!("event=history-gone kind={kind} revision={revision}");
+            log::info!("event=history-gone kind={kind} revision={position}");
             return Ok(Response { cursor: None, has_news: true });
         }
         WatchResult::Changes(as_of, events) => (as_of, events),
     };
+    shared.record_era(as_of.era);
     apply(shared, subject, as_of, &events);
     Ok(Response { cursor: Some(as_of), has_news: !events.is_empty() })
 }
 
-fn apply(shared: &Shared, subject: Subject, as_of: u64, events: &[Event]) {
+fn apply(shared: &Shared, subject: Subject, as_of: Position, events: &[Event]) {
     match subject {
         Subject::Routes => {
             for event in events.iter().filter(|e| e.object.name == routes::NAME && !e.deleted) {
@@ -129,7 +132,8 @@
         Subject::Targets => {
             // A deleted object carries its last revision before the deletion.
             let deleted = events.iter().any(|event| event.deleted);
-            let newest = events.iter().map(|event| event.object.revision).max().unwrap_or(as_of);
+            let newest = events.iter().map(|event| event.object.revision).max();
+            let newest = newest.map_or(as_of, |revision| as_of.at(revision));
             let content = if deleted { as_of } else { newest };
             shared.apply_target_changes(content, targets::decode_events(events), Source::Store);
         }
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -111,7 +111,7 @@
             choice.in_flight,
             choice.age.map_or(-1, |age| age.as_millis() as i64),
             choice.candidates,
-            choice.revision,
+            choice.position,
             choice.lapsed,
             attempt.result,
             attempt.response.as_ref().map_or(0, |response| response.status.as_u16()),
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub routes_version: IntGauge,
     /// The revision of the current target list.
     pub targets_revision: IntGauge,
+    /// The latest era of the store.
+    pub store_era: IntGauge,
     refused: IntCounterVec,
     attempts: IntCounterVec,
     requests: IntCounterVec,
@@ -202,6 +204,10 @@
                 "citron_targets_revision",
                 "Revision of the target list in force",
             )?,
+            store_era: gauge(
+                "citron_store_era",
+                "How often the store came back from an older copy, as it counts itself",
+            )?,
             latency,
             added,
             store_silent_seconds,
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -17,6 +17,7 @@
     gateways::Report,
     gray::Verdict,
     outage::{Contact, Silence},
+    position::Position,
     statement::{Origin, Statement},
 };
 use prost::Message;
@@ -97,6 +98,7 @@
     if shared.gateways.lock().apply_report(&datagram.host, address, report, now) {
         log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
+    shared.notice_era();
     // The report may show that an outage of the store was none.
     shared.expire_targets();
     if state.wants_reply && address == from {
@@ -136,8 +138,8 @@
 
 fn is_ahead(shared: &Shared, report: &Report) -> bool {
     let routes = shared.routes().map_or(0, |routes| routes.version);
-    let targets = shared.targets.lock().catalog.revision();
-    report.routes_version > routes || report.targets_revision > targets
+    let targets = shared.targets.lock().catalog.position();
+    report.routes_version > routes || report.targets_position > targets
 }
 
 /// Replies to a newcomer with some of the gateways that are known here.
@@ -170,9 +172,11 @@
 /// Decodes a report that was made at `made_at` by this gateway's clock.
 fn decode_state(state: &State, made_at: Duration) -> Option<Report> {
     let ago = |age_ms| made_at.saturating_sub(Duration::from_millis(age_ms));
-    let store_contact = state
-        .store_response_age_ms
-        .map(|age_ms| Contact { since: ago(state.store_answers_for_ms), last: ago(age_ms) });
+    let store_contact = state.store_response_age_ms.map(|age_ms| Contact {
+        era: state.store_era,
+        since: ago(state.store_answers_for_ms),
+        last: ago(age_ms),
+    });
     Some(Report {
         born_ms: state.born_ms,
         domain: Arc::from(state.domain.as_str()),
@@ -180,7 +184,7 @@
         peers: state.peers.parse().ok()?,
         ready: state.ready,
         routes_version: state.routes_version,
-        targets_revision: state.targets_revision,
+        targets_position: Position { era: state.targets_era, revision: state.targets_revision },
         store_contact,
         confirmed_at: state.confirmed_age_ms.map(ago),
         store_silence: state.store_silence.map(|silence| Silence {
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -191,6 +191,7 @@
     let settings = shared.settings();
     let now = shared.clock.now();
     let contact = shared.link.contact(now);
+    let position = shared.targets.lock().catalog.position();
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
     let state = State {
         born_ms,
@@ -199,11 +200,13 @@
         peers: settings.peers.to_string(),
         ready: shared.is_ready(),
         routes_version: shared.routes().map_or(0, |routes| routes.version),
-        targets_revision: shared.targets.lock().catalog.revision(),
+        targets_revision: position.revision,
+        targets_era: position.era,
         wants_reply,
         datagrams: own_address.to_owned(),
         store_answers_for_ms: contact.map_or(0, |contact| age_ms(contact.since)),
         store_response_age_ms: contact.map(|contact| age_ms(contact.last)),
+        store_era: contact.map_or(0, |contact| contact.era),
         sent_ms: now.as_millis() as u64,
         confirmed_age_ms: shared.freshness.lock().confirmed_at().map(age_ms),
         store_silence: shared.link.silence().map(|silence| message::Silence {
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -91,6 +91,12 @@
     /// milliseconds; absent if it never did.
     #[prost(uint64, optional, tag = "13")]
     pub confirmed_age_ms: Option<u64>,
+    /// The store's era of the current target list.
+    #[prost(uint64, tag = "15")]
+    pub targets_era: u64,
+    /// The store's era in its latest response to the sender.
+    #[prost(uint64, tag = "16")]
+    pub store_era: u64,
     /// The last silence of the store that the sender noticed.
     #[prost(message, optional, tag = "14")]
     pub store_silence: Option<Silence>,
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -46,14 +46,14 @@
             shared.routes_overdue.notify_waiters();
         }
     }
-    let revision = shared.targets.lock().catalog.revision();
-    let newer = shared.gateways.lock().peer_with_newer_targets(revision, &domain, now);
+    let position = shared.targets.lock().catalog.position();
+    let newer = shared.gateways.lock().peer_with_newer_targets(position, &domain, now);
     let Some(peer) = newer else { return };
-    let path = format!("targets?since={revision}");
+    let path = format!("targets?since={}&era={}", position.revision, position.era);
     let was_behind = match fetch(&shared, &http, peer, "targets", &path).await {
         Some(Update::Whole(snapshot)) => shared.replace_targets(snapshot, Source::Peer),
         Some(Update::Changes(revision, changes)) => {
-            shared.apply_target_changes(revision, changes, Source::Peer)
+            shared.apply_target_changes(position.at(revision), changes, Source::Peer)
         }
         None => false,
     };
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -18,6 +18,7 @@
     gray::{Choice, Criteria, NoCapacity, Verdict},
     placement::Host,
     poller::Member,
+    position::Position,
     route::{Route, Split, Table},
     statement::{Notice, Origin, Statement},
 };
@@ -78,8 +79,10 @@
     announced_ready: AtomicBool,
     /// Whether the store responds.
     pub link: StoreLink,
-    /// The newest revision of the store that any response named.
-    pub store_revision: watch::Sender<u64>,
+    /// The newest position of the store that any response named.
+    pub store_position: watch::Sender<Position>,
+    /// The latest era of the store that a response or a peer named.
+    pub store_era: watch::Sender<u64>,
     /// What the store's responses to this gateway confirm.
     pub freshness: Mutex<Freshness>,
     /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
@@ -117,7 +120,8 @@
             shutting_down: AtomicBool::new(false),
             announced_ready: AtomicBool::new(false),
             link: StoreLink::default(),
-            store_revision: watch::Sender::default(),
+            store_position: watch::Sender::default(),
+            store_era: watch::Sender::default(),
             freshness: Mutex::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
@@ -166,54 +170,54 @@
     /// Replaces the target list with a snapshot from `source`; returns false without a change if it
     /// is not newer.
     pub fn replace_targets(&self, snapshot: Snapshot, source: Source) -> bool {
-        let revision = snapshot.revision;
+        let position = snapshot.position;
         let now = self.clock.now();
         let keep_until = self.keep_until(now);
         let mut targets = self.targets.lock();
         let held = targets.update(keep_until, |catalog| catalog.replace(snapshot, source, now));
-        let (count, current) = (targets.catalog.len(), targets.catalog.revision());
+        let (count, current) = (targets.catalog.len(), targets.catalog.position());
         drop(targets);
         let Some(held) = held else {
             log::info!(
-                "event=targets-ignored revision={revision} current={current} source={source}"
+                "event=targets-ignored revision={position} current={current} source={source}"
             );
             return false;
         };
-        log::info!("event=targets-taken revision={revision} targets={count} source={source}");
-        self.finish_update(revision, &held, now);
+        log::info!("event=targets-taken revision={position} targets={count} source={source}");
+        self.finish_update(position, &held, now);
         true
     }
 
     /// Applies changes of the target list from `source`; returns false without a change if the
-    /// revision is not newer.
+    /// position is not newer or of another era.
     pub fn apply_target_changes(
         &self,
-        revision: u64,
+        position: Position,
         changes: Vec<Change>,
         source: Source,
     ) -> bool {
         let now = self.clock.now();
         let keep_until = self.keep_until(now);
         let descriptions: Vec<String> = changes.iter().map(targets::describe).collect();
-        let apply = |catalog: &mut Catalog| catalog.apply(revision, changes, source, now);
+        let apply = |catalog: &mut Catalog| catalog.apply(position, changes, source, now);
         let Some(held) = self.targets.lock().update(keep_until, apply) else {
-            let current = self.targets.lock().catalog.revision();
+            let current = self.targets.lock().catalog.position();
             log::info!(
-                "event=changes-ignored revision={revision} current={current} source={source}"
+                "event=changes-ignored revision={position} current={current} source={source}"
             );
             return false;
         };
         log::info!(
-            "event=targets-changed revision={revision} changes={} source={source}",
+            "event=targets-changed revision={position} changes={} source={source}",
             descriptions.join(",")
         );
-        self.finish_update(revision, &held, now);
+        self.finish_update(position, &held, now);
         true
     }
 
-    fn finish_update(&self, revision: u64, held: &[Held], now: Duration) {
+    fn finish_update(&self, position: Position, held: &[Held], now: Duration) {
         held.iter().for_each(|target| target.log(now));
-        self.metrics.targets_revision.set(revision as i64);
+        self.metrics.targets_revision.set(position.revision as i64);
         self.announce_if_first();
     }
 
@@ -231,6 +235,29 @@
         self.expire_targets();
     }
 
+    /// Records that the store responded in `era`, before its response is applied.
+    pub fn record_era(&self, era: u64) {
+        self.link.record_era(era, self.clock.now());
+        self.notice_era();
+    }
+
+    /// Takes note of the latest era of the store that a response or a peer named.
+    pub fn notice_era(&self) {
+        let now = self.clock.now();
+        let peers = self.gateways.lock().store_era(now).map(|(era, _)| era);
+        let own = self.link.contact(now).map(|contact| contact.era);
+        let Some(era) = own.max(peers) else { return };
+        self.store_era.send_if_modified(|latest| {
+            let is_later = era > *latest;
+            if is_later {
+                log::info!("event=store-era era={era} before={latest}");
+                self.metrics.store_era.set(era as i64);
+                *latest = era;
+            }
+            is_later
+        });
+    }
+
     /// Records that a follower's call, whose response was due at `due`, failed; `is_first` tells
     /// whether its previous call had not.
     pub fn record_store_failure(&self, is_first: bool, due: Duration) {
@@ -256,8 +283,8 @@
     /// of the store to it, or to a peer whose state is not newer.
     pub fn confirmed_at(&self) -> Option<Duration> {
         let version = self.routes().map_or(0, |routes| routes.version);
-        let revision = self.targets.lock().catalog.revision();
-        let peers = self.gateways.lock().confirmed_at(version, revision);
+        let position = self.targets.lock().catalog.position();
+        let peers = self.gateways.lock().confirmed_at(version, position);
         self.freshness.lock().confirmed_at().max(peers)
     }
 
@@ -267,11 +294,6 @@
         self.confirmed_at().map(|at| now.saturating_sub(at))
     }
 
-    /// Returns when the store last returned from a silence that this gateway or a peer noticed.
-    pub fn store_returned_at(&self, now: Duration) -> Option<Duration> {
-        self.gateways.lock().store_returned_at(self.link.silence(), now)
-    }
-
     /// Returns until when target entries that vanish are kept.
     fn keep_until(&self, now: Duration) -> Duration {
         self.link.keep_until(self.gateways.lock().store_contacts(now), now)
@@ -291,10 +313,10 @@
     /// ready and another gateway has reported routes and targets at least this new.
     fn announce_if_first(&self) {
         let version = self.routes().map_or(0, |routes| routes.version);
-        let revision = self.targets.lock().catalog.revision();
+        let position = self.targets.lock().catalog.position();
         let now = self.clock.now();
         if !self.announced_ready.load(Ordering::Relaxed)
-            || self.gateways.lock().is_first_with(version, revision, now)
+            || self.gateways.lock().is_first_with(version, position, now)
         {
             self.announced_ready.store(self.is_ready(), Ordering::Relaxed);
             self.state_changed.notify_one();
@@ -438,7 +460,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_shutting_down()
             && self.routes.read().is_some()
-            && self.targets.lock().catalog.revision() > 0
+            && self.targets.lock().catalog.position().revision > 0
     }
 
     /// Returns true once the shutdown has begun.
--- a/crates/citron-gateway/src/store_link.rs
+++ b/crates/citron-gateway/src/store_link.rs
@@ -27,8 +27,12 @@
         state.link.record_failure(due);
     }
 
-    /// Records a response to the follower of `kind`, and whether its previous call had failed;
-    /// returns when the link was lost if the response ends an outage.
+    /// Records that the store responded in `era`, before its response is applied.
+    pub fn record_era(&self, era: u64, now: Duration) {
+        self.0.lock().link.record_era(era, now);
+    }
+
+    /// Records a response to the follower of `kind`, and whether its previous call had failed; returns when the link was lost if the response ends an outage.
     pub fn record_response(
         &self,
         kind: &'static str,
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -9,6 +9,7 @@
 use citron::{
     gateways::{Gateways, Report},
     placement::Host,
+    position::Position,
     target_limit::Limits,
 };
 use rand::{Rng, SeedableRng};
@@ -227,7 +228,7 @@
             peers: address,
             ready: true,
             routes_version: 1,
-            targets_revision: 1,
+            targets_position: Position::default(),
             store_contact: None,
             confirmed_at: None,
             store_silence: None,
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
+use crate::position::Position;
+
 /// The maximum number of leaving incarnations that are remembered, also without an entry.
 const LEAVING_CAPACITY: usize = 4096;
 
@@ -52,8 +54,9 @@
 /// The whole list at one revision, as sent between hosts.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The store's revision of this list.
-    pub revision: u64,
+    /// The store's position of this list.
+    #[serde(flatten)]
+    pub position: Position,
     /// All usable targets.
     pub targets: Vec<Target>,
     /// Those of them whose entries vanished around an outage and are kept for a grace period.
@@ -74,16 +77,17 @@
 /// What a peer needs to catch up with this list.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Update {
-    /// The revision reached and the changes up to it.
+    /// The revision reached, in the era of the position that was asked for, and the changes up to
+    /// it.
     Changes(u64, Vec<Change>),
     /// The whole list.
     Whole(Snapshot),
 }
 
-/// The current list of targets; its revision never decreases.
+/// The current list of targets; its position never decreases.
 #[derive(Debug, Default)]
 pub struct Catalog {
-    revision: u64,
+    position: Position,
     targets: BTreeMap<Arc<str>, Target>,
     /// Targets whose entries vanished around an outage of the store, with the time until which
     /// they are kept.
@@ -91,9 +95,9 @@
     /// The start times of incarnations known to be leaving, so that an outdated entry does not
     /// bring them back.
     leaving_incarnations: BTreeMap<Arc<str>, u64>,
-    /// The identities that changed, with the revision of the change, oldest first.
+    /// The identities that changed in this era, with the revision of the change, oldest first.
     change_log: VecDeque<(u64, Arc<str>)>,
-    /// The change log contains all changes after this revision.
+    /// The change log contains all changes after this revision of this era.
     log_start: u64,
     /// Until when entries that vanish are kept.
     keep_until: Duration,
@@ -102,7 +106,7 @@
 impl Catalog {
     /// Replaces the list; returns false without a change if the snapshot is not newer.
     pub fn replace(&mut self, snapshot: Snapshot, source: Source, now: Duration) -> bool {
-        if snapshot.revision <= self.revision {
+        if snapshot.position <= self.position {
             return false;
         }
         let kept_until = self.lapsed.clone();
@@ -119,32 +123,33 @@
             let until = kept_until.get(&id).copied().unwrap_or(self.keep_until);
             self.lapse(&id, until, now);
         }
-        self.revision = snapshot.revision;
+        self.position = snapshot.position;
         self.change_log.clear();
-        self.log_start = self.revision;
+        self.log_start = self.position.revision;
         true
     }
 
-    /// Applies the changes up to `revision`; returns false without a change if it is not newer.
+    /// Applies the changes of this era up to `position`; returns false without a change if it is not
+    /// newer or of another era.
     pub fn apply(
         &mut self,
-        revision: u64,
+        position: Position,
         changes: Vec<Change>,
         source: Source,
         now: Duration,
     ) -> bool {
-        if revision <= self.revision {
+        if position <= self.position || position.era != self.position.era {
             return false;
         }
         for change in changes {
-            self.record_change(revision, &change);
+            self.record_change(position.revision, &change);
             match change {
                 Change::Put(target) => self.put(target),
                 Change::Gone(id) => self.remove(&id, source, now),
                 Change::Lapsed(id) => self.lapse(&id, self.keep_until, now),
             }
         }
-        self.revision = revision;
+        self.position = position;
         true
     }
 
@@ -172,9 +177,9 @@
         expired
     }
 
-    /// Returns the store's revision of the current list, 0 before the first one.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the store's position of the current list, revision 0 before the first one.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Returns the target with this identity, even if it is leaving.
@@ -227,25 +232,25 @@
     /// Returns the whole list as it is sent to other hosts.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
-            revision: self.revision,
+            position: self.position,
             targets: self.targets.values().cloned().collect(),
             lapsed: self.lapsed.keys().cloned().collect(),
         }
     }
 
-    /// Returns the update for a peer at `revision`; entries that lapsed here are sent as lapsed.
-    pub fn since(&self, revision: u64) -> Update {
-        if revision < self.log_start {
+    /// Returns the update for a peer at `position`; entries that lapsed here are sent as lapsed.
+    pub fn since(&self, position: Position) -> Update {
+        if position.era != self.position.era || position.revision < self.log_start {
             return Update::Whole(self.snapshot());
         }
-        let newer = self.change_log.iter().filter(|(at, _)| *at > revision);
+        let newer = self.change_log.iter().filter(|(at, _)| *at > position.revision);
         let changed: BTreeSet<&Arc<str>> = newer.map(|(_, id)| id).collect();
         let change = |id: &Arc<str>| match self.targets.get(id) {
             Some(_) if self.is_lapsed(id) => Change::Lapsed(Arc::clone(id)),
             Some(target) => Change::Put(target.clone()),
             None => Change::Gone(Arc::clone(id)),
         };
-        Update::Changes(self.revision, changed.into_iter().map(change).collect())
+        Update::Changes(self.position.revision, changed.into_iter().map(change).collect())
     }
 
     fn record_change(&mut self, revision: u64, change: &Change) {
--- a/crates/citron/src/freshness.rs
+++ b/crates/citron/src/freshness.rs
@@ -9,6 +9,8 @@
 
 use rand::Rng;
 
+use crate::position::Position;
+
 /// After this long without a confirmation a gateway asks the store itself.
 pub const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(700);
 /// How long a check may stay unanswered before a further one is made beside it.
@@ -41,28 +43,28 @@
 /// A moment at which the known state of a subject was complete.
 #[derive(Debug, Default, Copy, Clone)]
 struct Confirmation {
-    /// The store's revision then.
-    revision: u64,
+    /// The store's position then.
+    position: Position,
     /// The moment, `None` before the first response.
     at: Option<Duration>,
 }
 
 impl Freshness {
-    /// Records a response that brought the state of `subject` up to the store's `revision` as it was
+    /// Records a response that brought the state of `subject` up to the store's `position` as it was
     /// at `at`.
     ///
     /// The store counts all changes with one revision. If it is still the one to which the other
     /// subject is complete, that one has not changed either.
-    pub fn record(&mut self, subject: Subject, revision: u64, at: Duration) {
+    pub fn record(&mut self, subject: Subject, position: Position, at: Duration) {
         let (own, other) = match subject {
             Subject::Routes => (&mut self.routes, &mut self.targets),
             Subject::Targets => (&mut self.targets, &mut self.routes),
         };
-        if revision < own.revision {
+        if position < own.position {
             return;
         }
-        *own = Confirmation { revision, at: own.at.max(Some(at)) };
-        if other.at.is_some() && other.revision == revision {
+        *own = Confirmation { position, at: own.at.max(Some(at)) };
+        if other.at.is_some() && other.position == position {
             other.at = other.at.max(Some(at));
         }
     }
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -13,6 +13,7 @@
     outage::{self, Contact, Silence},
     placement,
     poller::{self, Member},
+    position::Position,
     target_limit,
 };
 
@@ -69,8 +70,8 @@
     pub ready: bool,
     /// The version of its routes, 0 if it has none.
     pub routes_version: u64,
-    /// The revision of its target list, 0 if it has none.
-    pub targets_revision: u64,
+    /// The position of its target list, revision 0 if it has none.
+    pub targets_position: Position,
     /// Its contact with the store by the receiver's clock, `None` if the store does not respond.
     pub store_contact: Option<Contact>,
     /// When the store confirmed to it that these routes and targets are current, by the receiver's
@@ -203,24 +204,28 @@
         domain: &str,
         now: Duration,
     ) -> Option<SocketAddr> {
-        self.peer_ahead(domain, now, |report| report.routes_version.checked_sub(version + 1))
+        self.peer_ahead(domain, now, |report| {
+            Some(report.routes_version).filter(|other| *other > version)
+        })
     }
 
-    /// Returns the address of a gateway with a target list newer than `revision`, preferably in
+    /// Returns the address of a gateway with a target list newer than `position`, preferably in
     /// `domain`.
     pub fn peer_with_newer_targets(
         &self,
-        revision: u64,
+        position: Position,
         domain: &str,
         now: Duration,
     ) -> Option<SocketAddr> {
-        self.peer_ahead(domain, now, |report| report.targets_revision.checked_sub(revision + 1))
+        self.peer_ahead(domain, now, |report| {
+            Some(report.targets_position).filter(|other| *other > position)
+        })
     }
 
     /// Returns true if no live gateway has reported routes and targets at least this new.
-    pub fn is_first_with(&self, version: u64, revision: u64, now: Duration) -> bool {
+    pub fn is_first_with(&self, version: u64, position: Position, now: Duration) -> bool {
         let mut reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
-        !reports.any(|r| r.routes_version >= version && r.targets_revision >= revision)
+        !reports.any(|r| r.routes_version >= version && r.targets_position >= position)
     }
 
     /// Returns how many live gateways come before `host`, a gateway of `domain`, in sending trial
@@ -240,11 +245,15 @@
     }
 
     /// Returns when the store last confirmed, to any gateway, a state that is not newer than
-    /// `routes_version` and `targets_revision`.
-    pub fn confirmed_at(&self, routes_version: u64, targets_revision: u64) -> Option<Duration> {
+    /// `routes_version` and `targets_position`.
+    pub fn confirmed_at(
+        &self,
+        routes_version: u64,
+        targets_position: Position,
+    ) -> Option<Duration> {
         let reports = self.by_host.values().filter_map(|gateway| gateway.report.as_ref());
         let not_newer = reports.filter(|report| {
-            report.routes_version <= routes_version && report.targets_revision <= targets_revision
+            report.routes_version <= routes_version && report.targets_position <= targets_position
         });
         not_newer.filter_map(|report| report.confirmed_at).max()
     }
@@ -257,6 +266,13 @@
         outage::last_return(silences.chain(&own), &contacts)
     }
 
+    /// Returns the latest era of the store that a live gateway reported, and since when the store
+    /// has responded in it.
+    pub fn store_era(&self, now: Duration) -> Option<(u64, Duration)> {
+        let contacts = self.store_contacts(now).map(|contact| (contact.era, contact.since));
+        contacts.max_by_key(|(era, since)| (*era, std::cmp::Reverse(*since)))
+    }
+
     /// Returns over how long the calls are spread out when all gateways call the store for the same
     /// reason.
     pub fn call_spread(&self) -> Duration {
@@ -362,17 +378,18 @@
         alive.map(|(_, gateway)| gateway.address).collect()
     }
 
-    /// Returns the address of the live gateway with the largest lead, preferably in `domain`.
-    fn peer_ahead(
+    /// Returns the address of the live gateway that is furthest ahead, preferably in `domain`;
+    /// `ahead` returns where a gateway is if it is ahead.
+    fn peer_ahead<T: Ord + Copy>(
         &self,
         domain: &str,
         now: Duration,
-        lead: impl Fn(&Report) -> Option<u64>,
+        ahead: impl Fn(&Report) -> Option<T>,
     ) -> Option<SocketAddr> {
         let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
         reports
             .filter_map(|report| {
-                lead(report).map(|lead| ((&*report.domain == domain, lead), report.peers))
+                ahead(report).map(|at| ((&*report.domain == domain, at), report.peers))
             })
             .max_by_key(|(rank, _)| *rank)
             .map(|(_, peers)| peers)
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -13,6 +13,7 @@
 };
 use crate::{
     catalog::{Catalog, Target},
+    position::Position,
     target_limit::Limits,
 };
 
@@ -90,8 +91,8 @@
     pub candidates: usize,
     /// The requests that all gateways had in flight at the target.
     pub in_flight: u32,
-    /// The revision of the target list that it was chosen from.
-    pub revision: u64,
+    /// The position of the target list that it was chosen from.
+    pub position: Position,
     /// Whether its entry had lapsed and was only kept for a grace period.
     pub lapsed: bool,
 }
@@ -176,7 +177,7 @@
             age: state.estimate.age(now),
             candidates: candidates.len(),
             in_flight: candidates[index].load.0,
-            revision: catalog.revision(),
+            position: catalog.position(),
             lapsed: candidates[index].lapsed,
         })
     }
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod policy;
 pub mod poller;
+pub mod position;
 pub mod queue;
 pub mod route;
 pub mod shutdown;
--- a/crates/citron/src/outage.rs
+++ b/crates/citron/src/outage.rs
@@ -23,6 +23,8 @@
 /// A span in which the store responded to a gateway, without an outage in between.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub struct Contact {
+    /// The era of the store. It is away for a moment before each, however short.
+    pub era: u64,
     /// When the span began.
     pub since: Duration,
     /// When the latest response arrived.
@@ -62,6 +64,8 @@
     lost_at: Duration,
     /// Whether a call was abandoned since the latest response.
     has_abandoned: bool,
+    /// The latest era of the store.
+    era: u64,
     /// The last silence that this gateway noticed.
     silence: Option<Silence>,
 }
@@ -77,6 +81,20 @@
 }
 
 impl Link {
+    /// Records that the store responded in `era`, before its response is applied. If the era is a
+    /// later one, the store was out, and has just returned.
+    pub fn record_era(&mut self, era: u64, now: Duration) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if let Some(contact) = &mut self.contact {
+            *contact = Contact { era, since: now, last: now };
+            self.lost_at = now;
+            self.due_since = None;
+        }
+    }
+
     /// Records a response; returns when the link was lost if the response ends an outage.
     pub fn record_response(&mut self, now: Duration) -> Option<Duration> {
         let was_out = self.is_out(now);
@@ -90,7 +108,8 @@
             contact.last = now;
             return None;
         }
-        let is_first = self.contact.replace(Contact { since: now, last: now }).is_none();
+        let is_first =
+            self.contact.replace(Contact { era: self.era, since: now, last: now }).is_none();
         if is_first {
             return None;
         }
@@ -149,7 +168,10 @@
     /// was lost shows that only the link was.
     pub fn keep_until(&self, peers: impl Iterator<Item = Contact>, now: Duration) -> Duration {
         let own = self.contact(now);
-        let contacts: SmallVec<[Contact; 32]> = peers.chain(own).collect();
+        let mut contacts: SmallVec<[Contact; 32]> = peers.chain(own).collect();
+        let era = contacts.iter().map(|contact| contact.era).max();
+        contacts.retain(|contact| Some(contact.era) == era);
+        let own = own.filter(|own| Some(own.era) == era);
         let Some(newest) = contacts.iter().max_by_key(|contact| contact.last) else {
             return Duration::MAX;
         };
--- a/crates/citron/tests/freshness.rs
+++ b/crates/citron/tests/freshness.rs
@@ -5,6 +5,7 @@
 use citron::{
     delay::Delay,
     freshness::{CONFIRMATION_MAX_AGE, CheckTimer, Freshness, Subject},
+    position::Position,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -21,7 +22,7 @@
             let mut freshness = Freshness::default();
             let responses: &[(Subject, u64, u64)] = &$responses;
             for (subject, revision, millis) in responses.iter().copied() {
-                freshness.record(subject, revision, at(millis));
+                freshness.record(subject, Position { era: 1, revision }, at(millis));
             }
             let confirmed: Option<u64> = $confirmed;
             assert_eq!(freshness.confirmed_at(), confirmed.map(at));
@@ -110,3 +111,14 @@
     }
     assert_eq!(delay.record(at(30_200), at(38_200)), at(0));
 }
+
+#[test]
+fn a_response_of_a_later_era_confirms_with_a_lower_revision() {
+    let mut freshness = Freshness::default();
+    for (subject, era, revision, millis) in
+        [(Routes, 1, 96, 100), (Targets, 1, 96, 100), (Routes, 2, 70, 900), (Targets, 2, 70, 950)]
+    {
+        freshness.record(subject, Position { era, revision }, at(millis));
+    }
+    assert_eq!(freshness.confirmed_at(), Some(at(950)));
+}
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -7,6 +7,7 @@
     gateways::{Gateways, Report},
     outage::{Contact, Silence},
     poller::{Member, POLLERS},
+    position::Position,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -23,13 +24,17 @@
         peers: address(port + 1),
         ready,
         routes_version: u64::from(port),
-        targets_revision: 5,
+        targets_position: Position { era: 1, revision: 5 },
         store_contact: None,
         confirmed_at: None,
         store_silence: None,
     }
 }
 
+fn at_revision(revision: u64) -> Position {
+    Position { era: 1, revision }
+}
+
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -78,7 +83,7 @@
     assert_eq!(gateways.peer_with_newer_routes(5, "b", at(100)), Some(address(31)));
     assert_eq!(gateways.peer_with_newer_routes(20, "a", at(100)), Some(address(31)));
     assert_eq!(gateways.peer_with_newer_routes(30, "a", at(100)), None);
-    assert_eq!(gateways.peer_with_newer_targets(5, "a", at(100)), None);
+    assert_eq!(gateways.peer_with_newer_targets(at_revision(5), "a", at(100)), None);
     assert_eq!(
         gateways.peer_with_newer_routes(10, "a", at(20_000)),
         None,
@@ -89,9 +94,9 @@
 #[test]
 fn a_gateway_is_first_with_state_that_no_peer_has_reported() {
     let gateways = fleet();
-    assert!(gateways.is_first_with(31, 5, at(100)));
-    assert!(gateways.is_first_with(10, 6, at(100)));
-    assert!(!gateways.is_first_with(30, 5, at(100)));
+    assert!(gateways.is_first_with(31, at_revision(5), at(100)));
+    assert!(gateways.is_first_with(10, at_revision(6), at(100)));
+    assert!(!gateways.is_first_with(30, at_revision(5), at(100)));
 }
 
 #[test]
@@ -130,7 +135,7 @@
 
 #[test]
 fn only_live_gateways_report_contact_with_the_store() {
-    let contact = |since, last| Some(Contact { since: at(since), last: at(last) });
+    let contact = |since, last| Some(Contact { era: 1, since: at(since), last: at(last) });
     let mut gateways = fleet();
     for (host, store_contact, now) in
         [("a1", contact(1, 2), 2000), ("a2", None, 9000), ("b1", contact(3, 8000), 9000)]
@@ -139,7 +144,7 @@
         gateways.apply_report(host, address(12), report, at(now));
     }
     let reported: Vec<_> = gateways.store_contacts(at(12_500)).collect();
-    assert_eq!(reported, [Contact { since: at(3), last: at(8000) }]);
+    assert_eq!(reported, [Contact { era: 1, since: at(3), last: at(8000) }]);
 }
 
 #[test]
@@ -173,9 +178,9 @@
         let report = Report { confirmed_at, ..report("a", version, true) };
         gateways.apply_report(host, address(12), report, at(3000));
     }
-    assert_eq!(gateways.confirmed_at(20, 5), Some(at(2000)));
-    assert_eq!(gateways.confirmed_at(20, 4), None, "all have newer targets");
-    assert_eq!(gateways.confirmed_at(9, 5), None, "all have newer routes");
+    assert_eq!(gateways.confirmed_at(20, at_revision(5)), Some(at(2000)));
+    assert_eq!(gateways.confirmed_at(20, at_revision(4)), None, "all have newer targets");
+    assert_eq!(gateways.confirmed_at(9, at_revision(5)), None, "all have newer routes");
 }
 
 #[test]
@@ -194,7 +199,7 @@
         let mut gateways = Gateways::default();
         for host in hosts.iter().filter(|host| *host != own) {
             let heard_at = if silent.contains(host) { at(0) } else { now };
-            let contact = Some(Contact { since: at(0), last: heard_at });
+            let contact = Some(Contact { era: 1, since: at(0), last: heard_at });
             let report = Report { store_contact: contact, ..report("a", 10, true) };
             gateways.apply_report(host, address(12), report, heard_at);
         }
@@ -227,3 +232,19 @@
         parts.flat_map(|part| gateways.part_receivers("a", part, at(100))).collect();
     assert_eq!(reached.len(), 500);
 }
+
+#[test]
+fn a_peer_whose_list_is_of_an_earlier_era_is_not_ahead() {
+    let mut gateways = fleet();
+    for (host, era, revision) in [("a1", 0, 99), ("a2", 1, 96), ("b1", 2, 71)] {
+        let targets_position = Position { era, revision };
+        let report = Report { targets_position, ..report("a", 10, true) };
+        gateways.apply_report(host, address(12), report, at(100));
+    }
+    let ahead = |era, revision| {
+        gateways.peer_with_newer_targets(Position { era, revision }, "a", at(100)).is_some()
+    };
+    assert!(!ahead(2, 71));
+    assert!(ahead(2, 70) && ahead(1, 96));
+    assert!(ahead(0, 0), "a list of an older build is better than none");
+}
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -5,6 +5,7 @@
 use citron::{
     catalog::{Catalog, Change, Snapshot, Source, Target},
     gray::{Criteria, Eligibility, FailureEstimate, SUSPECT_THRESHOLD, Verdict, View, target_key},
+    position::Position,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -37,7 +38,8 @@
 impl World {
     fn new(targets: Vec<Target>) -> Self {
         let mut catalog = Catalog::default();
-        let list = Snapshot { revision: 1, targets, lapsed: Vec::new() };
+        let list =
+            Snapshot { position: Position { era: 1, revision: 1 }, targets, lapsed: Vec::new() };
         catalog.replace(list, Source::Store, Duration::ZERO);
         Self { catalog, view: View::new("a"), rng: ChaCha8Rng::seed_from_u64(1) }
     }
@@ -218,7 +220,12 @@
     let old = world.get("t0");
     world.view.apply_peer_outcome(&old, Verdict::Failed, Duration::ZERO, at(0));
     let restarted = Target { born_ms: 2, ..old };
-    world.catalog.apply(2, vec![Change::Put(restarted.clone())], Source::Store, at(1));
+    world.catalog.apply(
+        Position { era: 1, revision: 2 },
+        vec![Change::Put(restarted.clone())],
+        Source::Store,
+        at(1),
+    );
     world.view.apply_peer_outcome(&restarted, Verdict::Served, Duration::ZERO, at(1));
     assert!(world.view.failure_probability("t0", at(1)) < SUSPECT_THRESHOLD);
 }
--- a/crates/citron/tests/outage.rs
+++ b/crates/citron/tests/outage.rs
@@ -12,13 +12,14 @@
 }
 
 fn contact(since: u64, last: u64) -> Contact {
-    Contact { since: at(since), last: at(last) }
+    Contact { era: 1, since: at(since), last: at(last) }
 }
 
 /// A link whose store responded at 100 ms and, if `returned` is given, again then; the calls in
 /// between failed at `lost`.
 fn link(lost: u64, returned: Option<u64>) -> Link {
     let mut link = Link::default();
+    link.record_era(1, at(100));
     link.record_response(at(100));
     link.record_failure(at(lost));
     if let Some(returned) = returned {
@@ -93,6 +94,7 @@
 /// at `renewed`, if that is given.
 fn link_with_hung_watch(renewed: Option<u64>) -> Link {
     let mut link = Link::default();
+    link.record_era(1, at(100));
     link.record_response(at(100));
     link.record_response(at(3500));
     if let Some(renewed) = renewed {
@@ -220,3 +222,24 @@
     link.record_unanswered(at(7000));
     assert_eq!(link.silence(), Some(silence(7000, None)));
 }
+
+/// However short the store was away, entries of the lost span come back only later.
+#[test]
+fn a_store_that_came_back_from_a_copy_was_out() {
+    let mut link = Link::default();
+    link.record_era(1, at(100));
+    link.record_response(at(100));
+    link.record_response(at(4900));
+    link.record_era(2, at(5000));
+    let peers = [contact(100, 4950), Contact { era: 2, ..contact(4980, 5100) }];
+    assert_eq!(link.keep_until(peers.into_iter(), at(5100)), at(4980 + GRACE_MS));
+}
+
+#[test]
+fn entries_are_kept_until_the_store_responds_here_after_it_came_back() {
+    let mut link = Link::default();
+    link.record_era(1, at(4900));
+    link.record_response(at(4900));
+    let peers = [Contact { era: 2, ..contact(5000, 5100) }];
+    assert_eq!(link.keep_until(peers.into_iter(), at(5100)), at(5000 + GRACE_MS));
+}
