Register again when the store comes back from an older copy

What callers would see: a gateway that started in the lost span has no entry after the store's return, so that gateways that start later learn of it only through others. Cause: the entry was written once, at the start. It is written again in each later era, and the list is read again, in turns. The test failed before and passes.

--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -1,32 +1,61 @@
 //! Registers this gateway in the store and learns of the others.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use citron_adapter::{
     gateways,
     store::{List, Store},
 };
+use rand::Rng;
+use tokio::time;
 
 use super::backoff::Backoff;
 use crate::shared::Shared;
 
-/// Registers this gateway's datagram address in the store, then reads those of the other gateways.
+/// Registers this gateway's datagram address in the store and reads those of the others, and again
+/// each time the store comes back from an older copy; runs until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Store, own: SocketAddr) {
-    let mut backoff = Backoff::default();
+    let mut latest_era = shared.store_era.subscribe();
+    loop {
+        let era = register(&shared, &store, own).await;
+        learn(&shared, &list(&shared, &store).await);
+        // The sender lives as long as `shared`.
+        let _ = latest_era.wait_for(|latest| *latest > era).await;
+        time::sleep(turn(&shared)).await;
+    }
+}
+
+/// Returns this gateway's turn when all gateways register again.
+fn turn(shared: &Shared) -> Duration {
+    shared.gateways.lock().call_spread().mul_f64(rand::rng().random_range(0.0..1.0))
+}
+
+/// Registers this gateway and returns the era of the store that holds the entry.
+async fn register(shared: &Shared, store: &Store, own: SocketAddr) -> u64 {
     let host = shared.settings().host.clone();
-    while let Err(error) = store.put(gateways::KIND, &host, &gateways::encode(own)).await {
-        backoff.record_failure("register", &error);
-        backoff.wait(&shared, "register").await;
+    let mut backoff = Backoff::default();
+    loop {
+        match store.put(gateways::KIND, &host, &gateways::encode(own)).await {
+            Ok(era) => {
+                log::info!("event=registered era={era}");
+                return era;
+            }
+            Err(error) => {
+                backoff.record_failure("register", &error);
+                backoff.wait(shared, "register").await;
+            }
+        }
     }
+}
+
+async fn list(shared: &Shared, store: &Store) -> List {
+    let mut backoff = Backoff::default();
     loop {
         match store.list(gateways::KIND).await {
-            Ok(list) => {
-                learn(&shared, &list);
-                return;
-            }
+            Ok(list) => return list,
             Err(error) => {
                 backoff.record_failure("list-gateways", &error);
-                backoff.wait(&shared, "list-gateways").await;
+                backoff.wait(shared, "list-gateways").await;
             }
         }
     }
