Take no entry that is older than what was seen of a removed target

What callers would see: requests go to a target whose removal was acknowledged, once the store comes back from a copy that still has its entry. Cause: only incarnations that said that they leave were remembered. Those whose entries were removed are remembered too, with the heartbeat that wrote the entry last; only a later one shows that the target is back.

--- a/crates/citron-gateway/tests/restored.rs
+++ b/crates/citron-gateway/tests/restored.rs
@@ -157,6 +157,8 @@
 #[tokio::test]
 async fn a_target_whose_removal_the_store_lost_gets_no_requests() {
     let fleet = TestFleet::start(2).await;
+    // A gateway that started lately keeps what vanishes, as after an outage.
+    time::sleep(Duration::from_millis(2200)).await;
     let copy = fleet.store.copy();
     let removed = &fleet.targets[0];
     fleet.store.delete("servers", &removed.id);
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -1,6 +1,7 @@
 //! The list of targets from the platform's store, at one revision.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
@@ -12,8 +13,8 @@
 
 use crate::position::Position;
 
-/// The maximum number of leaving incarnations that are remembered, also without an entry.
-const LEAVING_CAPACITY: usize = 4096;
+/// The maximum number of incarnations that are remembered because they are leaving or gone.
+const DEPARTURES_CAPACITY: usize = 4096;
 
 /// One incarnation of a target.
 #[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
@@ -35,6 +36,9 @@
     pub leaving: bool,
     /// The rest of its warm-up time, during which it is slow, in milliseconds.
     pub warmup_ms: u64,
+    /// The number of its heartbeat that wrote this entry, 0 if it is not known.
+    #[serde(default)]
+    pub heartbeat: u64,
 }
 
 /// The maximum number of changes that are remembered for peers that are behind.
@@ -51,6 +55,16 @@
     Lapsed(Arc<str>),
 }
 
+/// An incarnation of a target that is leaving or gone.
+#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Departure {
+    /// When the incarnation started, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// The last heartbeat before its entry was removed, after which a later one shows that it is
+    /// back; `None` if it said that it leaves, which is final.
+    pub last_heartbeat: Option<u64>,
+}
+
 /// The whole list at one revision, as sent between hosts.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -92,9 +106,9 @@
     /// Targets whose entries vanished around an outage of the store, with the time until which
     /// they are kept.
     lapsed: BTreeMap<Arc<str>, Duration>,
-    /// The start times of incarnations known to be leaving, so that an outdated entry does not
-    /// bring them back.
-    leaving_incarnations: BTreeMap<Arc<str>, u64>,
+    /// The incarnations known to be leaving or gone, so that an outdated entry does not bring them
+    /// back.
+    departures: BTreeMap<Arc<str>, Departure>,
     /// The identities that changed in this era, with the revision of the change, oldest first.
     change_log: VecDeque<(u64, Arc<str>)>,
     /// The change log contains all changes after this revision of this era.
@@ -171,8 +185,7 @@
             .map(|(id, _)| Arc::clone(id))
             .collect();
         for id in &expired {
-            self.lapsed.remove(id);
-            self.targets.remove(id);
+            self.drop_target(id);
         }
         expired
     }
@@ -189,9 +202,7 @@
 
     /// Marks an incarnation as leaving, also one that is not listed yet.
     pub fn mark_leaving(&mut self, id: &Arc<str>, born_ms: u64) {
-        if self.leaving_incarnations.get(id).is_none_or(|known| *known < born_ms) {
-            self.remember_leaving(id, born_ms);
-        }
+        self.record_departure(id, Departure { born_ms, last_heartbeat: None });
         if let Some(target) = self.targets.get_mut(id).filter(|target| target.born_ms == born_ms) {
             target.leaving = true;
         }
@@ -267,11 +278,16 @@
     }
 
     fn put(&mut self, mut target: Target) {
-        if self.leaving_incarnations.get(&target.id) == Some(&target.born_ms) {
-            target.leaving = true;
+        let departure = self.departures.get(&target.id);
+        match departure.filter(|departure| departure.born_ms == target.born_ms) {
+            Some(Departure { last_heartbeat: None, .. }) => target.leaving = true,
+            Some(Departure { last_heartbeat: Some(last), .. }) if target.heartbeat <= *last => {
+                return;
+            }
+            _ => {}
         }
         if target.leaving {
-            self.remember_leaving(&target.id, target.born_ms);
+            self.mark_leaving(&Arc::clone(&target.id), target.born_ms);
         }
         self.lapsed.remove(&target.id);
         self.targets.insert(Arc::clone(&target.id), target);
@@ -280,10 +296,7 @@
     fn remove(&mut self, id: &Arc<str>, source: Source, now: Duration) {
         match source {
             Source::Store => self.lapse(id, self.keep_until, now),
-            Source::Peer => {
-                self.lapsed.remove(id);
-                self.targets.remove(id);
-            }
+            Source::Peer => self.drop_target(id),
         }
     }
 
@@ -292,26 +305,42 @@
     fn lapse(&mut self, id: &Arc<str>, until: Duration, now: Duration) {
         let Some(target) = self.targets.get(id) else { return };
         if target.leaving || now >= until {
-            self.lapsed.remove(id);
-            self.targets.remove(id);
+            self.drop_target(id);
         } else {
             self.lapsed.entry(Arc::clone(id)).or_insert(until);
         }
     }
 
-    fn remember_leaving(&mut self, id: &Arc<str>, born_ms: u64) {
-        if self.leaving_incarnations.len() >= LEAVING_CAPACITY
-            && !self.leaving_incarnations.contains_key(id)
-        {
-            let oldest = self.leaving_incarnations.iter().min_by_key(|(_, born_ms)| **born_ms);
+    /// Removes a target, and remembers its incarnation as gone.
+    fn drop_target(&mut self, id: &Arc<str>) {
+        self.lapsed.remove(id);
+        let Some(target) = self.targets.remove(id) else { return };
+        if target.heartbeat > 0 {
+            let last_heartbeat = Some(target.heartbeat);
+            self.record_departure(id, Departure { born_ms: target.born_ms, last_heartbeat });
+        }
+    }
+
+    /// Remembers a departure, unless a later one of the target is known or the same one is final.
+    fn record_departure(&mut self, id: &Arc<str>, departure: Departure) {
+        let is_known = |known: &Departure| match known.born_ms.cmp(&departure.born_ms) {
+            Ordering::Less => false,
+            Ordering::Equal => known.last_heartbeat.is_none(),
+            Ordering::Greater => true,
+        };
+        if self.departures.get(id).is_some_and(is_known) {
+            return;
+        }
+        if self.departures.len() >= DEPARTURES_CAPACITY && !self.departures.contains_key(id) {
+            let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.born_ms);
             if let Some(id) = oldest.map(|(id, _)| Arc::clone(id)) {
-                self.leaving_incarnations.remove(&id);
+                self.departures.remove(&id);
             }
         }
-        self.leaving_incarnations.insert(Arc::clone(id), born_ms);
+        self.departures.insert(Arc::clone(id), departure);
         assert!(
-            self.leaving_incarnations.len() <= LEAVING_CAPACITY,
-            "remembered leaving incarnations must stay bounded"
+            self.departures.len() <= DEPARTURES_CAPACITY,
+            "remembered departures must stay bounded"
         );
     }
 }
--- a/crates/citron/tests/catalog.rs
+++ b/crates/citron/tests/catalog.rs
@@ -21,6 +21,7 @@
         slots: 3,
         leaving,
         warmup_ms: 0,
+        heartbeat: 0,
     }
 }
 
@@ -335,3 +336,33 @@
     assert!(!catalog.replace(outdated, Source::Peer, Duration::ZERO));
     assert_eq!(serving(&catalog), ["x"]);
 }
+
+/// The copy of an entry that was removed says nothing; a later heartbeat of the same incarnation does.
+#[test]
+fn an_outdated_entry_does_not_bring_a_removed_target_back() {
+    let entry = |heartbeat| Target { heartbeat, ..target("x", BORN_MS, false) };
+    let put = |heartbeat| vec![Change::Put(entry(heartbeat))];
+    let mut catalog = listed(&["y"]);
+    catalog.apply(at_revision(11), put(4), Source::Store, Duration::ZERO);
+    catalog.apply(at_revision(12), [put(7), gone("x")].concat(), Source::Store, Duration::ZERO);
+    let copy = Snapshot {
+        position: Position { era: 2, revision: 3 },
+        ..list(3, vec![entry(5), target("y", BORN_MS, false)])
+    };
+    catalog.replace(copy, Source::Store, Duration::ZERO);
+    assert_eq!(serving(&catalog), ["y"]);
+    let later = Position { era: 2, revision: 4 };
+    catalog.apply(later, put(8), Source::Store, Duration::ZERO);
+    assert_eq!(serving(&catalog), ["x", "y"]);
+}
+
+#[test]
+fn a_target_that_said_that_it_leaves_is_not_back_with_a_later_heartbeat() {
+    let entry = |heartbeat, leaving| Target { heartbeat, ..target("x", BORN_MS, leaving) };
+    let mut catalog = listed(&["y"]);
+    let changes = vec![Change::Put(entry(5, true)), Change::Gone(Arc::from("x"))];
+    catalog.apply(at_revision(11), changes, Source::Store, Duration::ZERO);
+    let again = vec![Change::Put(entry(9, false))];
+    catalog.apply(at_revision(12), again, Source::Store, Duration::ZERO);
+    assert_eq!(serving(&catalog), ["y"]);
+}
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -159,6 +159,7 @@
         slots: 3,
         leaving: false,
         warmup_ms: 0,
+        heartbeat: 0,
     };
     let rank = |host: &str, domain: &str, now| gateways.trial_rank(host, domain, &target, now);
     assert_eq!(rank("b2", "b", at(100)).min(2), 2, "both gateways of its domain come first");
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -25,6 +25,7 @@
         slots: 3,
         leaving: false,
         warmup_ms: 0,
+        heartbeat: 0,
     }
 }
 
