Take over what peers know before a gateway that starts accepts callers

What callers would see: while the store shows an older copy, a gateway that starts serves a configuration that was replaced, and sends requests to targets that have left. Cause: it believed the store alone. Weighed: the versions in the gateways' entries (lost with the copy as well). What remains: if no gateway runs, nobody knows what the store lost.

--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -1,9 +1,13 @@
 //! The HTTP endpoints of a gateway besides forwarding: addresses for callers, readiness, the
 //! current state for peers, and metrics.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::{catalog::Update, position::Position, route::Table};
+use citron::{
+    catalog::{Departure, Update},
+    position::Position,
+    route::Table,
+};
 use citron_adapter::ingress::{ADDRESSES_LIMIT, ResolveResponse};
 use citron_daemon::Server;
 use eyre::WrapErr;
@@ -42,7 +46,10 @@
 /// # Errors
 /// Fails if the address cannot be bound.
 pub async fn bind_peers(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
-    serve(shared, addr, |rocket| rocket.mount("/", routes![peer_routes, peer_targets])).await
+    serve(shared, addr, |rocket| {
+        rocket.mount("/", routes![peer_routes, peer_targets, peer_departures])
+    })
+    .await
 }
 
 /// Serves the metrics.
@@ -97,6 +104,11 @@
     Ok(Json(targets.catalog.since(position)))
 }
 
+#[get("/departures")]
+fn peer_departures(shared: &State<Arc<Shared>>) -> Json<BTreeMap<Arc<str>, Departure>> {
+    Json(shared.targets.lock().catalog.departures().clone())
+}
+
 #[get("/metrics")]
 fn metrics(shared: &State<Arc<Shared>>) -> Result<(ContentType, Vec<u8>), Status> {
     citron_daemon::encode_metrics(&shared.metrics.registry).map_err(|error| {
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -56,7 +56,7 @@
     let id = text(&head.headers, ATTEMPT_ID).unwrap_or("-").to_owned();
     let host = text(&head.headers, HOST.as_str()).unwrap_or_default();
     let path = head.uri.path();
-    let Some(routes) = shared.routes() else {
+    let Some(routes) = shared.routes().filter(|_| shared.has_joined()) else {
         log::info!("event=request id={id} outcome=not-run reason=routes-unknown status=503");
         shared.metrics.record_refusal("routes-unknown");
         return refusal::routes_unknown();
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -75,8 +75,9 @@
             .pool_max_idle_per_host(1)
             .build()
             .wrap_err("cannot create the HTTP client for peers")?;
-        tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket), http));
-        tokio::spawn(peer::report_state(Arc::clone(&shared), Arc::clone(&socket), clock.wall_ms()));
+        tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket), http.clone()));
+        tokio::spawn(peer::join(Arc::clone(&shared), http));
+        tokio::spawn(peer::report_state(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::send_outcomes(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -2,10 +2,14 @@
 
 pub mod message;
 
-mod pull;
 mod broadcast;
+mod join;
+mod pull;
 
-pub use self::broadcast::{repeat_statements, report_load, report_state, send_outcomes};
+pub use self::{
+    broadcast::{repeat_statements, report_load, report_state, send_outcomes},
+    join::join,
+};
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -25,7 +29,7 @@
 use tokio::{net::UdpSocket, time};
 
 use self::{
-    broadcast::{relay, send},
+    broadcast::{relay, send, state_datagram},
     message::{DATAGRAM_LIMIT_BYTES, Datagram, KnownGateway, Outcome, State},
     pull::pull,
 };
@@ -142,7 +146,7 @@
     report.routes_version > routes || report.targets_position > targets
 }
 
-/// Replies to a newcomer with some of the gateways that are known here.
+/// Replies to a newcomer with this gateway's state and some of the gateways that are known here.
 async fn reply(shared: &Shared, socket: &UdpSocket, to: SocketAddr) {
     let known = {
         let gateways = shared.gateways.lock();
@@ -155,9 +159,8 @@
             })
             .collect()
     };
-    let host = shared.settings().host.clone();
-    let datagram = Datagram { host, known, ..Datagram::default() }.encode_to_vec();
-    send(shared, socket, &datagram, to).await;
+    let datagram = Datagram { known, ..state_datagram(shared, socket, false) };
+    send(shared, socket, &datagram.encode_to_vec(), to).await;
 }
 
 /// Returns how long a report was held back on its way, zero if its sender tells no time.
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -31,14 +31,12 @@
 const STATEMENTS_LIMIT: usize = 8;
 
 /// Sends this gateway's state at least every [`REPORT_INTERVAL`], and at once when it changes.
-pub async fn report_state(shared: Arc<Shared>, socket: Arc<UdpSocket>, born_ms: u64) {
+pub async fn report_state(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let port = shared.settings().internal_port;
-    let own_address =
-        socket.local_addr().map_or_else(|_| String::new(), |address| address.to_string());
     let mut wants_reply = true;
     loop {
         let now = shared.clock.now();
-        let mut datagram = state_datagram(&shared, born_ms, wants_reply, &own_address);
+        let mut datagram = state_datagram(&shared, &socket, wants_reply);
         datagram.reaches_all = shared.is_poller();
         broadcast(&shared, &socket, datagram.clone(), |_| true).await;
         let bytes = datagram.encode_to_vec();
@@ -187,14 +185,15 @@
     message::Load { keys, counts }
 }
 
-fn state_datagram(shared: &Shared, born_ms: u64, wants_reply: bool, own_address: &str) -> Datagram {
+/// Returns a datagram that reports this gateway's state.
+pub fn state_datagram(shared: &Shared, socket: &UdpSocket, wants_reply: bool) -> Datagram {
     let settings = shared.settings();
     let now = shared.clock.now();
     let contact = shared.link.contact(now);
     let position = shared.targets.lock().catalog.position();
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
     let state = State {
-        born_ms,
+        born_ms: shared.born_ms,
         domain: settings.domain.clone(),
         callers: settings.callers.to_string(),
         peers: settings.peers.to_string(),
@@ -203,7 +202,7 @@
         targets_revision: position.revision,
         targets_era: position.era,
         wants_reply,
-        datagrams: own_address.to_owned(),
+        datagrams: socket.local_addr().map_or_else(|_| String::new(), |own| own.to_string()),
         store_answers_for_ms: contact.map_or(0, |contact| age_ms(contact.since)),
         store_response_age_ms: contact.map(|contact| age_ms(contact.last)),
         store_era: contact.map_or(0, |contact| contact.era),
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -62,7 +62,7 @@
     }
 }
 
-async fn fetch<T: serde::de::DeserializeOwned>(
+pub(super) async fn fetch<T: serde::de::DeserializeOwned>(
     shared: &Shared,
     http: &reqwest::Client,
     peer: SocketAddr,
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -51,6 +51,8 @@
     pub settings: RwLock<Arc<Settings>>,
     /// The process's clock.
     pub clock: Clock,
+    /// When the process started, in milliseconds since the Unix epoch by its own clock.
+    pub born_ms: u64,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The current routes, `None` until the first table arrives.
@@ -75,6 +77,8 @@
     pub shutdown_started: Notify,
     splits: Mutex<HashMap<Arc<str>, Split>>,
     shutting_down: AtomicBool,
+    /// Whether what peers know was taken over, as far as there are any.
+    has_joined: AtomicBool,
     /// Whether this gateway was ready when it last announced a change of its state.
     announced_ready: AtomicBool,
     /// Whether the store responds.
@@ -105,6 +109,7 @@
         Self {
             settings: RwLock::new(Arc::new(settings)),
             clock,
+            born_ms: clock.wall_ms(),
             metrics,
             routes: RwLock::default(),
             targets: Mutex::new(targets),
@@ -118,6 +123,7 @@
             shutdown_started: Notify::new(),
             splits: Mutex::default(),
             shutting_down: AtomicBool::new(false),
+            has_joined: AtomicBool::new(false),
             announced_ready: AtomicBool::new(false),
             link: StoreLink::default(),
             store_position: watch::Sender::default(),
@@ -458,9 +464,23 @@
 
     /// Returns true if this gateway accepts callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_shutting_down()
-            && self.routes.read().is_some()
-            && self.targets.lock().catalog.position().revision > 0
+        !self.is_shutting_down() && self.has_joined() && self.has_state()
+    }
+
+    /// Returns true once what peers know was taken over.
+    pub fn has_joined(&self) -> bool {
+        self.has_joined.load(Ordering::Relaxed)
+    }
+
+    /// Returns true if this gateway has routes and targets.
+    pub fn has_state(&self) -> bool {
+        self.routes.read().is_some() && self.targets.lock().catalog.position().revision > 0
+    }
+
+    /// Records that what peers know was taken over.
+    pub fn end_join(&self) {
+        self.has_joined.store(true, Ordering::Relaxed);
+        self.announce_if_first();
     }
 
     /// Returns true once the shutdown has begun.
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -139,6 +139,7 @@
         retry_budget: RetryBudget { ratio: 0.2, slack: 800.0, window: Duration::from_secs(10) },
         ttl_max: Duration::from_secs(5),
         grace: Duration::from_secs(6),
+        is_first_start: false,
     };
     Gateway::bind(settings, None, Clock::start()).await.expect("a gateway")
 }
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -200,6 +200,24 @@
         self.targets.get(id)
     }
 
+    /// Returns the incarnations known to be leaving or gone, by the identities of the targets.
+    pub fn departures(&self) -> &BTreeMap<Arc<str>, Departure> {
+        &self.departures
+    }
+
+    /// Takes over what a peer knows of incarnations that are leaving or gone.
+    pub fn merge_departures(&mut self, departures: BTreeMap<Arc<str>, Departure>) {
+        for (id, departure) in departures {
+            self.record_departure(&id, departure.clone());
+            if departure.last_heartbeat.is_none() {
+                self.mark_leaving(&id, departure.born_ms);
+            } else if let Some(target) = self.targets.remove(&id) {
+                // Applied once more, now that the departure is known.
+                self.put(target);
+            }
+        }
+    }
+
     /// Marks an incarnation as leaving, also one that is not listed yet.
     pub fn mark_leaving(&mut self, id: &Arc<str>, born_ms: u64) {
         self.record_departure(id, Departure { born_ms, last_heartbeat: None });
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -222,6 +222,16 @@
         })
     }
 
+    /// Returns the ready gateway that is furthest ahead, preferably in `domain`: its routes version
+    /// and the address from which peers fetch its state.
+    pub fn ready_peer(&self, domain: &str, now: Duration) -> Option<(u64, SocketAddr)> {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        let best = reports
+            .filter(|report| report.ready)
+            .max_by_key(|report| (report.routes_version, &*report.domain == domain))?;
+        Some((best.routes_version, best.peers))
+    }
+
     /// Returns true if no live gateway has reported routes and targets at least this new.
     pub fn is_first_with(&self, version: u64, position: Position, now: Duration) -> bool {
         let mut reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
