Let the soak bring the store back from an older copy

The copy is up to five seconds old; the store is silent for half a second, and the operator and the targets then write again what was lost. Targets number their heartbeats.

--- a/crates/citron-stand/src/gateway/store.rs
+++ b/crates/citron-stand/src/gateway/store.rs
@@ -145,6 +145,13 @@
         self.shared.state.lock().saved.objects.get(&key).map(|object| object["spec"].clone())
     }
 
+    /// Returns what the objects of a kind say, by name.
+    pub fn objects(&self, kind: &str) -> BTreeMap<String, Value> {
+        let state = self.shared.state.lock();
+        let of_kind = state.saved.objects.iter().filter(|((of, _), _)| of == kind);
+        of_kind.map(|((_, name), object)| (name.clone(), object["spec"].clone())).collect()
+    }
+
     /// Returns how many calls came.
     pub fn calls(&self) -> u64 {
         self.shared.state.lock().calls
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     fmt, io,
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -124,6 +127,7 @@
     refused: Mutex<Vec<Seen>>,
     left: Mutex<Vec<(String, Instant)>>,
     connections: Mutex<u32>,
+    heartbeats: AtomicU64,
 }
 
 impl fmt::Debug for Shared {
@@ -152,6 +156,7 @@
             refused: Mutex::default(),
             left: Mutex::default(),
             connections: Mutex::default(),
+            heartbeats: AtomicU64::new(0),
         });
         let accepting = Arc::clone(&shared);
         let mut tasks = JoinSet::new();
@@ -182,11 +187,12 @@
         self.entry_at(self.addr, "a", state)
     }
 
-    /// Returns its entry with the address of a relay before it, in a failure domain.
+    /// Returns its entry as its next heartbeat writes it, with the address of a relay before it, in a failure domain.
     pub fn entry_at(&self, addr: SocketAddr, domain: &str, state: &str) -> Value {
+        let sequence = self.shared.heartbeats.fetch_add(1, Ordering::Relaxed) + 1;
         json!({"address": addr, "born": 1_000,
                "info": {"service": self.service, "version": "v1", "zone": domain, "slots": 3},
-               "status": {"state": state, "sequence": 1, "warmupLeftS": 0}})
+               "status": {"state": state, "sequence": sequence, "warmupLeftS": 0}})
     }
 
     /// Sets what it does with all requests.
--- a/crates/citron-stand/src/soak.rs
+++ b/crates/citron-stand/src/soak.rs
@@ -219,6 +219,10 @@
             world.upset_store(Mood::Silent, time).await;
             Ok(())
         }
+        Action::Restore(age) => {
+            world.restore_store(age).await;
+            Ok(())
+        }
         Action::ForgetHistory => {
             world.forget_history();
             Ok(())
--- a/crates/citron-stand/src/soak/plan.rs
+++ b/crates/citron-stand/src/soak/plan.rs
@@ -34,6 +34,9 @@
     Store(Mood, Duration),
     /// The operator moves a route and the store is silent just after it, as the watches begin anew.
     SilenceAfterChange(Duration),
+    /// The store is away for half a second and comes back from a copy this old; what the operator and
+    /// the targets wrote since is written again.
+    Restore(Duration),
     /// The store discards its history.
     ForgetHistory,
     /// One gateway's link to the store fails for a while.
@@ -109,7 +112,8 @@
         74..84 => Action::Replace(target),
         84..90 => Action::Vanish(target),
         90..96 => Action::Change,
-        _ => Action::SilenceAfterChange(time),
+        96..98 => Action::SilenceAfterChange(time),
+        _ => Action::Restore(time),
     }
 }
 
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -43,6 +43,8 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// How long the entry of a target that leaves stays.
 const LEAVING_STAY: Duration = Duration::from_secs(6);
+/// How long the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(500);
 /// How long a process that ended stays down.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 /// The pause between two looks at a process or a condition.
@@ -167,12 +169,7 @@
     pub fn change(&self) {
         let mut version = self.version.lock();
         *version += 1;
-        let service = |n: usize| SERVICES[(*version as usize + n) % (SERVICES.len() - 1)];
-        let services: BTreeMap<String, String> = ROUTES
-            .iter()
-            .enumerate()
-            .map(|(n, route)| ((*route).to_owned(), service(n).to_owned()))
-            .collect();
+        let services = services(*version);
         let config = configuration(*version, &services);
         // Recorded before it is written, so that no effect can come before its record.
         self.record.lock().versions.push(Version { services, at: Instant::now() });
@@ -193,6 +190,41 @@
         self.end(trouble);
     }
 
+    /// Lets the store come back from a copy that is `age` old; the operator and the targets then
+    /// write again what it lost.
+    pub async fn restore_store(&self, age: Duration) {
+        let copy = self.store.copy();
+        time::sleep(age).await;
+        self.store.set(Mood::Silent);
+        let trouble = self.begin(None, What::Store);
+        time::sleep(RESTORE_TIME).await;
+        let lost = self.store.objects("servers");
+        self.store.restore(copy);
+        self.store.set(Mood::Well);
+        self.write_again(&lost);
+        self.end(trouble);
+    }
+
+    /// Writes again what the operator and the targets had written, of which `entries` are the
+    /// targets' latest.
+    fn write_again(&self, entries: &BTreeMap<String, Value>) {
+        for id in self.store.objects("servers").into_keys() {
+            if !entries.contains_key(&id) {
+                self.store.delete("servers", &id);
+            }
+        }
+        let places = self.places.lock();
+        for place in places.current.iter().chain(&places.past) {
+            if let Some(entry) = entries.get(&place.target.id) {
+                let state = entry["status"]["state"].as_str().unwrap_or("ready");
+                self.register(place, state);
+            }
+        }
+        drop(places);
+        let version = *self.version.lock();
+        self.store.put("config", "main", configuration(version, &services(version)));
+    }
+
     /// Lets the store discard its history.
     pub fn forget_history(&self) {
         self.store.forget_history();
@@ -463,6 +495,13 @@
     Act::ServeAfter(millis)
 }
 
+/// Returns the service that each route goes to in a version of the configuration.
+fn services(version: u64) -> BTreeMap<String, String> {
+    let service = |n: usize| SERVICES[(version as usize + n) % (SERVICES.len() - 1)];
+    let routes = ROUTES.iter().enumerate();
+    routes.map(|(n, route)| ((*route).to_owned(), service(n).to_owned())).collect()
+}
+
 /// Returns a configuration in which each route goes to its service.
 fn configuration(version: u64, services: &BTreeMap<String, String>) -> Value {
     let paths: Vec<Value> = services
