Know when the process is killed while it stops

What callers would see at a planned stop (another operator's report): a request that comes late in the grace is passed on and cut without an answer at its end, also one that may not run twice; here, one whose body arrives late on a connection that is open.

Cause: no request knew of the kill. A request whose deadline lies behind the last moment of service (0.5 s before the kill) is refused as not run, with a time to return, as others serve it at once; one that was taken before the stop and is still at work then gets 504.

Both tests failed before (500 ms after the kill's time no answer; status 200 for the late one, which ran) and pass.

--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -70,18 +70,24 @@
         return refusal::no_route();
     };
     let caller_timeout = refusal::caller_timeout(text(&head.headers, REMAINING_MS));
+    let deadline = received_at + caller_timeout.min(route.timeout);
+    if shared.serve_until().is_some_and(|until| deadline > until) {
+        log::info!("event=request id={id} outcome=not-run reason=stopping status=503");
+        shared.metrics.record_refusal("stopping");
+        return refusal::stopping();
+    }
     let service = shared.select_service(&route);
     shared.budgets.record_request(&service, shared.retry_budget_params(), shared.clock.now());
-    let forwarder = Forwarder {
-        shared: &shared,
-        route: &route,
-        head: &head,
-        body,
-        id: &id,
-        service,
-        deadline: received_at + caller_timeout.min(route.timeout),
+    let forwarder =
+        Forwarder { shared: &shared, route: &route, head: &head, body, id: &id, service, deadline };
+    let (response, attempts) = tokio::select! {
+        done = forwarder.run() => done,
+        () = shared.end_of_service() => {
+            log::warn!("event=refused id={id} outcome=unknown reason=stopped");
+            shared.metrics.record_refusal("stopped");
+            (refusal::stopped(), 0)
+        }
     };
-    let (response, attempts) = forwarder.run().await;
     let took = shared.clock.now().saturating_sub(received_at);
     shared.metrics.record_request(&route.name, response.status.as_u16(), took);
     let level = if response.status.is_server_error() { Level::Warn } else { Level::Info };
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -31,6 +31,17 @@
     Response::error(503, "routes-unknown").retry_after(RETRY_AFTER_S)
 }
 
+/// Returns the response to a request that this gateway would not complete before it is killed;
+/// others serve it at once.
+pub fn stopping() -> Response {
+    Response::error(503, "stopping").retry_after(RETRY_AFTER_S)
+}
+
+/// Returns the response to a request that is still in flight when this gateway must end.
+pub fn stopped() -> Response {
+    Response::error(504, "stopped")
+}
+
 /// Returns the response to a request whose path matches no route.
 pub fn no_route() -> Response {
     Response::error(404, "no-route")
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -20,12 +20,16 @@
     poller::Member,
     position::Position,
     route::{Route, Split, Table},
+    shutdown,
     statement::{Notice, Origin, Statement},
 };
 use citron_adapter::settings::Settings;
 use citron_daemon::Clock;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
 
 use crate::{
     budget::RetryBudgets,
@@ -76,7 +80,8 @@
     /// Wakes all connections of callers when the shutdown begins.
     pub shutdown_started: Notify,
     splits: Mutex<HashMap<Arc<str>, Split>>,
-    shutting_down: AtomicBool,
+    /// Until when requests may be in flight, once the shutdown has begun.
+    serve_until: watch::Sender<Option<Duration>>,
     /// Whether what peers know was taken over, as far as there are any.
     has_joined: AtomicBool,
     /// Whether this gateway was ready when it last announced a change of its state.
@@ -122,7 +127,7 @@
             state_changed: Notify::new(),
             shutdown_started: Notify::new(),
             splits: Mutex::default(),
-            shutting_down: AtomicBool::new(false),
+            serve_until: watch::Sender::default(),
             has_joined: AtomicBool::new(false),
             announced_ready: AtomicBool::new(false),
             link: StoreLink::default(),
@@ -485,12 +490,29 @@
 
     /// Returns true once the shutdown has begun.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down.load(Ordering::Relaxed)
+        self.serve_until.borrow().is_some()
+    }
+
+    /// Returns until when requests may be in flight, if the shutdown has begun.
+    pub fn serve_until(&self) -> Option<Duration> {
+        *self.serve_until.borrow()
+    }
+
+    /// Waits until no request may be in flight anymore, as the process will be killed.
+    pub async fn end_of_service(&self) {
+        let mut serve_until = self.serve_until.subscribe();
+        let until = serve_until.wait_for(Option::is_some).await.ok().and_then(|until| *until);
+        match until {
+            Some(until) => time::sleep_until(self.clock.instant(until)).await,
+            // The sender lives as long as `self`.
+            None => std::future::pending().await,
+        }
     }
 
     /// Marks the gateway as shutting down and wakes the tasks that must react to it.
     pub fn begin_shutdown(&self) {
-        self.shutting_down.store(true, Ordering::Relaxed);
+        let until = shutdown::serve_until(self.clock.now(), self.settings().grace);
+        self.serve_until.send_replace(Some(until));
         self.state_changed.notify_one();
         self.shutdown_started.notify_waiters();
     }
--- /dev/null
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -0,0 +1,59 @@
+//! Requests that a gateway has or gets while it shuts down.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{Request, TestFleet, eventually, order, target::Act};
+use tokio::time::{self, Instant};
+
+/// The time between SIGTERM and SIGKILL.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The kill would cut a request whose deadline lies behind it, and nobody would know whether it ran.
+#[tokio::test]
+async fn a_request_that_arrives_late_in_the_grace_is_refused_and_not_run() {
+    let fleet = TestFleet::start(1).await;
+    fleet.store.put("config", "main", support::config("r2", 10.0));
+    time::sleep(Duration::from_millis(800)).await;
+    // Keeps the gateway from ending.
+    fleet.targets[0].set(Act::ServeAfter(4000));
+    let mut slow = fleet.caller().await;
+    slow.send(&Request { remaining_ms: 5000, ..order("slow") }.text()).await;
+    let mut late = fleet.caller().await;
+    let text = Request { remaining_ms: 5000, ..order("late") }.text();
+    let (start, rest) = text.split_at(text.len() - 3);
+    late.send(start).await;
+    eventually("the target runs it", async || fleet.targets[0].runs("slow") == 1).await;
+    let TestFleet { gateway, targets, store: _store } = fleet;
+    let shutdown = tokio::spawn(gateway.shut_down());
+    time::sleep(Duration::from_millis(3000)).await;
+    late.send(rest).await;
+    let response = late.answer().await;
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(targets[0].runs("late"), 0);
+    assert_eq!(slow.answer().await.status, 200);
+    shutdown.await.expect("the shutdown task ends without a panic");
+}
+
+#[tokio::test]
+async fn a_request_that_would_outlast_the_grace_is_answered_before_its_end() {
+    let fleet = TestFleet::start(1).await;
+    fleet.store.put("config", "main", support::config("r2", 20.0));
+    time::sleep(Duration::from_millis(800)).await;
+    fleet.targets[0].set(Act::ServeAfter(12_000));
+    let mut caller = fleet.caller().await;
+    caller.send(&Request { remaining_ms: 20_000, ..order("long") }.text()).await;
+    eventually("the target runs it", async || fleet.targets[0].runs("long") == 1).await;
+    let TestFleet { gateway, targets: _targets, store: _store } = fleet;
+    let stopped_at = Instant::now();
+    let shutdown = tokio::spawn(gateway.shut_down());
+    let response = caller.answer().await;
+    assert_eq!(response.status, 504, "it may have run");
+    // The target may work on during the first five sixths of the grace.
+    let waited = stopped_at.elapsed();
+    assert!(waited > GRACE * 5 / 6 && waited < GRACE, "{waited:?}");
+    shutdown.await.expect("the shutdown task ends without a panic");
+    assert!(stopped_at.elapsed() < GRACE);
+}
--- a/crates/citron/src/shutdown.rs
+++ b/crates/citron/src/shutdown.rs
@@ -2,6 +2,15 @@
 
 use std::time::Duration;
 
+/// How long before the kill the last response must be ready, so that it still reaches its caller.
+const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Returns until when a request may be in flight at a process that was told to stop at `stopped_at`
+/// and is killed after `grace`.
+pub fn serve_until(stopped_at: Duration, grace: Duration) -> Duration {
+    stopped_at + grace.saturating_sub(LAST_RESPONSE_MARGIN)
+}
+
 /// What a proxy that shuts down must do next.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum Action {
