Answer all pipelined requests in flight before a stopping gateway closes their connection

What callers would see at a planned stop: of several requests sent on one connection, those behind the first answer are dropped although targets are at work on them. Cause: the first response after the stop closed the connection and cancelled the rest of the pipeline. Now the last one in flight closes it, and no further one is read meanwhile. The test failed before (connection: close on the first of three) and passes.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -117,7 +117,7 @@
 
     /// Parses all complete requests in the buffer and starts to forward them.
     async fn parse_requests(&mut self) -> io::Result<()> {
-        while self.pipeline.len() < PIPELINE_LIMIT {
+        while self.may_read_request() {
             let limits = self.limits();
             let parsed = match &mut self.read_state {
                 ReadState::Closed => return Ok(()),
@@ -143,6 +143,13 @@
         Ok(())
     }
 
+    /// Returns true if another request may be read. While the gateway shuts down, the connection
+    /// closes after the responses to those that are being forwarded.
+    fn may_read_request(&self) -> bool {
+        let is_closing = self.shared.is_shutting_down() && !self.pipeline.is_empty();
+        self.pipeline.len() < PIPELINE_LIMIT && !is_closing
+    }
+
     async fn start_body(
         &mut self,
         head: Head,
@@ -187,7 +194,8 @@
     }
 
     async fn write_response(&mut self, mut response: Response, keep_alive: bool) -> io::Result<()> {
-        let keep_alive = keep_alive && !self.shared.is_shutting_down();
+        let is_last = self.pipeline.is_empty() && self.shared.is_shutting_down();
+        let keep_alive = keep_alive && !is_last;
         let chunked = response.is_chunked();
         let mut out = BytesMut::with_capacity(512 + response.body.len());
         http1::write_head(&mut out, &response, keep_alive);
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::{Request, TestFleet, eventually, order, target::Act};
+use support::{Request, TestFleet, caller::Caller, eventually, lookup, order, target::Act};
 use tokio::time::{self, Instant};
 
 /// The time between SIGTERM and SIGKILL.
@@ -57,3 +57,24 @@
     shutdown.await.expect("the shutdown task ends without a panic");
     assert!(stopped_at.elapsed() < GRACE);
 }
+
+#[tokio::test]
+async fn pipelined_requests_in_flight_at_the_stop_are_all_answered() {
+    let fleet = TestFleet::start(3).await;
+    fleet.targets.iter().for_each(|target| target.set(Act::ServeAfter(700)));
+    let mut caller: Caller = fleet.caller().await;
+    let text: String = ["a", "b", "c"].map(|id| lookup(id).text()).concat();
+    caller.send(&text).await;
+    let runs = |id: &str| fleet.targets.iter().map(|target| target.runs(id)).sum::<usize>();
+    eventually("the targets run them", async || ["a", "b", "c"].iter().all(|id| runs(id) > 0))
+        .await;
+    let TestFleet { gateway, targets: _targets, store: _store } = fleet;
+    let shutdown = tokio::spawn(gateway.shut_down());
+    for id in ["a", "b", "c"] {
+        let response = caller.answer().await;
+        assert_eq!((response.status, response.header("attempt-id")), (200, Some(id)));
+        let closes = response.header("connection") == Some("close");
+        assert_eq!(closes, id == "c", "only the last one closes the connection");
+    }
+    shutdown.await.expect("the shutdown task ends without a panic");
+}
