Count a request in flight until its response is written

What callers would see at a planned stop: a long body breaks off, because the process ends as soon as all heads are there. Cause: the count of requests in flight ended with the head of the response. The test failed before (the shutdown ended after 0.6 s with a body under way) and passes.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -18,7 +18,7 @@
     time::{self, Instant},
 };
 
-use self::pipeline::Pipeline;
+use self::pipeline::{Pipeline, Reply};
 use crate::{
     forward,
     http1::{self, BodyDecoder, Head, ParseError, Response},
@@ -101,8 +101,10 @@
             self.buffer.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
-                Some((response, keep_alive)) = self.pipeline.next(), if has_pending => {
+                Some(reply) = self.pipeline.next(), if has_pending => {
+                    let Reply { response, keep_alive, in_flight } = reply;
                     self.write_response(response, keep_alive).await?;
+                    drop(in_flight);
                 }
                 count = reader.read_buf(&mut self.buffer), if can_read => {
                     if count? == 0 {
@@ -178,8 +180,10 @@
         }
         let shared = Arc::clone(&self.shared);
         let received_at = shared.clock.now();
+        let in_flight = Some(shared.track_request());
         self.pipeline.push(async move {
-            (forward::forward(shared, *head, body, received_at).await, keep_alive)
+            let response = forward::forward(shared, *head, body, received_at).await;
+            Reply { response, keep_alive, in_flight }
         });
         self.since = Instant::now();
     }
@@ -190,7 +194,7 @@
         self.shared.metrics.record_refusal(error.into());
         self.read_state = ReadState::Closed;
         let response = Response::error(error.status(), error.into());
-        self.pipeline.push(async move { (response, false) });
+        self.pipeline.push(async move { Reply { response, keep_alive: false, in_flight: None } });
     }
 
     async fn write_response(&mut self, mut response: Response, keep_alive: bool) -> io::Result<()> {
--- a/crates/citron-gateway/src/caller/pipeline.rs
+++ b/crates/citron-gateway/src/caller/pipeline.rs
@@ -4,10 +4,18 @@
 
 use futures::{StreamExt, stream::FuturesOrdered};
 
-use crate::http1::Response;
+use crate::{http1::Response, shared::InFlight};
 
-/// The response to a request, and whether the connection stays open after it.
-pub type Reply = (Response, bool);
+/// The response to a request.
+pub struct Reply {
+    /// The response.
+    pub response: Response,
+    /// Whether the connection stays open after it.
+    pub keep_alive: bool,
+    /// Counts the request as in flight until the response is written; `None` for bytes that are no
+    /// request.
+    pub in_flight: Option<InFlight>,
+}
 
 /// The requests of one connection without a written response.
 #[derive(Default)]
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -52,7 +52,6 @@
     body: Bytes,
     received_at: Duration,
 ) -> Response {
-    let _in_flight = shared.track_request();
     let id = text(&head.headers, ATTEMPT_ID).unwrap_or("-").to_owned();
     let host = text(&head.headers, HOST.as_str()).unwrap_or_default();
     let path = head.uri.path();
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -78,3 +78,23 @@
     }
     shutdown.await.expect("the shutdown task ends without a panic");
 }
+
+/// A body that its caller reads slowly, and that is longer than all buffers on the way.
+#[tokio::test]
+async fn a_gateway_that_shuts_down_waits_for_bodies_that_are_being_forwarded() {
+    let fleet = TestFleet::start(1).await;
+    fleet.store.put("config", "main", support::config("r2", 3.0));
+    time::sleep(Duration::from_millis(800)).await;
+    fleet.targets[0].set(Act::Endless {
+        start: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: x\r\nContent-Length: 1000000000\r\n\r\n",
+        repeat: "xxxxxxxx",
+    });
+    let mut caller = fleet.caller().await;
+    caller.send(&Request { remaining_ms: 2500, ..lookup("long") }.text()).await;
+    time::sleep(Duration::from_millis(500)).await;
+    let TestFleet { gateway, targets: _targets, store: _store } = fleet;
+    let shutdown = tokio::spawn(gateway.shut_down());
+    time::sleep(Duration::from_millis(1500)).await;
+    assert!(!shutdown.is_finished(), "it ends with the request's time");
+    shutdown.await.expect("the shutdown task ends without a panic");
+}
