Write a policy again that the platform lost

What operators of the product's own edge would see: after the platform comes back from an older copy, an accepted policy is gone from it, and edits that get its revisions again are taken by no agent. Cause: nobody compared what the platform has with what is in force. The two agents that poll write the newer policy again, shards first, the head on condition of its version. The stand-in of the product's platform comes back from a copy; its versions are not given out twice, as entity tags are opaque. What remains: an edit that is accepted in the second before is overwritten; it was made on lists that had lost the previous one.

--- a/crates/citron-agent/src/reader.rs
+++ b/crates/citron-agent/src/reader.rs
@@ -2,8 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citron::{event::Kind, watcher::FallbackTimer};
-use citron_platform::{Client, Error, Version};
+use citron::{
+    event::Kind,
+    policy::{Applied, Head},
+    watcher::FallbackTimer,
+};
+use citron_platform::{Client, Error, Expect, Object, Version};
 use futures::{StreamExt, stream::FuturesUnordered};
 use tokio::time::{self, MissedTickBehavior};
 
@@ -164,9 +168,11 @@
     /// Reads the policy and applies it if it is newer. Returns the version of the head object.
     async fn read_policy(&self) -> Result<Version, Error> {
         self.count_call("head");
-        let Some(head) = self.client.get(HEAD_OBJECT.0, HEAD_OBJECT.1).await? else {
-            return Ok(Version::default());
-        };
+        let found = self.client.get(HEAD_OBJECT.0, HEAD_OBJECT.1).await?;
+        if let Some(applied) = self.lost_policy(found.as_ref()) {
+            return self.write_policy(&applied, found.map(|head| head.version)).await;
+        }
+        let Some(head) = found else { return Ok(Version::default()) };
         let source = "platform";
         let missing = match self.core.receive_head(&head.value, source) {
             Ok(missing) => missing,
@@ -188,6 +194,47 @@
         Ok(head.version)
     }
 
+    /// Returns the policy in force if this agent is a poller and `stored` is an older one: the
+    /// platform came back from an older copy.
+    fn lost_policy(&self, stored: Option<&Object>) -> Option<Applied> {
+        let revision = stored.and_then(|head| Head::decode(&head.value)).map(|head| head.revision);
+        let applied = self.core.with_policy(|copy| copy.applied().cloned())?;
+        let is_lost = applied.head.revision > revision.unwrap_or(0);
+        (is_lost && self.core.is_poller()).then_some(applied)
+    }
+
+    /// Writes a policy again that the platform lost, if the head object still has `version`.
+    /// Returns the new version of the head object.
+    async fn write_policy(
+        &self,
+        applied: &Applied,
+        version: Option<Version>,
+    ) -> Result<Version, Error> {
+        log::warn!(
+            "the platform lost revision {} of the policy; writing it again",
+            applied.head.revision
+        );
+        for shard in applied.head.shards.values() {
+            let Some(bytes) = self.core.with_policy(|copy| copy.shard(&shard.digest)) else {
+                continue;
+            };
+            self.count_call("shard-write");
+            let name = shard.digest.as_str();
+            match self.client.put(SHARD_KIND, name, &bytes, Expect::Absent).await {
+                Ok(_) | Err(Error::Conflict { .. }) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        self.count_call("head-write");
+        let expect = version.map_or(Expect::Absent, Expect::Version);
+        let head = applied.head.encode();
+        match self.client.put(HEAD_OBJECT.0, HEAD_OBJECT.1, &head, expect).await {
+            // Another poller, or an editor, was first.
+            Err(Error::Conflict { current }) => Ok(current.unwrap_or_default()),
+            written => written,
+        }
+    }
+
     fn count_call(&self, call: &str) {
         self.core.metrics.platform_calls.with_label_values(&[call]).inc();
     }
--- a/crates/citron-agent/tests/fleet.rs
+++ b/crates/citron-agent/tests/fleet.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
+use citron::policy::Head;
 use citron_agent::{Core, locate};
 use citron_platform::{Hosts, State};
 use citron_stand::{
-    platform::Mode,
+    platform::{Mode, Platform},
     relay::{self, Cut},
 };
 use citron_wire::update::Body;
@@ -26,6 +27,12 @@
     };
 }
 
+/// Returns the revision of the policy head on the platform.
+fn stored_revision(platform: &Platform) -> u64 {
+    let head = platform.inspect(|store| store.get("policy", "head"));
+    head.and_then(|(_, value)| Head::decode(&value)).map_or(0, |head| head.revision)
+}
+
 case!(agents_join_and_an_accepted_policy_reaches_all, async {
     let platform = platform().await;
     let agents = fleet(&platform.url(), 5).await;
@@ -36,6 +43,23 @@
     until("revision 2", || async { agents.iter().all(|agent| revision(agent) == 2) }).await;
 });
 
+// Without this, revisions that the platform gives out again are not taken by any agent.
+case!(a_policy_that_the_platform_lost_is_written_again, async {
+    let platform = platform().await;
+    let agents = fleet(&platform.url(), 5).await;
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 4) }).await;
+    write_policy(&platform.url(), 1).await;
+    until("revision 1", || async { agents.iter().all(|agent| revision(agent) == 1) }).await;
+    let copy = platform.copy();
+    write_policy(&platform.url(), 2).await;
+    until("revision 2", || async { agents.iter().all(|agent| revision(agent) == 2) }).await;
+    platform.restore(copy);
+    until("it is stored again", || async { stored_revision(&platform) == 2 }).await;
+    assert!(agents.iter().all(|agent| revision(agent) == 2), "it stays in force");
+    let late = agent(&platform.url(), 5, 0, &[&agents[0]]).await;
+    until("the late one knows it", || async { revision(&late) == 2 }).await;
+});
+
 case!(a_policy_reaches_a_domain_that_is_cut_off_from_the_platform, async {
     let platform = platform().await;
     let mut agents = fleet(&platform.url(), 4).await;
--- a/crates/citron-stand/src/platform/serve.rs
+++ b/crates/citron-stand/src/platform/serve.rs
@@ -140,6 +140,17 @@
         self.shared.meter.read()
     }
 
+    /// Returns a copy of the stored objects.
+    pub fn copy(&self) -> Store {
+        self.shared.store.lock().clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone.
+    pub fn restore(&self, copy: Store) {
+        let mut store = self.shared.store.lock();
+        *store = copy.restored(&store);
+    }
+
     /// Runs `query` on the stored objects.
     pub fn inspect<T>(&self, query: impl FnOnce(&Store) -> T) -> T {
         query(&self.shared.store.lock())
--- a/crates/citron-stand/src/platform/store.rs
+++ b/crates/citron-stand/src/platform/store.rs
@@ -28,6 +28,10 @@
     value: Option<Arc<[u8]>>,
 }
 
+/// The number of low bits of a version that count changes; the others count how often the store came
+/// back from an older copy, so that no version is given out twice.
+const CHANGE_BITS: u32 = 40;
+
 /// Why a write did not take effect.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum Fault {
@@ -46,6 +50,19 @@
         self.version
     }
 
+    /// Returns what the store is like that comes back from this copy after `lost` was lost: all
+    /// objects have new versions.
+    pub fn restored(self, lost: &Self) -> Self {
+        let era = (lost.version.0 >> CHANGE_BITS) + 1;
+        let mut restored = Self { version: Version(era << CHANGE_BITS), kinds: BTreeMap::new() };
+        for (kind, objects) in self.kinds {
+            for (name, slot) in objects.slots {
+                restored.change(&kind, &name, slot.value);
+            }
+        }
+        restored
+    }
+
     /// Returns an object's version and value.
     pub fn get(&self, kind: &str, name: &str) -> Option<(Version, Arc<[u8]>)> {
         let slot = self.kinds.get(kind)?.slots.get(name)?;
