Use no lease term again that the platform lost

What would be seen: after the platform comes back from an older copy, a holder takes a term that it already had, so that writes of both holds look alike. Cause: the next term was the stored one plus one. A member uses none up to the highest that it has seen. The test failed before (term 1 after term 1) and passes. What remains: a member that has not seen the lost term may use it.

--- a/crates/citron/src/lease.rs
+++ b/crates/citron/src/lease.rs
@@ -70,6 +70,9 @@
     permit: Option<Permit>,
     /// The object's version and record as last observed, and when this version was first observed.
     observed: Option<(u64, Record, Duration)>,
+    /// The highest term that was observed or written. A platform that came back from an older copy
+    /// shows a lower one.
+    highest_term: u64,
     /// When the request in flight was sent, and the record it writes, if it is a write.
     pending: Option<(Duration, Option<Record>)>,
     next_request_at: Duration,
@@ -82,6 +85,7 @@
             host: host.to_owned(),
             permit: None,
             observed: None,
+            highest_term: 0,
             pending: None,
             next_request_at: Duration::ZERO,
         }
@@ -115,7 +119,8 @@
             self.pending = Some((now, None));
             return Some(Request::Read);
         }
-        let record = Record { term: record.term + 1, holder: self.host.clone(), renewal: 0 };
+        let term = record.term.max(self.highest_term) + 1;
+        let record = Record { term, holder: self.host.clone(), renewal: 0 };
         Some(self.write(record, version, now))
     }
 
@@ -137,6 +142,7 @@
                 }
                 let holds = record.holder == self.host && now < until;
                 self.permit = holds.then_some(Permit { term: record.term, until });
+                self.highest_term = self.highest_term.max(record.term);
                 self.observed = Some((version, record, now));
             }
             (Response::Written(_), None) => {
@@ -165,6 +171,7 @@
 
     fn observe(&mut self, found: Option<(u64, Record)>, now: Duration) {
         let (version, record) = found.unwrap_or_default();
+        self.highest_term = self.highest_term.max(record.term);
         let lost = self.permit.is_some_and(|permit| permit.term != record.term);
         if lost {
             self.permit = None;
--- a/crates/citron/tests/lease.rs
+++ b/crates/citron/tests/lease.rs
@@ -250,3 +250,16 @@
         "{accepted} actions took effect, {rejected} were rejected"
     );
 }
+
+#[test]
+fn a_term_that_the_platform_lost_is_not_used_again() {
+    let mut store = Store::<Record>::default();
+    let mut lease = Lease::new("a");
+    let now = run(&mut lease, &mut store, Duration::ZERO, RENEWAL_INTERVAL);
+    let before = lease.permit(now).expect("a free lease is taken").term;
+    store.object = None;
+    let until_taken = LEASE_DURATION + TAKEOVER_MARGIN + RENEWAL_INTERVAL * 2;
+    let now = run(&mut lease, &mut store, now, until_taken);
+    let after = lease.permit(now).expect("it is taken again").term;
+    assert!(after > before, "{after} after {before}");
+}
