Let watching agents read the policy each two seconds beside their watches

Cause: nobody else asked. The watchers, two of each failure domain, read the head every second tick too: half a call a second and watcher more. The test failed before (no agent of nine had it after 3 s) and passes.

--- a/crates/citron-agent/src/reader.rs
+++ b/crates/citron-agent/src/reader.rs
@@ -19,6 +19,9 @@
 const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval between a poller's reads of the policy.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// The number of these intervals between the reads of a watcher that is no poller, as its watch may
+/// hang and the pollers may be gone.
+const WATCHER_READS_EVERY: u32 = 2;
 /// The maximum number of unanswered reads of a poller.
 const POLLS_LIMIT: usize = 4;
 /// The interval at which an agent checks whether it has become a watcher.
@@ -109,7 +112,8 @@
         }
     }
 
-    /// Reads the policy at short intervals while this agent is a poller, until the task is aborted.
+    /// Reads the policy at short intervals while this agent is a poller or watcher, until the task is
+    /// aborted.
     ///
     /// A watch on a connection that went silent delivers nothing. A read may stay unanswered too, so
     /// the next one does not wait for it.
@@ -117,10 +121,14 @@
         let mut reads = FuturesUnordered::new();
         let mut ticks = time::interval(POLL_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut tick: u32 = 0;
         loop {
             tokio::select! {
                 _ = ticks.tick() => {
-                    if reads.len() < POLLS_LIMIT && self.core.is_poller() {
+                    tick = tick.wrapping_add(1);
+                    let is_check = tick.is_multiple_of(WATCHER_READS_EVERY);
+                    let is_due = self.core.is_poller() || is_check && self.core.is_watcher();
+                    if reads.len() < POLLS_LIMIT && is_due {
                         reads.push(self.read_policy());
                     }
                 }
--- a/crates/citron-agent/tests/fleet.rs
+++ b/crates/citron-agent/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use citron::policy::Head;
-use citron_agent::{Core, locate};
+use citron_agent::{Agent, Core, locate};
 use citron_platform::{Hosts, State};
 use citron_stand::{
     platform::{Mode, Platform},
@@ -90,6 +90,31 @@
     assert_eq!(revisions, [2; 9]);
 });
 
+case!(a_policy_is_in_force_within_three_seconds_although_the_pollers_are_cut_off_too, async {
+    let platform = platform().await;
+    let (mut agents, mut links) = (Vec::<Agent>::new(), Vec::new());
+    for index in 0..9 {
+        let link = relay::bind(loopback(), platform.addr()).await.expect("a relay");
+        let seeds: Vec<&Agent> = agents.first().into_iter().collect();
+        let url = format!("http://{}", link.addr());
+        let started = agent(&url, index, index % 3, &seeds).await;
+        agents.push(started);
+        links.push(link);
+    }
+    until("all join", || async { agents.iter().all(|agent| alive(agent).len() == 8) }).await;
+    write_policy(&platform.url(), 1).await;
+    until("revision 1", || async { agents.iter().all(|agent| revision(agent) == 1) }).await;
+    until("watches", || async { platform.calls().waiting_watches == 6 }).await;
+    for (agent, link) in agents.iter().zip(&links) {
+        let existing_only = !agent.core().is_poller();
+        link.cut(Cut { to_server: true, to_client: true, existing_only });
+    }
+    write_policy(&platform.url(), 2).await;
+    time::sleep(Duration::from_secs(3)).await;
+    let revisions: Vec<u64> = agents.iter().map(revision).collect();
+    assert_eq!(revisions, [2; 9]);
+});
+
 case!(few_agents_watch_the_platform, async {
     let platform = platform().await;
     let agents = fleet(&platform.url(), 12).await;
