--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -158,6 +158,9 @@
     metrics.idle_connections.set(shared.pool.len() as i64);
     metrics.store_lost.set(i64::from(shared.link.is_down()));
     metrics.store_silent_seconds.set(shared.link.silent_for(now).as_secs_f64());
+    if let Some(age) = shared.confirmation_age(now) {
+        metrics.state_unconfirmed_seconds.set(age.as_secs_f64());
+    }
     for (kind, age) in shared.link.response_ages(now) {
         metrics.store_response_age_seconds.with_label_values(&[kind]).set(age.as_secs_f64());
     }
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub store_silent_seconds: Gauge,
     /// The time since the store's latest response to the calls of a subject, in seconds.
     pub store_response_age_seconds: GaugeVec,
+    /// The time since routes and targets were last known to be current, in seconds.
+    pub state_unconfirmed_seconds: Gauge,
     /// Outcomes that were not sent to the peers because too many were pending.
     pub outcomes_dropped: IntCounter,
     /// Datagrams that could not be decoded.
@@ -114,6 +116,11 @@
             "Time since the store ceased to answer, 0 while it answers",
         )?;
         registry.register(Box::new(store_silent_seconds.clone()))?;
+        let state_unconfirmed_seconds = Gauge::new(
+            "citron_state_unconfirmed_seconds",
+            "Time since routes and targets were last known to be current",
+        )?;
+        registry.register(Box::new(state_unconfirmed_seconds.clone()))?;
         let store_response_age_seconds = GaugeVec::new(
             Opts::new(
                 "citron_store_response_age_seconds",
@@ -212,6 +219,7 @@
             added,
             store_silent_seconds,
             store_response_age_seconds,
+            state_unconfirmed_seconds,
             registry,
         })
     }
