Let a list show again only what is newer than a departure taken over from a peer

Cause: an entry that had lapsed stayed in the list of lapsed ones after its target was dropped by a departure. Seen in review; the test shows what is taken over.

--- a/crates/citron-gateway/src/peer/join.rs
+++ b/crates/citron-gateway/src/peer/join.rs
@@ -3,8 +3,9 @@
 //! A store that came back from an older copy may show a configuration that was replaced, and
 //! targets that have left. The gateways that run know better.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use citron::catalog::Source;
 use tokio::time;
 
 use super::pull::fetch;
@@ -30,7 +31,7 @@
 
 /// Returns the routes version and the address of a peer that is ready, `None` if none reports
 /// within [`JOIN_TIMEOUT`] after this gateway has routes and targets.
-async fn ready_peer(shared: &Shared) -> Option<(u64, std::net::SocketAddr)> {
+async fn ready_peer(shared: &Shared) -> Option<(u64, SocketAddr)> {
     let domain = shared.settings().domain.clone();
     let mut waited = Duration::ZERO;
     while waited < JOIN_TIMEOUT {
@@ -46,18 +47,13 @@
     None
 }
 
-async fn take_over(
-    shared: &Shared,
-    http: &reqwest::Client,
-    version: u64,
-    peer: std::net::SocketAddr,
-) {
+async fn take_over(shared: &Shared, http: &reqwest::Client, version: u64, peer: SocketAddr) {
     if let Some(departures) = fetch(shared, http, peer, "departures", "departures").await {
         shared.targets.lock().catalog.merge_departures(departures);
     }
     if shared.routes().is_none_or(|routes| routes.version < version)
         && let Some(table) = fetch(shared, http, peer, "routes", "routes").await
     {
-        shared.apply_routes(table, citron::catalog::Source::Peer);
+        shared.apply_routes(table, Source::Peer);
     }
 }
--- a/crates/citron/src/catalog.rs
+++ b/crates/citron/src/catalog.rs
@@ -212,7 +212,8 @@
             if departure.last_heartbeat.is_none() {
                 self.mark_leaving(&id, departure.born_ms);
             } else if let Some(target) = self.targets.remove(&id) {
-                // Applied once more, now that the departure is known.
+                // Listed again only if its entry is newer than the departure.
+                self.lapsed.remove(&id);
                 self.put(target);
             }
         }
--- a/crates/citron/tests/catalog.rs
+++ b/crates/citron/tests/catalog.rs
@@ -366,3 +366,18 @@
     catalog.apply(at_revision(12), again, Source::Store, Duration::ZERO);
     assert_eq!(serving(&catalog), ["y"]);
 }
+
+#[test]
+fn the_departures_that_a_peer_knows_are_taken_over() {
+    let entry = |id, heartbeat, leaving| Target { heartbeat, ..target(id, BORN_MS, leaving) };
+    let mut peer = Catalog::default();
+    let all = ["x", "y", "z"].map(|id| entry(id, 5, false)).to_vec();
+    peer.replace(list(10, all), Source::Store, Duration::ZERO);
+    let changes = vec![Change::Put(entry("x", 6, true)), Change::Gone(Arc::from("y"))];
+    peer.apply(at_revision(11), changes, Source::Store, Duration::ZERO);
+    let mut starting = Catalog::default();
+    let copy = ["x", "y", "z"].map(|id| entry(id, 5, false)).to_vec();
+    starting.replace(list(10, copy), Source::Store, Duration::ZERO);
+    starting.merge_departures(peer.departures().clone());
+    assert_eq!(serving(&starting), ["z"]);
+}
