--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -39,6 +39,8 @@
 /// The interval at which a follower whose watch waits long checks whether its gateway has to poll
 /// and whether the watch may hang.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The minimum interval between two looks at whether a check is due.
+const CHECK_PAUSE_MIN: Duration = Duration::from_millis(30);
 /// The minimum interval between two watch calls of one follower, so that changes arrive in batches.
 const WATCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
@@ -170,6 +172,7 @@
         loop {
             tokio::select! {
                 Some(call) = calls.next() => {
+                    // An earlier call that a later one overtook was begun in a silence.
                     if call.result.is_ok() && call.begun_at > begun_at && !calls.is_empty() {
                         shared.link.record_unanswered(begun_at);
                     }
@@ -212,7 +215,7 @@
                 calls.push(self.call(Duration::ZERO));
             }
             let next_at = check_at.unwrap_or(Duration::MAX).saturating_sub(now);
-            let pause = next_at.clamp(WATCH_INTERVAL_MIN / 10, WATCH_CHECK_INTERVAL);
+            let pause = next_at.clamp(CHECK_PAUSE_MIN, WATCH_CHECK_INTERVAL);
             tokio::select! {
                 Some(call) = calls.next() => {
                     let is_check = call.wait.is_zero();
@@ -229,8 +232,10 @@
         }
     }
 
+    /// Decides whether the watch that was begun at `begun_at` may go on.
+    ///
     /// # Errors
-    /// Fails if the watch that was begun at `begun_at` should not be waited for any longer.
+    /// Fails with the reason to abandon it.
     fn check_watch(&self, begun_at: Duration, now: Duration) -> Result<(), Abandoned> {
         if self.polls() {
             return Err(Abandoned::Polling);
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -252,7 +252,7 @@
         self.notice_era();
     }
 
-    /// Takes note of the latest era of the store that a response or a peer named.
+    /// Updates the latest era of the store from this gateway's contact and its peers' reports.
     pub fn notice_era(&self) {
         let now = self.clock.now();
         let peers = self.gateways.lock().store_era(now).map(|(era, _)| era);
--- a/crates/citron-gateway/src/store_link.rs
+++ b/crates/citron-gateway/src/store_link.rs
@@ -32,7 +32,8 @@
         self.0.lock().link.record_era(era, now);
     }
 
-    /// Records a response to the follower of `kind`, and whether its previous call had failed; returns when the link was lost if the response ends an outage.
+    /// Records a response to the follower of `kind`, and whether its previous call had failed;
+    /// returns when the link was lost if the response ends an outage.
     pub fn record_response(
         &self,
         kind: &'static str,
