Show that one gateway that is cut off hides the store's return from the others (known red)

Found in review: a silence without a return yet counts as the fleet's, also if the store responds to all others. Watches that were begun in the store's silence are then not begun anew; what they miss is still taken by the checks within a second.

--- a/crates/citron/tests/outage.rs
+++ b/crates/citron/tests/outage.rs
@@ -243,3 +243,10 @@
     let peers = [Contact { era: 2, ..contact(5000, 5100) }];
     assert_eq!(link.keep_until(peers.into_iter(), at(5100)), at(5000 + GRACE_MS));
 }
+
+returned!(
+    a_gateway_that_is_still_cut_off_alone_hides_no_return,
+    [silence(4000, Some(7600)), silence(8900, None)],
+    [contact(7600, 9000)],
+    Some(7600)
+);
