Let the soak's check allow for answers in order on one connection

The trace: the answer was ready after 37 ms and waited for the 504 to the request ahead of it on the connection, which had 1.97 s and a target that hung. HTTP/1.1 answers go out in order, so that the case is allowed. An answer is late after the longest time of its own request and of those ahead; a test holds both sides of the bound.

--- a/crates/citron-stand/src/soak/promise.rs
+++ b/crates/citron-stand/src/soak/promise.rs
@@ -213,7 +213,9 @@
             }
             End::Unreadable => report(Promise::OwnAnswer, "bytes that are no answer".to_owned()),
             End::Silent => report(Promise::Answered, "no answer".to_owned()),
-            End::Answered(answer) if at > sent.at + Duration::from_millis(sent.given_ms) + late => {
+            End::Answered(answer)
+                if at > sent.at + Duration::from_millis(sent.answer_ms) + late =>
+            {
                 report(Promise::Answered, format!("{} after {:?}", answer.status, at - sent.at));
             }
             _ => {}
--- a/crates/citron-stand/src/soak/record.rs
+++ b/crates/citron-stand/src/soak/record.rs
@@ -23,6 +23,9 @@
     pub at: Instant,
     /// The time that the caller gave, in milliseconds.
     pub given_ms: u64,
+    /// The time after which its answer is late, in milliseconds: answers go out in order, so that
+    /// it may wait for those to requests sent ahead on its connection, which have more time.
+    pub answer_ms: u64,
     /// What became of it, once that is known.
     pub end: Option<(Instant, End)>,
 }
--- a/crates/citron-stand/src/soak/traffic.rs
+++ b/crates/citron-stand/src/soak/traffic.rs
@@ -194,15 +194,20 @@
     fn note_sent(&self, gateway: usize, requests: &[Request]) -> usize {
         let mut record = self.record.lock();
         let from = record.sent.len();
-        record.sent.extend(requests.iter().map(|request| Sent {
-            id: request.id.clone(),
-            first_line: request.first_line(),
-            body: request.body(),
-            is_order: request.is_order,
-            gateway,
-            at: Instant::now(),
-            given_ms: request.given_ms,
-            end: None,
+        let mut answer_ms = 0;
+        record.sent.extend(requests.iter().map(|request| {
+            answer_ms = request.given_ms.max(answer_ms);
+            Sent {
+                id: request.id.clone(),
+                first_line: request.first_line(),
+                body: request.body(),
+                is_order: request.is_order,
+                gateway,
+                at: Instant::now(),
+                given_ms: request.given_ms,
+                answer_ms,
+                end: None,
+            }
         }));
         from
     }
--- a/crates/citron-stand/tests/soak.rs
+++ b/crates/citron-stand/tests/soak.rs
@@ -31,6 +31,7 @@
         gateway: 0,
         at,
         given_ms: 1000,
+        answer_ms: 1000,
         end: None,
     }
 }
@@ -125,6 +126,16 @@
             answer.has_return_time = false;
         }
     }
+    an_answer_that_waits_for_the_one_ahead_of_it: [] |record, t0| {
+        let answer = answered(&record.sent[0], 200, Some("i-1"));
+        record.sent[0].answer_ms = 1600;
+        record.sent[0].end = Some((t0 + after(2050), answer));
+    }
+    an_answer_later_than_the_time_of_the_one_ahead_of_it: [Answered] |record, t0| {
+        let answer = answered(&record.sent[0], 200, Some("i-1"));
+        record.sent[0].answer_ms = 1600;
+        record.sent[0].end = Some((t0 + after(2150), answer));
+    }
     an_answer_of_another_request: [OwnAnswer] |record, t0| {
         let other = answered(&record.sent[1], 200, Some("i-2"));
         record.sent[0].end = Some((t0 + after(50), other));
