--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -261,7 +261,7 @@
         self.store_era.send_if_modified(|latest| {
             let is_later = era > *latest;
             if is_later {
-                log::info!("event=store-era era={era} before={latest}");
+                log::info!("event=era-changed era={era} before={latest}");
                 self.metrics.store_era.set(era as i64);
                 *latest = era;
             }
