--- a/crates/citron-daemon/src/lib.rs
+++ b/crates/citron-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod serve;
 
 pub mod setting;
+pub mod transfer;
 
 pub use self::{
     admin::{Admin, bind as bind_admin, encode as encode_metrics},
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -8,21 +8,23 @@
 
 mod backoff;
 mod call;
+mod calls;
 mod registry;
 
 pub use self::registry::run as registry;
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use citron::{freshness::CheckTimer, position::Position};
 use citron_adapter::store::{Error, Store};
-use futures::{StreamExt, stream::FuturesUnordered};
+use citron_daemon::transfer::Progress;
 use rand::Rng;
 use tokio::time;
 
 use self::{
     backoff::Backoff,
     call::{Call, Response, Subject},
+    calls::Calls,
 };
 use crate::shared::Shared;
 
@@ -117,17 +119,8 @@
                 Ok(true) if self.cursor.is_none() => {}
                 Ok(true) => time::sleep(WATCH_INTERVAL_MIN).await,
                 Ok(false) => self.backoff.wait(&self.shared, kind).await,
-                Err(reason) => {
-                    let waited = self.shared.clock.now().saturating_sub(begun_at);
-                    log::info!(
-                        "event=watch-renewed call={kind} reason={reason} waited_ms={}",
-                        waited.as_millis()
-                    );
-                    self.shared.link.record_abandoned();
-                    if reason == Abandoned::StoreRestored {
-                        self.cursor = None;
-                    }
-                }
+                Err(Abandoned::StoreRestored) => self.cursor = None,
+                Err(_) => {}
             }
         }
     }
@@ -165,8 +158,8 @@
     /// Fails if a peer has newer state.
     async fn poll(&mut self, begun_at: Duration, wait: Duration) -> Result<bool, Abandoned> {
         let shared = Arc::clone(&self.shared);
-        let mut calls = FuturesUnordered::new();
-        calls.push(self.call(wait));
+        let mut calls = Calls::default();
+        self.begin_call(&mut calls, wait);
         let interval = if shared.is_poller() { POLL_INTERVAL } else { CALL_INTERVAL };
         let mut next_call_at = begun_at + wait + interval;
         loop {
@@ -184,12 +177,12 @@
                     }
                 }
                 () = self.subject.overdue(&shared).notified(), if !wait.is_zero() => {
-                    return Err(Abandoned::PeerAhead);
+                    return Err(self.abandon(&calls, begun_at, Abandoned::PeerAhead));
                 }
                 () = time::sleep_until(shared.clock.instant(next_call_at)) => {
                     next_call_at += interval;
                     if calls.len() < CALLS_LIMIT {
-                        calls.push(self.call(Duration::ZERO));
+                        self.begin_call(&mut calls, Duration::ZERO);
                     }
                 }
             }
@@ -203,16 +196,17 @@
     /// Fails if the watch should not be waited for any longer.
     async fn watch(&mut self, begun_at: Duration, wait: Duration) -> Result<bool, Abandoned> {
         let shared = Arc::clone(&self.shared);
-        let mut calls = FuturesUnordered::new();
-        calls.push(self.call(wait));
+        let mut calls = Calls::default();
+        self.begin_call(&mut calls, wait);
         let mut positions = shared.store_position.subscribe();
         loop {
             let now = shared.clock.now();
-            self.check_watch(begun_at, now)?;
+            self.check_watch(begun_at, now)
+                .map_err(|reason| self.abandon(&calls, begun_at, reason))?;
             let check_at = self.check_at(begun_at);
             if check_at.is_some_and(|at| at <= now) && calls.len() < CALLS_LIMIT {
                 self.checks.restart(now, &mut rand::rng());
-                calls.push(self.call(Duration::ZERO));
+                self.begin_call(&mut calls, Duration::ZERO);
             }
             let next_at = check_at.unwrap_or(Duration::MAX).saturating_sub(now);
             let pause = next_at.clamp(CHECK_PAUSE_MIN, WATCH_CHECK_INTERVAL);
@@ -225,7 +219,9 @@
                         None => return Ok(false),
                     }
                 }
-                () = self.subject.overdue(&shared).notified() => return Err(Abandoned::PeerAhead),
+                () = self.subject.overdue(&shared).notified() => {
+                    return Err(self.abandon(&calls, begun_at, Abandoned::PeerAhead));
+                }
                 Ok(()) = positions.changed() => {}
                 () = time::sleep(pause) => {}
             }
@@ -266,23 +262,43 @@
         }
     }
 
-    /// Makes a call that may wait for `wait`.
-    fn call(&self, wait: Duration) -> impl Future<Output = Call> + use<> {
+    /// Records that calls made since `begun_at` are abandoned, and returns the reason.
+    fn abandon(&self, calls: &Calls, begun_at: Duration, reason: Abandoned) -> Abandoned {
+        let kind = self.subject.kind();
+        let waited_ms = self.shared.clock.now().saturating_sub(begun_at).as_millis();
+        let received = calls.received();
+        log::info!(
+            "event=watch-renewed call={kind} reason={reason} waited_ms={waited_ms} received={received}"
+        );
+        self.shared.metrics.record_state_bytes("store", kind, "abandoned", received);
+        self.shared.link.record_abandoned();
+        reason
+    }
+
+    /// Begins a call that may wait for `wait`.
+    fn begin_call(&self, calls: &mut Calls, wait: Duration) {
         let shared = Arc::clone(&self.shared);
         let (store, subject, cursor) = (self.store.clone(), self.subject, self.cursor);
-        async move { call::make(&shared, &store, subject, cursor, wait).await }
+        let progress = Progress::default();
+        let counted = progress.clone();
+        calls.push(progress, async move {
+            call::make(&shared, &store, subject, cursor, wait, counted).await
+        });
     }
 
     /// Records how a call ended, and returns its response if there was one.
     fn record(&mut self, call: Call) -> Option<Response> {
-        let Call { result, begun_at, wait } = call;
+        let Call { result, begun_at, wait, progress } = call;
+        let outcome = if result.is_ok() { "ok" } else { "failed" };
+        let (kind, received) = (self.subject.kind(), progress.received());
+        self.shared.metrics.record_state_bytes("store", kind, outcome, received);
         match result {
             Ok(response) => {
                 self.record_response(&response, begun_at, wait);
                 Some(response)
             }
             Err(error) => {
-                self.record_failure(&error, begun_at, wait);
+                self.record_failure(&error, begun_at, wait, received);
                 None
             }
         }
@@ -317,14 +333,21 @@
         }
     }
 
-    /// Records that the call begun at `begun_at`, which was to wait for `wait`, failed.
-    fn record_failure(&mut self, error: &Error, begun_at: Duration, wait: Duration) {
+    /// Records that the call begun at `begun_at`, which was to wait for `wait`, failed after that many
+    /// bytes were received.
+    fn record_failure(
+        &mut self,
+        error: &Error,
+        begun_at: Duration,
+        wait: Duration,
+        received: usize,
+    ) {
         let kind = self.subject.kind();
         self.shared.metrics.store_calls.with_label_values(&[kind, "failed"]).inc();
         let now = self.shared.clock.now();
         let waited_ms = now.saturating_sub(begun_at).as_millis();
         log::info!(
-            "event=store-call-failed call={kind} waited_ms={waited_ms} reason={:?}",
+            "event=store-call-failed call={kind} waited_ms={waited_ms} received={received} reason={:?}",
             error.to_string()
         );
         if *error == Error::TimedOut {
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -12,6 +12,7 @@
     store::{Error, Event, Object, Store, WatchResult},
     targets,
 };
+use citron_daemon::transfer::Progress;
 use tokio::sync::Notify;
 
 use crate::shared::Shared;
@@ -54,6 +55,8 @@
     pub begun_at: Duration,
     /// How long it was to wait for changes.
     pub wait: Duration,
+    /// What arrived of the response.
+    pub progress: Progress,
 }
 
 /// A response, whose content was applied.
@@ -72,17 +75,23 @@
     subject: Subject,
     cursor: Option<Position>,
     wait: Duration,
+    progress: Progress,
 ) -> Call {
     let begun_at = shared.clock.now();
     let result = match cursor {
-        None => list(shared, store, subject).await,
-        Some(position) => watch(shared, store, subject, position, wait).await,
+        None => list(shared, store, subject, &progress).await,
+        Some(position) => watch(shared, store, subject, position, wait, &progress).await,
     };
-    Call { result, begun_at, wait }
+    Call { result, begun_at, wait, progress }
 }
 
-async fn list(shared: &Shared, store: &Store, subject: Subject) -> Result<Response, Error> {
-    let list = store.list(subject.kind()).await?;
+async fn list(
+    shared: &Shared,
+    store: &Store,
+    subject: Subject,
+    progress: &Progress,
+) -> Result<Response, Error> {
+    let list = store.list(subject.kind(), progress).await?;
     shared.record_era(list.position.era);
     match subject {
         Subject::Routes => {
@@ -107,9 +116,10 @@
     subject: Subject,
     position: Position,
     wait: Duration,
+    progress: &Progress,
 ) -> Result<Response, Error> {
     let kind = subject.kind();
-    let (as_of, events) = match store.watch(kind, position, wait).await? {
+    let (as_of, events) = match store.watch(kind, position, wait, progress).await? {
         WatchResult::HistoryGone => {
             log::info!("event=history-gone kind={kind} revision={position}");
             return Ok(Response { cursor: None, has_news: true });
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -6,6 +6,7 @@
     gateways,
     store::{List, Store},
 };
+use citron_daemon::transfer::Progress;
 use rand::Rng;
 use tokio::time;
 
@@ -51,7 +52,7 @@
 async fn list(shared: &Shared, store: &Store) -> List {
     let mut backoff = Backoff::default();
     loop {
-        match store.list(gateways::KIND).await {
+        match store.list(gateways::KIND, &Progress::default()).await {
             Ok(list) => return list,
             Err(error) => {
                 backoff.record_failure("list-gateways", &error);
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub store_calls: IntCounterVec,
     /// Pulls from peers, by subject and outcome.
     pub pulls: IntCounterVec,
+    /// Bytes of state that arrived, by where they came from, subject and whether they were used.
+    pub state_bytes: IntCounterVec,
     /// Retries that the retry budget did not allow, by service.
     pub retries_denied: IntCounterVec,
     /// Retries that the retry budget allowed, by service.
@@ -150,6 +152,11 @@
                 "State taken from peers, by subject and outcome",
                 &["subject", "outcome"],
             )?,
+            state_bytes: counters(
+                "citron_state_bytes_total",
+                "Bytes of routes and targets that arrived, by origin, subject and outcome",
+                &["origin", "subject", "outcome"],
+            )?,
             retries_denied: counters(
                 "citron_repetitions_denied_total",
                 "Repetitions that the budget did not allow, by service",
@@ -239,6 +246,11 @@
         self.verdicts.with_label_values(&[verdict, source]).inc();
     }
 
+    /// Records bytes of a response with routes or targets, and whether they could be used.
+    pub fn record_state_bytes(&self, origin: &str, subject: &str, outcome: &str, bytes: usize) {
+        self.state_bytes.with_label_values(&[origin, subject, outcome]).inc_by(bytes as u64);
+    }
+
     /// Records the time that a request took besides the attempt whose response was forwarded.
     pub fn record_added_time(&self, time: Duration) {
         self.added.observe(time.as_secs_f64());
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -10,6 +10,7 @@
     catalog::{Source, Update},
     freshness::CONFIRMATION_MAX_AGE,
 };
+use citron_daemon::transfer::Progress;
 use tokio::time;
 
 use crate::shared::Shared;
@@ -70,17 +71,37 @@
     path: &str,
 ) -> Option<T> {
     let url = format!("http://{peer}/{path}");
+    let begun_at = shared.clock.now();
+    let progress = Progress::default();
+    let describe = |error: reqwest::Error| error.to_string();
     let result = async {
-        http.get(url).timeout(PULL_TIMEOUT).send().await?.error_for_status()?.json().await
+        let sent = http.get(url).timeout(PULL_TIMEOUT).send().await;
+        let mut response = sent.and_then(reqwest::Response::error_for_status).map_err(describe)?;
+        let mut body = Vec::new();
+        while let Some(part) = response.chunk().await.map_err(describe)? {
+            progress.add(part.len());
+            body.extend_from_slice(&part);
+        }
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
     };
-    match result.await {
+    let result = result.await;
+    let took_ms = shared.clock.now().saturating_sub(begun_at).as_millis();
+    let received = progress.received();
+    let outcome = if result.is_ok() { "ok" } else { "failed" };
+    shared.metrics.record_state_bytes("peer", what, outcome, received);
+    match result {
         Ok(value) => {
             shared.metrics.pulls.with_label_values(&[what, "ok"]).inc();
+            log::info!(
+                "event=pulled what={what} peer={peer} took_ms={took_ms} received={received}"
+            );
             Some(value)
         }
         Err(error) => {
             shared.metrics.pulls.with_label_values(&[what, "failed"]).inc();
-            log::warn!("event=pull-failed what={what} peer={peer} reason={:?}", error.to_string());
+            log::warn!(
+                "event=pull-failed what={what} peer={peer} took_ms={took_ms} received={received} reason={error:?}"
+            );
             None
         }
     }
