Show that large configurations over slow links are begun anew, again and again (known red)

The relay of the stand-ins passes a limited number of bytes a second, and counts them; a test can play a peer.

--- a/crates/citron-gateway/src/lib.rs
+++ b/crates/citron-gateway/src/lib.rs
@@ -17,4 +17,4 @@
 mod store_link;
 mod targets;
 
-pub use self::gateway::Gateway;
+pub use self::{gateway::Gateway, peer::message};
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod peer;
+
 pub use citron_stand::gateway::{caller, store, target};
 
 use std::{
@@ -17,6 +19,8 @@
 
 use self::{caller::Caller, store::Store, target::Target};
 
+/// The maximum size of an object in the store, in bytes.
+pub const OBJECT_BYTES: usize = 1024 * 1024;
 /// How long a test waits for a condition to become true.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
 
--- a/crates/citron-stand/src/relay/cut.rs
+++ b/crates/citron-stand/src/relay/cut.rs
@@ -10,7 +10,7 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 
 /// Which directions are cut.
 #[derive(Debug, Default, Copy, Clone, Eq, PartialEq, Serialize, Deserialize)]
@@ -36,6 +36,12 @@
 pub(super) struct Switch {
     all: Flags,
     delay_ms: AtomicU64,
+    /// The bytes a second of all streams together, 0 if they are not limited.
+    rate: AtomicU64,
+    /// The bytes of all streams that were to be passed on so far.
+    passed: AtomicU64,
+    /// When the link has passed on what it was given.
+    free_at: Mutex<Option<Instant>>,
     resets: Notify,
     flows: Mutex<Vec<Weak<Flow>>>,
 }
@@ -93,6 +99,31 @@
         self.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Sets how many bytes a second all streams pass together, 0 for no limit.
+    pub(super) fn limit_rate(&self, bytes_per_s: u64) {
+        self.rate.store(bytes_per_s, Ordering::SeqCst);
+    }
+
+    /// Returns how many bytes of all streams came so far.
+    pub(super) fn passed(&self) -> u64 {
+        self.passed.load(Ordering::SeqCst)
+    }
+
+    /// Returns when the link has passed on `bytes` more.
+    fn pass_at(&self, bytes: usize) -> Instant {
+        self.passed.fetch_add(bytes as u64, Ordering::SeqCst);
+        let now = Instant::now();
+        let rate = self.rate.load(Ordering::SeqCst);
+        if rate == 0 {
+            return now;
+        }
+        let mut free_at = self.free_at.lock();
+        let begin = free_at.map_or(now, |at| at.max(now));
+        let end = begin + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        *free_at = Some(end);
+        end
+    }
+
     /// Resets the connections that are open now.
     pub(super) fn reset(&self) {
         self.resets.notify_waiters();
@@ -109,9 +140,10 @@
 }
 
 impl Flow {
-    /// Returns how long a part of the stream is to be held back.
-    pub(super) fn delay(&self) -> Duration {
-        Duration::from_millis(self.switch.delay_ms.load(Ordering::SeqCst))
+    /// Returns until when a part of the stream of this length is to be held back.
+    pub(super) fn hold_until(&self, bytes: usize) -> Instant {
+        let delay = Duration::from_millis(self.switch.delay_ms.load(Ordering::SeqCst));
+        self.switch.pass_at(bytes).max(Instant::now() + delay)
     }
 
     /// Waits until the connection is to be reset.
--- a/crates/citron-stand/src/relay/mod.rs
+++ b/crates/citron-stand/src/relay/mod.rs
@@ -56,6 +56,16 @@
         self.switch.delay(delay);
     }
 
+    /// Sets how many bytes a second all TCP streams pass together, 0 for no limit.
+    pub fn limit_rate(&self, bytes_per_s: u64) {
+        self.switch.limit_rate(bytes_per_s);
+    }
+
+    /// Returns how many bytes of TCP streams came so far.
+    pub fn passed(&self) -> u64 {
+        self.switch.passed()
+    }
+
     /// Resets the TCP connections that are open now.
     pub fn reset(&self) {
         self.switch.reset();
--- a/crates/citron-stand/src/relay/tcp.rs
+++ b/crates/citron-stand/src/relay/tcp.rs
@@ -97,10 +97,7 @@
         if count == 0 {
             return Ok(());
         }
-        let delay = flow.delay();
-        if !delay.is_zero() {
-            time::sleep(delay).await;
-        }
+        time::sleep_until(flow.hold_until(count)).await;
         if !flow.drops_stream(direction) {
             to.write_all(&buffer[..count]).await?;
         }
