Keep a response that is arriving, and do not begin another copy of it beside it

Cause, second part: a follower whose large answer was under way abandoned it as a peer was ahead or the store was said to have returned, counted the store as silent, and made up to four calls for the same bytes at once.

A call whose head or a step of 16 KiB came within the last second is now waited for: no check or retry is begun beside it, of two that arrive one is ended, and it does not make the store silent. A configuration of 600,000 bytes over 300,000 a second: 1,597,516 bytes received before, one copy now; a gateway that starts over such a link with 900,000 bytes was never ready, and is now. Ruled out by the test: the new bound of the time alone (1,185,702 bytes).

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -166,7 +166,8 @@
             tokio::select! {
                 Some(call) = calls.next() => {
                     // An earlier call that a later one overtook was begun in a silence.
-                    if call.result.is_ok() && call.begun_at > begun_at && !calls.is_empty() {
+                    let is_later = call.result.is_ok() && call.begun_at > begun_at;
+                    if is_later && !calls.is_empty() && !calls.is_receiving() {
                         shared.link.record_unanswered(begun_at);
                     }
                     if self.record(call).is_some() {
@@ -176,12 +177,16 @@
                         return Ok(false);
                     }
                 }
-                () = self.subject.overdue(&shared).notified(), if !wait.is_zero() => {
+                () = self.subject.overdue(&shared).notified(),
+                    if !wait.is_zero() && !calls.is_receiving() =>
+                {
                     return Err(self.abandon(&calls, begun_at, Abandoned::PeerAhead));
                 }
                 () = time::sleep_until(shared.clock.instant(next_call_at)) => {
                     next_call_at += interval;
-                    if calls.len() < CALLS_LIMIT {
+                    self.end_copies(&mut calls);
+                    // Another copy would share the link with the one that is arriving.
+                    if calls.len() < CALLS_LIMIT && !calls.is_receiving() {
                         self.begin_call(&mut calls, Duration::ZERO);
                     }
                 }
@@ -201,9 +206,13 @@
         let mut positions = shared.store_position.subscribe();
         loop {
             let now = shared.clock.now();
-            self.check_watch(begun_at, now)
-                .map_err(|reason| self.abandon(&calls, begun_at, reason))?;
-            let check_at = self.check_at(begun_at);
+            self.end_copies(&mut calls);
+            let is_receiving = calls.is_receiving();
+            if !is_receiving {
+                self.check_watch(begun_at, now)
+                    .map_err(|reason| self.abandon(&calls, begun_at, reason))?;
+            }
+            let check_at = self.check_at(begun_at).filter(|_| !is_receiving);
             if check_at.is_some_and(|at| at <= now) && calls.len() < CALLS_LIMIT {
                 self.checks.restart(now, &mut rand::rng());
                 self.begin_call(&mut calls, Duration::ZERO);
@@ -216,10 +225,11 @@
                     match self.record(call) {
                         Some(response) if is_check && !response.has_news => {}
                         Some(_) => return Ok(true),
+                        None if calls.is_receiving() => {}
                         None => return Ok(false),
                     }
                 }
-                () = self.subject.overdue(&shared).notified() => {
+                () = self.subject.overdue(&shared).notified(), if !calls.is_receiving() => {
                     return Err(self.abandon(&calls, begun_at, Abandoned::PeerAhead));
                 }
                 Ok(()) = positions.changed() => {}
@@ -262,6 +272,12 @@
         }
     }
 
+    /// Leaves only one of the calls whose response is arriving, so that copies do not share the link.
+    fn end_copies(&self, calls: &mut Calls) {
+        let received = calls.end_copies();
+        self.shared.metrics.record_state_bytes("store", self.subject.kind(), "abandoned", received);
+    }
+
     /// Records that calls made since `begun_at` are abandoned, and returns the reason.
     fn abandon(&self, calls: &Calls, begun_at: Duration, reason: Abandoned) -> Abandoned {
         let kind = self.subject.kind();
