Bound, spread and back off the pulls between gateways, and compress what they carry

The pull of the targets waited behind that of the routes.

Now a gateway has one pull of each subject at a time, in tasks of their own, that goes on while it makes progress; after a failure it waits for 0.1 s, doubling up to 1 s with jitter, and asks another peer, drawn from those that are furthest ahead, after two failures in any domain. A gateway that took routes from a peer says so, so that copies spread as a tree. A response of a peer is bounded in size, before and after it is decompressed; before, it was not. Builds of before still get the plain body.

--- a/crates/citron-daemon/src/transfer.rs
+++ b/crates/citron-daemon/src/transfer.rs
@@ -67,7 +67,7 @@
     }
 
     /// Records that further bytes of the body arrived.
-    pub fn add(&self, bytes: usize) {
+    fn add(&self, bytes: usize) {
         let mut state = self.0.lock();
         state.received += bytes;
         let received = state.received;
--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -1,13 +1,9 @@
 //! The HTTP endpoints of a gateway besides forwarding: addresses for callers, readiness, the
 //! current state for peers, and metrics.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::{
-    catalog::{Departure, Update},
-    position::Position,
-    route::Table,
-};
+use citron::position::Position;
 use citron_adapter::ingress::{ADDRESSES_LIMIT, ResolveResponse};
 use citron_daemon::Server;
 use eyre::WrapErr;
@@ -18,7 +14,10 @@
     serde::json::Json,
 };
 
-use crate::shared::Shared;
+use crate::{
+    peer::{Coding, Export, Transfer},
+    shared::Shared,
+};
 
 /// How long callers may cache the addresses, if the platform's limit is not lower.
 const RESOLVE_TTL: Duration = Duration::from_secs(4);
@@ -47,6 +46,7 @@
 /// Fails if the address cannot be bound.
 pub async fn bind_peers(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
     serve(shared, addr, |rocket| {
+        let rocket = rocket.manage(Export::default());
         rocket.mount("/", routes![peer_routes, peer_targets, peer_departures])
     })
     .await
@@ -90,23 +90,42 @@
 }
 
 #[get("/routes")]
-fn peer_routes(shared: &State<Arc<Shared>>) -> JsonResult<Table> {
-    shared.routes().map(|table| Json((*table).clone())).ok_or(Status::ServiceUnavailable)
+async fn peer_routes(
+    shared: &State<Arc<Shared>>,
+    export: &State<Export>,
+    coding: Coding,
+) -> Result<Transfer, Status> {
+    let table = shared.routes().ok_or(Status::ServiceUnavailable)?;
+    export.routes(&table, coding).await
 }
 
 #[get("/targets?<since>&<era>")]
-fn peer_targets(shared: &State<Arc<Shared>>, since: u64, era: Option<u64>) -> JsonResult<Update> {
-    let targets = shared.targets.lock();
-    if targets.catalog.position().revision == 0 {
-        return Err(Status::ServiceUnavailable);
-    }
+async fn peer_targets(
+    shared: &State<Arc<Shared>>,
+    export: &State<Export>,
+    coding: Coding,
+    since: u64,
+    era: Option<u64>,
+) -> Result<Transfer, Status> {
     let position = Position { era: era.unwrap_or(0), revision: since };
-    Ok(Json(targets.catalog.since(position)))
+    let update = {
+        let targets = shared.targets.lock();
+        if targets.catalog.position().revision == 0 {
+            return Err(Status::ServiceUnavailable);
+        }
+        targets.catalog.since(position)
+    };
+    export.value(&update, coding).await
 }
 
 #[get("/departures")]
-fn peer_departures(shared: &State<Arc<Shared>>) -> Json<BTreeMap<Arc<str>, Departure>> {
-    Json(shared.targets.lock().catalog.departures().clone())
+async fn peer_departures(
+    shared: &State<Arc<Shared>>,
+    export: &State<Export>,
+    coding: Coding,
+) -> Result<Transfer, Status> {
+    let departures = shared.targets.lock().catalog.departures().clone();
+    export.value(&departures, coding).await
 }
 
 #[get("/metrics")]
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -75,7 +75,10 @@
             .pool_max_idle_per_host(1)
             .build()
             .wrap_err("cannot create the HTTP client for peers")?;
-        tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket), http.clone()));
+        tokio::spawn(peer::receive(Arc::clone(&shared), Arc::clone(&socket)));
+        for subject in [peer::Subject::Routes, peer::Subject::Targets] {
+            tokio::spawn(peer::pull(Arc::clone(&shared), http.clone(), subject));
+        }
         tokio::spawn(peer::join(Arc::clone(&shared), http));
         tokio::spawn(peer::report_state(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -3,17 +3,20 @@
 pub mod message;
 
 mod broadcast;
+mod export;
 mod join;
 mod pull;
 
 pub use self::{
     broadcast::{repeat_statements, report_load, report_state, send_outcomes},
+    export::{Coding, Export, Transfer},
     join::join,
+    pull::{Subject, run as pull},
 };
 
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::Duration,
 };
 
@@ -31,7 +34,6 @@
 use self::{
     broadcast::{relay, send, state_datagram},
     message::{DATAGRAM_LIMIT_BYTES, Datagram, KnownGateway, Outcome, State},
-    pull::pull,
 };
 use crate::shared::Shared;
 
@@ -41,7 +43,7 @@
 const KNOWN_GATEWAYS_LIMIT: usize = 16;
 
 /// Receives datagrams until the process ends.
-pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>, http: reqwest::Client) {
+pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_LIMIT_BYTES * 2];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -53,7 +55,7 @@
             }
         };
         match Datagram::decode(&buffer[..length]) {
-            Ok(datagram) => handle(&shared, &socket, &http, datagram, from).await,
+            Ok(datagram) => handle(&shared, &socket, datagram, from).await,
             Err(error) => {
                 shared.metrics.datagrams_unreadable.inc();
                 log::debug!("event=datagram-ignored from={from} reason={:?}", error.to_string());
@@ -62,13 +64,7 @@
     }
 }
 
-async fn handle(
-    shared: &Arc<Shared>,
-    socket: &UdpSocket,
-    http: &reqwest::Client,
-    datagram: Datagram,
-    from: SocketAddr,
-) {
+async fn handle(shared: &Arc<Shared>, socket: &UdpSocket, datagram: Datagram, from: SocketAddr) {
     if datagram.host == shared.settings().host {
         return;
     }
@@ -98,7 +94,7 @@
         return;
     };
     let address = state.datagrams.parse().unwrap_or(from);
-    let ahead = is_ahead(shared, &report);
+    let subjects = subjects_ahead(shared, &report);
     if shared.gateways.lock().apply_report(&datagram.host, address, report, now) {
         log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
@@ -108,8 +104,8 @@
     if state.wants_reply && address == from {
         reply(shared, socket, from).await;
     }
-    if ahead && !shared.pull_scheduled.swap(true, Ordering::Relaxed) {
-        tokio::spawn(pull(Arc::clone(shared), http.clone()));
+    for subject in subjects {
+        subject.behind(shared).notify_one();
     }
 }
 
@@ -140,10 +136,13 @@
     }
 }
 
-fn is_ahead(shared: &Shared, report: &Report) -> bool {
+/// Returns in what a peer is ahead of this gateway.
+fn subjects_ahead(shared: &Shared, report: &Report) -> impl Iterator<Item = Subject> + use<> {
     let routes = shared.routes().map_or(0, |routes| routes.version);
     let targets = shared.targets.lock().catalog.position();
-    report.routes_version > routes || report.targets_position > targets
+    let routes = (report.routes_version > routes).then_some(Subject::Routes);
+    let targets = (report.targets_position > targets).then_some(Subject::Targets);
+    routes.into_iter().chain(targets)
 }
 
 /// Replies to a newcomer with this gateway's state and some of the gateways that are known here.
--- a/crates/citron-gateway/src/peer/join.rs
+++ b/crates/citron-gateway/src/peer/join.rs
@@ -8,7 +8,7 @@
 use citron::catalog::Source;
 use tokio::time;
 
-use super::pull::fetch;
+use super::pull::try_fetch;
 use crate::shared::Shared;
 
 /// How long a gateway that has routes and targets waits for the report of a peer that is ready.
@@ -48,11 +48,11 @@
 }
 
 async fn take_over(shared: &Shared, http: &reqwest::Client, version: u64, peer: SocketAddr) {
-    if let Some(departures) = fetch(shared, http, peer, "departures", "departures").await {
+    if let Some(departures) = try_fetch(shared, http, peer, "departures", "departures").await {
         shared.targets.lock().catalog.merge_departures(departures);
     }
     if shared.routes().is_none_or(|routes| routes.version < version)
-        && let Some(table) = fetch(shared, http, peer, "routes", "routes").await
+        && let Some(table) = try_fetch(shared, http, peer, "routes", "routes").await
     {
         shared.apply_routes(table, Source::Peer);
     }
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -1,17 +1,24 @@
-//! Fetches newer routes and targets from a peer.
+//! Fetches newer routes and targets from peers.
+//!
+//! Routes and targets have a task each, so that a long transfer of one does not hold up the other.
+//! Each has one transfer at a time. After a failure it waits longer, and asks another peer.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{io::Read, net::SocketAddr, sync::Arc, time::Duration};
 
 use citron::{
     catalog::{Source, Update},
     freshness::CONFIRMATION_MAX_AGE,
 };
-use citron_daemon::transfer::Progress;
-use tokio::time;
+use citron_daemon::transfer::{self, Bounds, Progress};
+use flate2::read::GzDecoder;
+use rand::Rng;
+use reqwest::{
+    Response, StatusCode,
+    header::{ACCEPT_ENCODING, CONTENT_ENCODING},
+};
+use serde::de::DeserializeOwned;
+use strum::{Display, IntoStaticStr};
+use tokio::{sync::Notify, task, time};
 
 use crate::shared::Shared;
 
@@ -20,89 +27,237 @@
 const PULL_DELAY: Duration = Duration::from_millis(400);
 /// The delay while the store does not respond, or has not confirmed this gateway's state for long.
 const PULL_DELAY_UNCONFIRMED: Duration = Duration::from_millis(50);
-/// The timeout of a request to a peer.
-const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The delay after the first failed pull; it doubles with each further failure.
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
+/// The maximum delay after a failed pull.
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
+/// The number of failures in a row after which peers of other failure domains are asked too.
+const NEAR_FAILURES_MAX: u32 = 2;
+/// The timeout for the head of a response of a peer.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long the body of a response of a peer may make no progress.
+const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The size of a response up to which it is decoded at once, in bytes.
+const SHORT_BODY_BYTES: usize = 8 * 1024;
+/// The maximum size of a response of a peer as it is sent, in bytes.
+const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// The maximum size of a response of a peer once it is decompressed, in bytes; a list of 32,000
+/// targets has a tenth.
+const TEXT_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
+
+/// What a gateway pulls from peers that are ahead of it.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Subject {
+    Routes,
+    Targets,
+}
+
+/// Why a pull failed.
+#[derive(Debug, Clone, Eq, PartialEq)]
+enum Error {
+    /// The peer sends to as many as it can, or has nothing yet.
+    Refused(StatusCode),
+    /// No response began in time, or it broke off, stalled or was too long.
+    Lost(String),
+    /// The response cannot be decoded.
+    Malformed(String),
+    /// The response brought nothing newer.
+    NotNewer,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Refused(status) => write!(f, "the peer refused with status {status}"),
+            Self::Lost(reason) => write!(f, "the peer's answer was not received: {reason}"),
+            Self::Malformed(reason) => write!(f, "the peer's answer cannot be read: {reason}"),
+            Self::NotNewer => f.write_str("the peer's answer brought nothing newer"),
+        }
+    }
+}
+
+impl Subject {
+    /// Returns what wakes the task that pulls it.
+    pub fn behind(self, shared: &Shared) -> &Notify {
+        match self {
+            Self::Routes => &shared.routes_behind,
+            Self::Targets => &shared.targets_behind,
+        }
+    }
+
+    /// Returns a peer that is ahead, if there is one: after several failures any, before that one of
+    /// this failure domain if possible.
+    fn peer_ahead(self, shared: &Shared, failures: u32) -> Option<SocketAddr> {
+        let settings = shared.settings();
+        let domain = (failures < NEAR_FAILURES_MAX).then_some(settings.domain.as_str());
+        let now = shared.clock.now();
+        let mut rng = rand::rng();
+        match self {
+            Self::Routes => {
+                let version = shared.routes().map_or(0, |routes| routes.version);
+                shared.gateways.lock().peer_with_newer_routes(version, domain, now, &mut rng)
+            }
+            Self::Targets => {
+                let position = shared.targets.lock().catalog.position();
+                shared.gateways.lock().peer_with_newer_targets(position, domain, now, &mut rng)
+            }
+        }
+    }
 
-/// Fetches newer routes and targets from a peer if the store does not deliver them in time.
+    /// Wakes the follower of the store, whose watch should have delivered what a peer gave.
+    fn wake_follower(self, shared: &Shared) {
+        match self {
+            Self::Routes => shared.routes_overdue.notify_waiters(),
+            Self::Targets => shared.targets_overdue.notify_waiters(),
+        }
+    }
+}
+
+/// Fetches newer state from peers whenever the store does not deliver it in time; runs until the
+/// process ends.
 ///
-/// If the store seems to respond, the watch that should have delivered them may be on a connection
+/// If the store seems to respond, the watch that should have delivered it may be on a connection
 /// that went silent, and its follower is woken.
-pub async fn pull(shared: Arc<Shared>, http: reqwest::Client) {
-    let was_down = shared.link.is_down();
+pub async fn run(shared: Arc<Shared>, http: reqwest::Client, subject: Subject) {
+    let mut failures = 0;
+    loop {
+        if subject.peer_ahead(&shared, failures).is_none() {
+            failures = 0;
+            subject.behind(&shared).notified().await;
+            continue;
+        }
+        let was_down = shared.link.is_down();
+        time::sleep(delay(&shared, was_down, failures)).await;
+        let is_overdue = !was_down && !shared.link.is_down();
+        let Some(peer) = subject.peer_ahead(&shared, failures) else { continue };
+        match pull(&shared, &http, subject, peer).await {
+            Ok(()) => {
+                failures = 0;
+                if is_overdue {
+                    subject.wake_follower(&shared);
+                }
+            }
+            Err(error) => {
+                failures += 1;
+                let reason = error.to_string();
+                log::warn!(
+                    "event=pull-failed what={subject} peer={peer} failures={failures} reason={reason:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Returns how long to wait before the next pull, after so many failures in a row.
+fn delay(shared: &Shared, is_down: bool, failures: u32) -> Duration {
+    if failures > 0 {
+        let delay = RETRY_DELAY_MIN * 2_u32.pow(failures.min(8) - 1);
+        return delay.min(RETRY_DELAY_MAX).mul_f64(rand::rng().random_range(0.5..1.0));
+    }
     let age = shared.confirmation_age(shared.clock.now());
     let is_confirmed = age.is_some_and(|age| age < CONFIRMATION_MAX_AGE);
-    let is_store_first = is_confirmed && !was_down;
-    time::sleep(if is_store_first { PULL_DELAY } else { PULL_DELAY_UNCONFIRMED }).await;
-    shared.pull_scheduled.store(false, Ordering::Relaxed);
-    let is_overdue = !was_down && !shared.link.is_down();
-    let now = shared.clock.now();
-    let domain = shared.settings().domain.clone();
-    let version = shared.routes().map_or(0, |routes| routes.version);
-    let newer = shared.gateways.lock().peer_with_newer_routes(version, &domain, now);
-    if let Some(peer) = newer
-        && let Some(table) = fetch(&shared, &http, peer, "routes", "routes").await
-    {
-        let was_behind = shared.apply_routes(table, Source::Peer);
-        if was_behind && is_overdue {
-            shared.routes_overdue.notify_waiters();
+    if is_confirmed && !is_down { PULL_DELAY } else { PULL_DELAY_UNCONFIRMED }
+}
+
+async fn pull(
+    shared: &Shared,
+    http: &reqwest::Client,
+    subject: Subject,
+    peer: SocketAddr,
+) -> Result<(), Error> {
+    let is_newer = match subject {
+        Subject::Routes => {
+            let table = fetch(shared, http, peer, "routes", "routes").await?;
+            shared.apply_routes(table, Source::Peer)
         }
-    }
-    let position = shared.targets.lock().catalog.position();
-    let newer = shared.gateways.lock().peer_with_newer_targets(position, &domain, now);
-    let Some(peer) = newer else { return };
-    let path = format!("targets?since={}&era={}", position.revision, position.era);
-    let was_behind = match fetch(&shared, &http, peer, "targets", &path).await {
-        Some(Update::Whole(snapshot)) => shared.replace_targets(snapshot, Source::Peer),
-        Some(Update::Changes(revision, changes)) => {
-            shared.apply_target_changes(position.at(revision), changes, Source::Peer)
+        Subject::Targets => {
+            let position = shared.targets.lock().catalog.position();
+            let path = format!("targets?since={}&era={}", position.revision, position.era);
+            match fetch(shared, http, peer, "targets", &path).await? {
+                Update::Whole(snapshot) => shared.replace_targets(snapshot, Source::Peer),
+                Update::Changes(revision, changes) => {
+                    shared.apply_target_changes(position.at(revision), changes, Source::Peer)
+                }
+            }
         }
-        None => false,
     };
-    if was_behind && is_overdue {
-        shared.targets_overdue.notify_waiters();
-    }
+    if is_newer { Ok(()) } else { Err(Error::NotNewer) }
 }
 
-pub(super) async fn fetch<T: serde::de::DeserializeOwned>(
+/// Fetches `path`, which gives `what`, from a peer; returns `None` if that failed, which is logged.
+pub(super) async fn try_fetch<T: DeserializeOwned + Send + 'static>(
     shared: &Shared,
     http: &reqwest::Client,
     peer: SocketAddr,
     what: &str,
     path: &str,
 ) -> Option<T> {
-    let url = format!("http://{peer}/{path}");
+    let result = fetch(shared, http, peer, what, path).await;
+    let log = |error: &Error| {
+        let reason = error.to_string();
+        log::warn!("event=pull-failed what={what} peer={peer} failures=1 reason={reason:?}");
+    };
+    result.inspect_err(log).ok()
+}
+
+/// Fetches `path`, which gives `what`, from a peer.
+async fn fetch<T: DeserializeOwned + Send + 'static>(
+    shared: &Shared,
+    http: &reqwest::Client,
+    peer: SocketAddr,
+    what: &str,
+    path: &str,
+) -> Result<T, Error> {
     let begun_at = shared.clock.now();
     let progress = Progress::default();
-    let describe = |error: reqwest::Error| error.to_string();
-    let result = async {
-        let sent = http.get(url).timeout(PULL_TIMEOUT).send().await;
-        let mut response = sent.and_then(reqwest::Response::error_for_status).map_err(describe)?;
-        let mut body = Vec::new();
-        while let Some(part) = response.chunk().await.map_err(describe)? {
-            progress.add(part.len());
-            body.extend_from_slice(&part);
-        }
-        serde_json::from_slice(&body).map_err(|error| error.to_string())
-    };
-    let result = result.await;
+    let url = format!("http://{peer}/{path}");
+    let result = receive(http, &url, &progress).await;
     let took_ms = shared.clock.now().saturating_sub(begun_at).as_millis();
     let received = progress.received();
     let outcome = if result.is_ok() { "ok" } else { "failed" };
+    shared.metrics.pulls.with_label_values(&[what, outcome]).inc();
     shared.metrics.record_state_bytes("peer", what, outcome, received);
-    match result {
-        Ok(value) => {
-            shared.metrics.pulls.with_label_values(&[what, "ok"]).inc();
-            log::info!(
-                "event=pulled what={what} peer={peer} took_ms={took_ms} received={received}"
-            );
-            Some(value)
-        }
-        Err(error) => {
-            shared.metrics.pulls.with_label_values(&[what, "failed"]).inc();
-            log::warn!(
-                "event=pull-failed what={what} peer={peer} took_ms={took_ms} received={received} reason={error:?}"
-            );
-            None
-        }
+    log::info!(
+        "event=pulled what={what} peer={peer} took_ms={took_ms} received={received} outcome={outcome}"
+    );
+    result
+}
+
+async fn receive<T: DeserializeOwned + Send + 'static>(
+    http: &reqwest::Client,
+    url: &str,
+    progress: &Progress,
+) -> Result<T, Error> {
+    let lost = |error: reqwest::Error| Error::Lost(error.to_string());
+    let sent = time::timeout(HEAD_TIMEOUT, http.get(url).header(ACCEPT_ENCODING, "gzip").send());
+    let response = sent.await.map_err(|_| Error::Lost("it did not begin in time".to_owned()))?;
+    let mut response = response.map_err(lost)?;
+    if !response.status().is_success() {
+        return Err(Error::Refused(response.status()));
+    }
+    let is_compressed = is_compressed(&response);
+    let bounds = Bounds { size: BODY_LIMIT_BYTES, stall_timeout: STALL_TIMEOUT };
+    let body = transfer::read(&mut response, bounds, progress).await;
+    let body = body.map_err(|error| Error::Lost(error.to_string()))?;
+    if body.len() < SHORT_BODY_BYTES {
+        return decode(&body, is_compressed);
     }
+    // Beside the tasks that forward requests.
+    let decoded = task::spawn_blocking(move || decode(&body, is_compressed)).await;
+    decoded.map_err(|error| Error::Malformed(error.to_string()))?
+}
+
+fn is_compressed(response: &Response) -> bool {
+    response.headers().get(CONTENT_ENCODING).is_some_and(|coding| coding == "gzip")
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8], is_compressed: bool) -> Result<T, Error> {
+    let decoded = if is_compressed {
+        let text = GzDecoder::new(body).take(TEXT_LIMIT_BYTES);
+        serde_json::from_reader(std::io::BufReader::new(text))
+    } else {
+        serde_json::from_slice(body)
+    };
+    decoded.map_err(|error| Error::Malformed(error.to_string()))
 }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -98,8 +98,10 @@
     pub routes_overdue: Notify,
     /// Wakes the follower of the targets when a peer has a newer list than its watch delivered.
     pub targets_overdue: Notify,
-    /// Whether a pull from a peer is already scheduled.
-    pub pull_scheduled: AtomicBool,
+    /// Wakes the task that pulls routes when a peer has newer ones.
+    pub routes_behind: Notify,
+    /// Wakes the task that pulls targets when a peer has a newer list.
+    pub targets_behind: Notify,
     in_flight: AtomicUsize,
 }
 
@@ -136,7 +138,8 @@
             freshness: Mutex::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
-            pull_scheduled: AtomicBool::new(false),
+            routes_behind: Notify::new(),
+            targets_behind: Notify::new(),
             in_flight: AtomicUsize::new(0),
         }
     }
@@ -174,6 +177,10 @@
             );
         }
         self.metrics.routes_version.set(version as i64);
+        if source == Source::Peer {
+            // Others that are behind have one more peer to pull from.
+            self.state_changed.notify_one();
+        }
         self.announce_if_first();
         true
     }
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -6,6 +6,7 @@
     Rng,
     seq::{IndexedRandom, SliceRandom},
 };
+use smallvec::SmallVec;
 
 use crate::{
     catalog::Target,
@@ -197,27 +198,30 @@
         ready.into_iter().map(|(_, address)| address).collect()
     }
 
-    /// Returns the address of a gateway with routes newer than `version`, preferably in `domain`.
+    /// Returns the address of a gateway with routes newer than `version`: one of those that are
+    /// furthest ahead, if possible in `domain`, or any without one.
     pub fn peer_with_newer_routes(
         &self,
         version: u64,
-        domain: &str,
+        domain: Option<&str>,
         now: Duration,
+        rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        self.peer_ahead(domain, now, |report| {
+        self.peer_ahead(domain, now, rng, |report| {
             Some(report.routes_version).filter(|other| *other > version)
         })
     }
 
-    /// Returns the address of a gateway with a target list newer than `position`, preferably in
-    /// `domain`.
+    /// Returns the address of a gateway with a target list newer than `position`: one of those that
+    /// are furthest ahead, if possible in `domain`, or any without one.
     pub fn peer_with_newer_targets(
         &self,
         position: Position,
-        domain: &str,
+        domain: Option<&str>,
         now: Duration,
+        rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        self.peer_ahead(domain, now, |report| {
+        self.peer_ahead(domain, now, rng, |report| {
             Some(report.targets_position).filter(|other| *other > position)
         })
     }
@@ -388,20 +392,28 @@
         alive.map(|(_, gateway)| gateway.address).collect()
     }
 
-    /// Returns the address of the live gateway that is furthest ahead, preferably in `domain`;
-    /// `ahead` returns where a gateway is if it is ahead.
+    /// Returns the address of one of the live gateways that are furthest ahead, if possible in
+    /// `domain`, or of any that is ahead without one; `ahead` returns where a gateway is if it is
+    /// ahead.
+    ///
+    /// It is drawn, so that those that fall behind together spread over all that can help them.
     fn peer_ahead<T: Ord + Copy>(
         &self,
-        domain: &str,
+        domain: Option<&str>,
         now: Duration,
+        rng: &mut impl Rng,
         ahead: impl Fn(&Report) -> Option<T>,
     ) -> Option<SocketAddr> {
         let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
-        reports
-            .filter_map(|report| {
-                ahead(report).map(|at| ((&*report.domain == domain, at), report.peers))
-            })
-            .max_by_key(|(rank, _)| *rank)
-            .map(|(_, peers)| peers)
+        let rank = |report: &Report| {
+            let at = ahead(report)?;
+            Some(domain.map(|domain| (domain == &*report.domain, at)))
+        };
+        let ranked: Vec<_> =
+            reports.filter_map(|report| Some((rank(report)?, report.peers))).collect();
+        let best = ranked.iter().map(|(rank, _)| *rank).max()?;
+        let nearest: SmallVec<[SocketAddr; 32]> =
+            ranked.into_iter().filter(|(rank, _)| *rank == best).map(|(_, peer)| peer).collect();
+        nearest.choose(rng).copied()
     }
 }
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -76,16 +76,32 @@
     assert_eq!(gateways.caller_addresses(None, "x", at(100)), [address(20), address(30)]);
 }
 
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
 #[test]
 fn newer_state_is_fetched_preferably_from_the_same_domain() {
     let gateways = fleet();
-    assert_eq!(gateways.peer_with_newer_routes(5, "a", at(100)), Some(address(21)));
-    assert_eq!(gateways.peer_with_newer_routes(5, "b", at(100)), Some(address(31)));
-    assert_eq!(gateways.peer_with_newer_routes(20, "a", at(100)), Some(address(31)));
-    assert_eq!(gateways.peer_with_newer_routes(30, "a", at(100)), None);
-    assert_eq!(gateways.peer_with_newer_targets(at_revision(5), "a", at(100)), None);
     assert_eq!(
-        gateways.peer_with_newer_routes(10, "a", at(20_000)),
+        gateways.peer_with_newer_routes(5, Some("a"), at(100), &mut rng()),
+        Some(address(21))
+    );
+    assert_eq!(
+        gateways.peer_with_newer_routes(5, Some("b"), at(100), &mut rng()),
+        Some(address(31))
+    );
+    assert_eq!(
+        gateways.peer_with_newer_routes(20, Some("a"), at(100), &mut rng()),
+        Some(address(31))
+    );
+    assert_eq!(gateways.peer_with_newer_routes(30, Some("a"), at(100), &mut rng()), None);
+    assert_eq!(
+        gateways.peer_with_newer_targets(at_revision(5), Some("a"), at(100), &mut rng()),
+        None
+    );
+    assert_eq!(
+        gateways.peer_with_newer_routes(10, Some("a"), at(20_000), &mut rng()),
         None,
         "not one that is silent"
     );
@@ -243,9 +259,30 @@
         gateways.apply_report(host, address(12), report, at(100));
     }
     let ahead = |era, revision| {
-        gateways.peer_with_newer_targets(Position { era, revision }, "a", at(100)).is_some()
+        gateways
+            .peer_with_newer_targets(Position { era, revision }, Some("a"), at(100), &mut rng())
+            .is_some()
     };
     assert!(!ahead(2, 71));
     assert!(ahead(2, 70) && ahead(1, 96));
     assert!(ahead(0, 0), "a list of an older build is better than none");
 }
+
+#[test]
+fn gateways_that_fall_behind_together_spread_over_their_peers() {
+    let mut gateways = Gateways::default();
+    for n in 0..8 {
+        let report = report("a", 20 + n, true);
+        let report = Report { routes_version: 30, ..report };
+        gateways.apply_report(&format!("a{n}"), address(20 + n), report, at(100));
+    }
+    let mut rng = rng();
+    let mut asked: Vec<_> = (0..200)
+        .filter_map(|_| gateways.peer_with_newer_routes(5, Some("a"), at(100), &mut rng))
+        .collect();
+    asked.sort();
+    let most = asked.chunk_by(|one, other| one == other).map(<[_]>::len).max();
+    asked.dedup();
+    assert_eq!(asked.len(), 8, "each is asked by some");
+    assert!(most < Some(50), "one is asked {most:?} times of 200");
+}
