List the routes or targets anew where the changes since a position are longer

Beyond 8 MiB it was rejected and begun again from the same position, and was longer each time, until the store forgot its history 20 s later. Below that it carries versions that nobody needs any more.

Now changes of more than twice the latest list (64 KiB at least) are given up at the head of the response, and the objects are listed, each once at its latest version.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -23,7 +23,7 @@
 
 use self::{
     backoff::Backoff,
-    call::{Call, Response, Subject},
+    call::{Call, Query, Response, Subject},
     calls::Calls,
 };
 use crate::shared::Shared;
@@ -46,6 +46,11 @@
 /// The minimum interval between two watch calls of one follower, so that changes arrive in batches.
 const WATCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
+/// How many times as long as the latest list changes may be, so that they are not listed instead.
+const HISTORY_LIMIT_LISTS: usize = 2;
+/// Changes up to this size are never listed instead, in bytes.
+const HISTORY_LIMIT_MIN_BYTES: usize = 64 * 1024;
+
 /// Follows the routes until the process ends.
 pub async fn routes(shared: Arc<Shared>, store: Store) {
     Follower::open(shared, store, Subject::Routes).run().await;
@@ -63,6 +68,8 @@
     subject: Subject,
     /// The position from which the next watch continues, `None` if the next call is a list.
     cursor: Option<Position>,
+    /// The size of the latest list, in bytes.
+    list_bytes: usize,
     backoff: Backoff,
     checks: CheckTimer,
     /// Whether the last call was abandoned, so that the next one must not wait.
@@ -94,6 +101,7 @@
             store,
             subject,
             cursor: None,
+            list_bytes: 0,
             backoff: Backoff::default(),
             checks: CheckTimer::new(&mut rand::rng()),
             has_abandoned: false,
@@ -294,22 +302,25 @@
     /// Begins a call that may wait for `wait`.
     fn begin_call(&self, calls: &mut Calls, wait: Duration) {
         let shared = Arc::clone(&self.shared);
-        let (store, subject, cursor) = (self.store.clone(), self.subject, self.cursor);
+        let store = self.store.clone();
+        let history_limit = (self.list_bytes * HISTORY_LIMIT_LISTS).max(HISTORY_LIMIT_MIN_BYTES);
+        let query = Query { subject: self.subject, cursor: self.cursor, wait, history_limit };
         let progress = Progress::default();
         let counted = progress.clone();
-        calls.push(progress, async move {
-            call::make(&shared, &store, subject, cursor, wait, counted).await
-        });
+        calls.push(progress, async move { call::make(&shared, &store, query, counted).await });
     }
 
     /// Records how a call ended, and returns its response if there was one.
     fn record(&mut self, call: Call) -> Option<Response> {
-        let Call { result, begun_at, wait, progress } = call;
+        let Call { result, begun_at, wait, is_list, progress } = call;
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         let (kind, received) = (self.subject.kind(), progress.received());
         self.shared.metrics.record_state_bytes("store", kind, outcome, received);
         match result {
             Ok(response) => {
+                if is_list {
+                    self.list_bytes = received;
+                }
                 self.record_response(&response, begun_at, wait);
                 Some(response)
             }
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -55,6 +55,8 @@
     pub begun_at: Duration,
     /// How long it was to wait for changes.
     pub wait: Duration,
+    /// Whether it asked for all objects.
+    pub is_list: bool,
     /// What arrived of the response.
     pub progress: Progress,
 }
@@ -68,21 +70,28 @@
     pub has_news: bool,
 }
 
-/// Lists the objects, or waits up to `wait` for changes after `cursor`.
-pub async fn make(
-    shared: &Shared,
-    store: &Store,
-    subject: Subject,
-    cursor: Option<Position>,
-    wait: Duration,
-    progress: Progress,
-) -> Call {
+/// What a call asks for.
+#[derive(Debug, Copy, Clone)]
+pub struct Query {
+    /// The objects that it reads.
+    pub subject: Subject,
+    /// The position after which changes are wanted, `None` for a list of all objects.
+    pub cursor: Option<Position>,
+    /// How long to wait for changes.
+    pub wait: Duration,
+    /// The size of changes, in bytes, from which a list is preferred.
+    pub history_limit: usize,
+}
+
+/// Lists the objects, or waits for changes; `progress` counts what has arrived of them.
+pub async fn make(shared: &Shared, store: &Store, query: Query, progress: Progress) -> Call {
     let begun_at = shared.clock.now();
-    let result = match cursor {
-        None => list(shared, store, subject, &progress).await,
-        Some(position) => watch(shared, store, subject, position, wait, &progress).await,
+    let result = match query.cursor {
+        None => list(shared, store, query.subject, &progress).await,
+        Some(position) => watch(shared, store, query, position, &progress).await,
     };
-    Call { result, begun_at, wait, progress }
+    let is_list = query.cursor.is_none();
+    Call { result, begun_at, wait: query.wait, is_list, progress }
 }
 
 async fn list(
@@ -113,17 +122,24 @@
 async fn watch(
     shared: &Shared,
     store: &Store,
-    subject: Subject,
+    query: Query,
     position: Position,
-    wait: Duration,
     progress: &Progress,
 ) -> Result<Response, Error> {
+    let Query { subject, wait, history_limit, .. } = query;
     let kind = subject.kind();
-    let (as_of, events) = match store.watch(kind, position, wait, progress).await? {
+    let changes = store.watch(kind, position, wait, history_limit, progress).await?;
+    let (as_of, events) = match changes {
         WatchResult::HistoryGone => {
             log::info!("event=history-gone kind={kind} revision={position}");
             return Ok(Response { cursor: None, has_news: true });
         }
+        WatchResult::HistoryTooLong => {
+            log::info!(
+                "event=history-too-long kind={kind} revision={position} limit={history_limit}"
+            );
+            return Ok(Response { cursor: None, has_news: true });
+        }
         WatchResult::Changes(as_of, events) => (as_of, events),
     };
     shared.record_era(as_of.era);
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -41,7 +41,8 @@
         clock: Clock,
     ) -> eyre::Result<Self> {
         let metrics = Metrics::open().wrap_err("cannot register the metrics")?;
-        let store = Store::open(settings.store).wrap_err("cannot create the store client")?;
+        let store = Store::open(settings.store, settings.object_bytes)
+            .wrap_err("cannot create the store client")?;
         let listener = TcpListener::bind(settings.callers)
             .await
             .wrap_err_with(|| format!("cannot listen for callers on {}", settings.callers))?;
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -140,6 +140,7 @@
         seeds: Vec::new(),
         internal_port: 0,
         store,
+        object_bytes: OBJECT_BYTES,
         retry_budget: RetryBudget { ratio: 0.2, slack: 800.0, window: Duration::from_secs(10) },
         ttl_max: Duration::from_secs(5),
         grace: Duration::from_secs(6),
