--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -114,6 +114,7 @@
         let kind = self.subject.kind();
         loop {
             self.log_polling();
+            self.skip_known();
             let wait = self.wait();
             let begun_at = self.shared.clock.now();
             let response = if wait > POLL_TIMEOUT {
@@ -133,6 +134,19 @@
         }
     }
 
+    /// Continues after the routes that a peer gave, so that the store does not send them once more.
+    fn skip_known(&mut self) {
+        if self.subject != Subject::Routes {
+            return;
+        }
+        let Some(routes) = self.shared.routes() else { return };
+        let known = routes.position;
+        self.cursor = self.cursor.map(|cursor| match known.era == cursor.era {
+            true => cursor.max(known),
+            false => cursor,
+        });
+    }
+
     /// Logs when this follower begins or ceases to ask at short intervals.
     fn log_polling(&mut self) {
         let polls = self.polls();
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -105,7 +105,7 @@
     match subject {
         Subject::Routes => {
             for object in list.objects.iter().filter(|object| object.name == routes::NAME) {
-                apply_routes(shared, object);
+                apply_routes(shared, list.position.at(object.revision), object);
             }
         }
         Subject::Targets => {
@@ -151,7 +151,7 @@
     match subject {
         Subject::Routes => {
             for event in events.iter().filter(|e| e.object.name == routes::NAME && !e.deleted) {
-                apply_routes(shared, &event.object);
+                apply_routes(shared, as_of.at(event.object.revision), &event.object);
             }
         }
         Subject::Targets if events.is_empty() => {}
@@ -166,9 +166,10 @@
     }
 }
 
-fn apply_routes(shared: &Shared, object: &Object) {
+fn apply_routes(shared: &Shared, position: Position, object: &Object) {
     match routes::decode(object) {
-        Ok(table) => {
+        Ok(mut table) => {
+            table.position = position;
             shared.apply_routes(table, Source::Store);
         }
         Err(reason) => log::error!(
--- a/crates/citron/src/route.rs
+++ b/crates/citron/src/route.rs
@@ -9,11 +9,16 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::position::Position;
+
 /// One version of the routes, the services and the limits for callers.
 #[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Table {
     /// The version; a table is only replaced by one with a higher version.
     pub version: u64,
+    /// The store's position of the object that it was decoded from, revision 0 if it is not known.
+    #[serde(default)]
+    pub position: Position,
     /// The services by name.
     pub services: BTreeMap<Arc<str>, Service>,
     /// The limits on requests from callers.
@@ -89,7 +94,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, services, limits, hosts }
+        Self { version, position: Position::default(), services, limits, hosts }
     }
 
     /// Returns the route with the longest prefix of `path` among those of `host`.
