Go on with a list behind the page that arrived last

The same class at lists: a list whose call failed on a later page was begun with the first one again; 64 pages of 32,000 targets over a link that breaks off now and then were never complete.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -16,7 +16,10 @@
 use std::{sync::Arc, time::Duration};
 
 use citron::{freshness::CheckTimer, position::Position};
-use citron_adapter::store::{Error, Store};
+use citron_adapter::{
+    pages::Pages,
+    store::{Error, Store},
+};
 use citron_daemon::transfer::Progress;
 use rand::Rng;
 use tokio::time;
@@ -70,6 +73,8 @@
     cursor: Option<Position>,
     /// The size of the latest list, in bytes.
     list_bytes: usize,
+    /// What arrived of a list that was not completed.
+    pages: Pages,
     backoff: Backoff,
     checks: CheckTimer,
     /// Whether the last call was abandoned, so that the next one must not wait.
@@ -102,6 +107,7 @@
             subject,
             cursor: None,
             list_bytes: 0,
+            pages: Pages::default(),
             backoff: Backoff::default(),
             checks: CheckTimer::new(&mut rand::rng()),
             has_abandoned: false,
@@ -318,7 +324,8 @@
         let shared = Arc::clone(&self.shared);
         let store = self.store.clone();
         let history_limit = (self.list_bytes * HISTORY_LIMIT_LISTS).max(HISTORY_LIMIT_MIN_BYTES);
-        let query = Query { subject: self.subject, cursor: self.cursor, wait, history_limit };
+        let (subject, cursor, pages) = (self.subject, self.cursor, self.pages.clone());
+        let query = Query { subject, cursor, wait, history_limit, pages };
         let progress = Progress::default();
         let counted = progress.clone();
         calls.push(progress, async move { call::make(&shared, &store, query, counted).await });
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -8,6 +8,7 @@
     position::Position,
 };
 use citron_adapter::{
+    pages::Pages,
     routes,
     store::{Error, Event, Object, Store, WatchResult},
     targets,
@@ -71,7 +72,7 @@
 }
 
 /// What a call asks for.
-#[derive(Debug, Copy, Clone)]
+#[derive(Debug, Clone)]
 pub struct Query {
     /// The objects that it reads.
     pub subject: Subject,
@@ -81,14 +82,16 @@
     pub wait: Duration,
     /// The size of changes, in bytes, from which a list is preferred.
     pub history_limit: usize,
+    /// What earlier calls left of a list.
+    pub pages: Pages,
 }
 
 /// Lists the objects, or waits for changes; `progress` counts what has arrived of them.
 pub async fn make(shared: &Shared, store: &Store, query: Query, progress: Progress) -> Call {
     let begun_at = shared.clock.now();
     let result = match query.cursor {
-        None => list(shared, store, query.subject, &progress).await,
-        Some(position) => watch(shared, store, query, position, &progress).await,
+        None => list(shared, store, &query, &progress).await,
+        Some(position) => watch(shared, store, &query, position, &progress).await,
     };
     let is_list = query.cursor.is_none();
     Call { result, begun_at, wait: query.wait, is_list, progress }
@@ -97,10 +100,11 @@
 async fn list(
     shared: &Shared,
     store: &Store,
-    subject: Subject,
+    query: &Query,
     progress: &Progress,
 ) -> Result<Response, Error> {
-    let list = store.list(subject.kind(), progress).await?;
+    let subject = query.subject;
+    let list = store.list(subject.kind(), &query.pages, progress).await?;
     shared.record_era(list.position.era);
     match subject {
         Subject::Routes => {
@@ -122,11 +126,11 @@
 async fn watch(
     shared: &Shared,
     store: &Store,
-    query: Query,
+    query: &Query,
     position: Position,
     progress: &Progress,
 ) -> Result<Response, Error> {
-    let Query { subject, wait, history_limit, .. } = query;
+    let Query { subject, wait, history_limit, .. } = *query;
     let kind = subject.kind();
     let changes = store.watch(kind, position, wait, history_limit, progress).await?;
     let (as_of, events) = match changes {
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -4,6 +4,7 @@
 
 use citron_adapter::{
     gateways,
+    pages::Pages,
     store::{List, Store},
 };
 use citron_daemon::transfer::Progress;
@@ -50,9 +51,10 @@
 }
 
 async fn list(shared: &Shared, store: &Store) -> List {
+    let pages = Pages::default();
     let mut backoff = Backoff::default();
     loop {
-        match store.list(gateways::KIND, &Progress::default()).await {
+        match store.list(gateways::KIND, &pages, &Progress::default()).await {
             Ok(list) => return list,
             Err(error) => {
                 backoff.record_failure("list-gateways", &error);
