Bound what the product's own client keeps of the platform's responses, and not their time

The same class at the product's own edge: the client of the platform kept a body of any length (a value or refusal without end took all memory: 3 GB of address space in 5 s), and ended a call after a fixed time for the whole response (an object of 1 MB over 400,000 bytes a second with a timeout of 0.5 s was never read). A response now has as many bytes as its kind may have, and goes on while it makes progress; a write has longer for a long value.

--- a/crates/citron-platform/src/client.rs
+++ b/crates/citron-platform/src/client.rs
@@ -2,16 +2,23 @@
 
 use std::{error::Error as _, time::Duration};
 
-use bytes::Bytes;
+use citron_daemon::transfer::{self, Bounds, Progress};
 use reqwest::{
     Method, RequestBuilder, Response, StatusCode, Url,
     header::{ETAG, IF_MATCH, IF_NONE_MATCH},
     redirect, retry,
 };
 use serde::de::DeserializeOwned;
+use tokio::time;
 
 use crate::{Changes, Entry, Error, Expect, Hosts, Object, VALUE_LIMIT_BYTES, Version};
 
+/// The maximum size of the response to a read of several objects or of the hosts, in bytes.
+const LIST_LIMIT_BYTES: usize = 64 << 20;
+/// The rate, in bytes a second, that a link must have for a value to be written in time.
+const WRITE_RATE_MIN: usize = 16 << 10;
+/// The maximum size of the body of a refusal, in bytes.
+const REFUSAL_LIMIT_BYTES: usize = 64 << 10;
 /// The maximum length of the reason kept from the body of a refusal, in characters.
 const REASON_LIMIT_CHARS: usize = 300;
 
@@ -26,8 +33,9 @@
 impl Client {
     /// Creates a client of the platform at `url`, such as `http://10.0.0.1:8080`.
     ///
-    /// Each call ends within `timeout`, a watch within `timeout` plus the time it waits. No
-    /// connection is made yet.
+    /// The response to each call begins within `timeout`, to a watch within `timeout` plus the time it
+    /// waits, and the call ends when no more of it arrives for `timeout`. A write has longer for a long
+    /// value. No connection is made yet.
     ///
     /// # Errors
     /// Fails if the URL is not an HTTP URL with a host.
@@ -66,12 +74,12 @@
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        let response = check_read_status(response).await?;
+        let mut response = self.check_read_status(response).await?;
         let Some(version) = version_of(&response) else {
             return Err(Error::Malformed { reason: "the object has no etag".to_owned() });
         };
-        let value = response.bytes().await.map_err(|error| unreachable(&error))?;
-        Ok(Some(Object { version, value: value.to_vec() }))
+        let value = self.receive(&mut response, VALUE_LIMIT_BYTES).await?;
+        Ok(Some(Object { version, value }))
     }
 
     /// Writes an object and returns its new version.
@@ -162,7 +170,19 @@
     }
 
     async fn read(&self, request: RequestBuilder, timeout: Duration) -> Result<Response, Error> {
-        request.timeout(timeout).send().await.map_err(|error| unreachable(&error))
+        let sent = time::timeout(timeout, request.send()).await;
+        let late = |_| Error::Unreachable { reason: "no answer began in time".to_owned() };
+        sent.map_err(late)?.map_err(|error| unreachable(&error))
+    }
+
+    /// Receives the body of a response, of at most `limit` bytes.
+    async fn receive(&self, response: &mut Response, limit: usize) -> Result<Vec<u8>, Error> {
+        let bounds = Bounds { size: limit, stall_timeout: self.timeout };
+        let body = transfer::read(response, bounds, &Progress::default()).await;
+        body.map_err(|error| match error {
+            transfer::Error::TooLong(_) => Error::Malformed { reason: error.to_string() },
+            _ => Error::Unreachable { reason: error.to_string() },
+        })
     }
 
     async fn read_json<T: DeserializeOwned>(
@@ -175,13 +195,19 @@
             .map_err(|error| Error::Malformed { reason: error.to_string() })
     }
 
-    async fn read_body(&self, request: RequestBuilder, timeout: Duration) -> Result<Bytes, Error> {
-        let response = check_read_status(self.read(request, timeout).await?).await?;
-        response.bytes().await.map_err(|error| unreachable(&error))
+    async fn read_body(
+        &self,
+        request: RequestBuilder,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, Error> {
+        let response = self.read(request, timeout).await?;
+        let mut response = self.check_read_status(response).await?;
+        self.receive(&mut response, LIST_LIMIT_BYTES).await
     }
 
     async fn write(&self, request: RequestBuilder, bytes: usize) -> Result<Response, Error> {
-        let response = request.timeout(self.timeout).send().await.map_err(|error| {
+        let timeout = self.timeout + Duration::from_secs((bytes / WRITE_RATE_MIN) as u64);
+        let response = request.timeout(timeout).send().await.map_err(|error| {
             // Only a failed connect proves that nothing was sent.
             if error.is_connect() {
                 unreachable(&error)
@@ -198,9 +224,33 @@
             status if status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT => {
                 Err(Error::Unknown { reason: format!("the answer has status {status}") })
             }
-            _ => Err(refusal(response).await),
+            _ => Err(self.refusal(response).await),
         }
     }
+
+    /// Returns the response to a read if its status is a success, and an error otherwise.
+    async fn check_read_status(&self, response: Response) -> Result<Response, Error> {
+        let status = response.status();
+        if status.is_success() {
+            Ok(response)
+        } else if status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT {
+            Err(Error::Unreachable { reason: format!("the answer has status {status}") })
+        } else {
+            Err(self.refusal(response).await)
+        }
+    }
+
+    async fn refusal(&self, mut response: Response) -> Error {
+        let status = response.status().as_u16();
+        let reason = match self.receive(&mut response, REFUSAL_LIMIT_BYTES).await {
+            Ok(body) => {
+                let text = String::from_utf8_lossy(&body);
+                text.trim().chars().take(REASON_LIMIT_CHARS).collect()
+            }
+            Err(error) => format!("its reason was not received: {error}"),
+        };
+        Error::Refused { status: Some(status), reason }
+    }
 }
 
 fn with_precondition(request: RequestBuilder, expect: Expect) -> RequestBuilder {
@@ -211,27 +261,6 @@
     }
 }
 
-/// Returns the response to a read if its status is a success, and an error otherwise.
-async fn check_read_status(response: Response) -> Result<Response, Error> {
-    let status = response.status();
-    if status.is_success() {
-        Ok(response)
-    } else if status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT {
-        Err(Error::Unreachable { reason: format!("the answer has status {status}") })
-    } else {
-        Err(refusal(response).await)
-    }
-}
-
-async fn refusal(response: Response) -> Error {
-    let status = response.status().as_u16();
-    let text = response.text().await.unwrap_or_default();
-    Error::Refused {
-        status: Some(status),
-        reason: text.trim().chars().take(REASON_LIMIT_CHARS).collect(),
-    }
-}
-
 fn version_of(response: &Response) -> Option<Version> {
     Version::from_etag(response.headers().get(ETAG)?.to_str().ok()?)
 }
