Pass on no target's status that promises that an order which ran has not run

Cause: a failure of a target was passed on with its status, whatever that status promises to callers. Such a 503, 429 or 408 (421 was taken as a refusal already) now becomes a 502 of the gateway's own, without the target's signature. Idempotent requests keep the status, as nothing is lost when they are repeated. Ruled out for the product's own edge: there citron-outcome says that the order was answered. Three tests (an_order_that_ran_and_failed_with_...) failed before.

--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -27,6 +27,7 @@
 use crate::{
     connection::{self, Connection, ResponseBody},
     http1::{BodyStream, Response},
+    refusal,
 };
 
 /// How long connecting to a target may take.
@@ -231,6 +232,11 @@
         } else {
             Some(PartialBody { body, length })
         };
+        if !self.route.idempotent && refusal::promises_not_run(head.status) {
+            // It ran; to pass on the status would promise the caller that it did not.
+            let response = Some(refusal::run_failed());
+            return Attempt { response, ..attempt(AttemptResult::Failed, Verdict::Failed) };
+        }
         let (result, verdict) = if head.status == StatusCode::GATEWAY_TIMEOUT {
             (AttemptResult::Failed, Verdict::Late)
         } else if head.status.is_server_error() {
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use citron::attempt::{Cause, Outcome};
+use hyper::StatusCode;
 
 use crate::http1::Response;
 
@@ -42,6 +43,22 @@
     Response::error(504, "stopped")
 }
 
+/// Returns true if a status promises that the request has not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Returns the response to a request that a target ran and failed.
+pub fn run_failed() -> Response {
+    Response::error(502, "run-failed")
+}
+
 /// Returns the response to a request whose path matches no route.
 pub fn no_route() -> Response {
     Response::error(404, "no-route")
--- a/crates/citron-gateway/tests/attempt.rs
+++ b/crates/citron-gateway/tests/attempt.rs
@@ -232,3 +232,38 @@
         assert!(began.elapsed() < Duration::from_millis(600));
     }
 }
+
+/// Defines a test in which targets run an order and fail it with a status that would promise the
+/// caller that it has not run.
+macro_rules! order_that_ran_and_failed_is_not_promised_not_to_have_run {
+    ($($name:ident: $status:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            const FAILED: &str = concat!(
+                "HTTP/1.1 ", $status,
+                " Failed\r\nAttempt-Id: {id}\r\nUpstream-Signature: s\r\nContent-Length: 4\r\n\r\nfail"
+            );
+            let fleet = TestFleet::start(2).await;
+            fleet.targets.iter().for_each(|target| target.set(Act::BreakOff(FAILED)));
+            let response = fleet.send(&order("id-1")).await;
+            let runs: usize = fleet.targets.iter().map(|target| target.runs("id-1")).sum();
+            assert_eq!((response.status, runs), (502, 1), "{response:?}");
+            assert_eq!(response.header("upstream-signature"), None, "it is no target's response");
+        }
+    )*};
+}
+
+order_that_ran_and_failed_is_not_promised_not_to_have_run! {
+    an_order_that_ran_and_failed_with_503_is_not_promised_not_to_have_run: 503;
+    an_order_that_ran_and_failed_with_429_is_not_promised_not_to_have_run: 429;
+    an_order_that_ran_and_failed_with_408_is_not_promised_not_to_have_run: 408;
+}
+
+#[tokio::test]
+async fn a_lookup_that_failed_with_503_keeps_the_status_of_its_target() {
+    const FAILED: &str = "HTTP/1.1 503 Failed\r\nAttempt-Id: {id}\r\nUpstream-Signature: s\r\nContent-Length: 4\r\n\r\nfail";
+    let fleet = TestFleet::start(2).await;
+    fleet.targets.iter().for_each(|target| target.set(Act::BreakOff(FAILED)));
+    let response = fleet.send(&lookup("id-1")).await;
+    assert_eq!((response.status, response.header("upstream-signature")), (503, Some("s")));
+}
