Close connections without a reset, so that the last response arrives

Cause: the connection was closed with the next request unread in the socket, or before it came, which makes the close a reset, and a reset discards what the caller has not received. Now the sending half is closed, and what comes in is read and dropped until the caller closes, for 3 s or 64 MiB at most, and at most until 0.3 s before the kill; a process that stops waits for it where it responded within the last 3 s. The same for each other end: after a refusal, a time-out, and a response that broke off. a_response_that_is_still_received_is_not_cut_by_a_request_behind_it failed before with a reset. Ruled out: to wait for idle connections too, as a caller that never closes would hold up the stop.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -22,7 +22,7 @@
 use crate::{
     forward,
     http1::{self, BodyDecoder, Head, ParseError, Response},
-    shared::Shared,
+    shared::{InFlight, Shared},
 };
 
 /// The maximum number of requests of one connection that are forwarded concurrently.
@@ -35,6 +35,12 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a caller may take to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a connection that was closed is still read, so that its last response arrives.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the same goes on after the time in which a stopping process may have requests in flight.
+const LINGER_IN_GRACE: Duration = Duration::from_millis(200);
+/// The maximum number of bytes that are read and dropped meanwhile.
+const LINGER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 /// The limits until the operator's configuration is known.
 const DEFAULT_LIMITS: Limits = Limits {
     head_bytes: 16 * 1024,
@@ -60,7 +66,7 @@
         log::debug!("event=caller-setup-failed reason={:?}", error.to_string());
         return;
     }
-    let (reader, writer) = stream.split();
+    let (mut reader, writer) = stream.split();
     let mut connection = Connection {
         shared,
         writer,
@@ -68,10 +74,23 @@
         read_state: ReadState::Head,
         pipeline: Pipeline::default(),
         since: Instant::now(),
+        responded_at: None,
+        closing: None,
     };
-    if let Err(error) = connection.run(reader).await {
-        log::debug!("event=caller-lost reason={:?}", error.to_string());
+    match connection.run(&mut reader).await {
+        Ok(End::CallerLeft) => return,
+        Ok(End::Closed) => {}
+        Err(error) => log::debug!("event=caller-lost reason={:?}", error.to_string()),
     }
+    connection.close(&mut reader).await;
+}
+
+/// How a connection ended.
+enum End {
+    /// The caller closed it.
+    CallerLeft,
+    /// Nothing more is sent to the caller.
+    Closed,
 }
 
 struct Connection<'a> {
@@ -82,10 +101,14 @@
     pipeline: Pipeline,
     /// When the connection became idle, or when the head or body that is being read began.
     since: Instant,
+    /// When the latest response was written.
+    responded_at: Option<Instant>,
+    /// Keeps the process running until the connection is closed.
+    closing: Option<InFlight>,
 }
 
 impl Connection<'_> {
-    async fn run(&mut self, mut reader: ReadHalf<'_>) -> io::Result<()> {
+    async fn run(&mut self, reader: &mut ReadHalf<'_>) -> io::Result<End> {
         let shared = Arc::clone(&self.shared);
         loop {
             self.parse_requests().await?;
@@ -93,7 +116,7 @@
             // this task.
             let shutdown = shared.shutdown_started.notified();
             if self.is_finished() {
-                return self.writer.shutdown().await;
+                return Ok(End::Closed);
             }
             let can_read = self.buffer.len() < READ_AHEAD_BYTES;
             let has_pending = !self.pipeline.is_empty();
@@ -104,14 +127,19 @@
                 Some(reply) = self.pipeline.next(), if has_pending => {
                     let Reply { response, keep_alive, in_flight } = reply;
                     self.write_response(response, keep_alive).await?;
-                    drop(in_flight);
+                    // The process must not end before the connection is closed.
+                    self.closing = in_flight.filter(|_| self.is_finished());
                 }
                 count = reader.read_buf(&mut self.buffer), if can_read => {
                     if count? == 0 {
-                        return self.record_disconnect();
+                        self.record_disconnect();
+                        return Ok(End::CallerLeft);
                     }
                 }
-                () = time::sleep_until(deadline), if !has_pending => return self.time_out().await,
+                () = time::sleep_until(deadline), if !has_pending => {
+                    self.time_out().await?;
+                    return Ok(End::Closed);
+                }
                 () = shutdown, if !has_pending => {}
             }
         }
@@ -216,6 +244,7 @@
             self.read_state = ReadState::Closed;
         }
         self.since = Instant::now();
+        self.responded_at = Some(self.since);
         Ok(())
     }
 
@@ -280,21 +309,59 @@
 
     async fn time_out(&mut self) -> io::Result<()> {
         if self.is_between_requests() {
-            return self.writer.shutdown().await;
+            return Ok(());
         }
         log::info!("event=refused id=- outcome=not-run reason=request-incomplete status=408");
         self.shared.metrics.record_refusal("request-incomplete");
         let response = Response::error(408, "request-incomplete");
-        self.write_response(response, false).await?;
-        self.writer.shutdown().await
+        self.write_response(response, false).await
+    }
+
+    /// Closes the connection so that the caller receives all that was written.
+    ///
+    /// Closing it with bytes unread would reset it, and a reset discards what the caller has not
+    /// received yet. So what still comes in is read and dropped until the caller closes.
+    async fn close(&mut self, reader: &mut ReadHalf<'_>) {
+        let has_responded = self.responded_at.is_some_and(|at| at.elapsed() < LINGER_TIMEOUT);
+        if has_responded && self.closing.is_none() {
+            self.closing = Some(self.shared.track_request());
+        }
+        self.pipeline.clear();
+        if self.writer.shutdown().await.is_err() {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        let killed_soon = async {
+            shared.end_of_service().await;
+            time::sleep(LINGER_IN_GRACE).await;
+        };
+        tokio::select! {
+            () = self.drop_input(reader) => {}
+            () = killed_soon => log::info!("event=caller-reset reason=stopped"),
+        }
     }
 
-    fn record_disconnect(&mut self) -> io::Result<()> {
+    /// Reads and drops what comes in until the caller closes, or for a bounded time and size.
+    async fn drop_input(&mut self, reader: &mut ReadHalf<'_>) {
+        let until = Instant::now() + LINGER_TIMEOUT;
+        let mut dropped = 0;
+        while dropped < LINGER_LIMIT_BYTES {
+            self.buffer.clear();
+            self.buffer.reserve(READ_BUFFER_BYTES);
+            match time::timeout_at(until, reader.read_buf(&mut self.buffer)).await {
+                Ok(Ok(count @ 1..)) => dropped += count,
+                Ok(_) => return,
+                Err(_) => break,
+            }
+        }
+        log::info!("event=caller-reset reason=still-sending dropped_bytes={dropped}");
+    }
+
+    fn record_disconnect(&self) {
         if !self.pipeline.is_empty() {
             log::info!("event=caller-left dropped={}", self.pipeline.len());
             self.shared.metrics.record_refusal("caller-gone");
         }
-        Ok(())
     }
 
     fn limits(&self) -> Limits {
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -2,10 +2,19 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use support::{Request, TestFleet, caller::Caller, eventually, lookup, order, target::Act};
-use tokio::time::{self, Instant};
+use support::{
+    Request, TestFleet,
+    caller::Caller,
+    eventually, lookup, order,
+    target::{Act, LONG_BYTES},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+    time::{self, Instant},
+};
 
 /// The time between SIGTERM and SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
@@ -98,3 +107,41 @@
     assert!(!shutdown.is_finished(), "it ends with the request's time");
     shutdown.await.expect("the shutdown task ends without a panic");
 }
+
+/// Connects with a small receive buffer, so that a response arrives only as fast as it is read.
+async fn slow_connection(addr: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a receive buffer");
+    socket.connect(addr).await.expect("a connection")
+}
+
+/// Reads up to `limit` bytes slowly, and returns how many came before the connection ended.
+async fn read_slowly(stream: &mut TcpStream, limit: usize) -> std::io::Result<usize> {
+    let (mut total, mut part) = (0, vec![0; 8192]);
+    while total < limit {
+        match stream.read(&mut part).await? {
+            0 => break,
+            count => total += count,
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(total)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_that_is_still_received_is_not_cut_by_a_request_behind_it() {
+    let fleet = TestFleet::start(1).await;
+    fleet.targets[0].set(Act::ServeLong);
+    let mut caller = slow_connection(fleet.gateway.callers()).await;
+    caller.write_all(lookup("id-1").text().as_bytes()).await.expect("a sent request");
+    let start = read_slowly(&mut caller, 50_000).await.expect("the start of a response");
+    let TestFleet { gateway, targets, store: _store } = fleet;
+    let shutdown = tokio::spawn(gateway.shut_down());
+    time::sleep(Duration::from_millis(200)).await;
+    caller.write_all(lookup("id-2").text().as_bytes()).await.expect("a sent request");
+    let rest = read_slowly(&mut caller, usize::MAX).await.expect("an end without a reset");
+    assert!(start + rest > LONG_BYTES, "{start} and {rest} bytes of a body of {LONG_BYTES}");
+    assert_eq!(targets[0].runs("id-2"), 0);
+    drop(caller);
+    shutdown.await.expect("the shutdown task ends without a panic");
+}
