Reserve memory for requests before they are read, and refuse those for which there is none

Nothing bounded the sum over requests; memory_bytes of the settings was decoded and not used.

A request reserves its announced length and 80 KiB before its body is read, one of unknown length as it grows, in parts of 64 KiB that are not copied; what does not fit is refused as not run, with a time to return, and bodies over 256 KiB leave 15 in 100 of the budget to others. At the limit a connection reads no further ahead than 8 KiB. Metrics: citron_memory_reserved_bytes and its limit.

Ruled out: a body that grows as one vector (91,008 KiB, as growing copies it). The stand-in for targets keeps 64 KiB of a body, so that it does not count.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -21,7 +21,9 @@
 use self::pipeline::{Pipeline, Reply};
 use crate::{
     forward,
-    http1::{self, BodyDecoder, Head, ParseError, Response},
+    http1::{self, BodyDecoder, Head, Length, ParseError, Response, Segments},
+    memory::Reservation,
+    refusal,
     shared::{InFlight, Shared},
 };
 
@@ -29,6 +31,10 @@
 const PIPELINE_LIMIT: usize = 16;
 /// The number of buffered bytes at which reading pauses until more requests can be forwarded.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// The memory of a request besides its body: its head, and what is buffered of the response.
+const REQUEST_BYTES: usize = 80 * 1024;
+/// The interval at which a connection that waits for memory looks for room.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(20);
 /// The buffer space reserved before each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// How long a write of a response to a caller may take.
@@ -55,6 +61,7 @@
     Body {
         head: Box<Head>,
         decoder: BodyDecoder,
+        memory: Reservation,
     },
     /// Nothing: the connection is closed after the pending responses.
     Closed,
@@ -67,10 +74,12 @@
         return;
     }
     let (mut reader, writer) = stream.split();
+    let buffered = shared.memory.count();
     let mut connection = Connection {
         shared,
         writer,
         buffer: BytesMut::new(),
+        buffered,
         read_state: ReadState::Head,
         pipeline: Pipeline::default(),
         since: Instant::now(),
@@ -97,6 +106,8 @@
     shared: Arc<Shared>,
     writer: WriteHalf<'a>,
     buffer: BytesMut,
+    /// The memory of the buffer.
+    buffered: Reservation,
     read_state: ReadState,
     pipeline: Pipeline,
     /// When the connection became idle, or when the head or body that is being read began.
@@ -118,17 +129,21 @@
             if self.is_finished() {
                 return Ok(End::Closed);
             }
-            let can_read = self.buffer.len() < READ_AHEAD_BYTES;
+            let wants_to_read = self.buffer.len() < READ_AHEAD_BYTES;
+            let has_room = self.buffer.len() < READ_BUFFER_BYTES || shared.memory.has_room();
+            let can_read = wants_to_read && has_room;
+            self.buffered.set(self.buffer.len() + READ_BUFFER_BYTES);
             let has_pending = !self.pipeline.is_empty();
             let deadline = self.wait_deadline();
             self.buffer.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
                 Some(reply) = self.pipeline.next(), if has_pending => {
-                    let Reply { response, keep_alive, in_flight } = reply;
+                    let Reply { response, keep_alive, in_flight, memory } = reply;
                     self.write_response(response, keep_alive).await?;
                     // The process must not end before the connection is closed.
                     self.closing = in_flight.filter(|_| self.is_finished());
+                    drop(memory);
                 }
                 count = reader.read_buf(&mut self.buffer), if can_read => {
                     if count? == 0 {
@@ -141,6 +156,7 @@
                     return Ok(End::Closed);
                 }
                 () = shutdown, if !has_pending => {}
+                () = time::sleep(MEMORY_INTERVAL), if wants_to_read && !has_room => {}
             }
         }
     }
@@ -157,14 +173,21 @@
                     Ok(Some(head)) => self.start_body(head, limits).await?,
                     Err(error) => Err(error),
                 },
-                ReadState::Body { decoder, .. } => match decoder.decode(&mut self.buffer) {
-                    Ok(None) => return Ok(()),
-                    Ok(Some(body)) => {
-                        self.start_forwarding(body);
-                        Ok(())
+                ReadState::Body { decoder, memory, .. } => {
+                    let needed = REQUEST_BYTES + decoder.memory_after(self.buffer.len());
+                    if !memory.grow_to(needed) {
+                        self.refuse_for_memory(None);
+                        return Ok(());
                     }
-                    Err(error) => Err(error),
-                },
+                    match decoder.decode(&mut self.buffer) {
+                        Ok(None) => return Ok(()),
+                        Ok(Some(body)) => {
+                            self.start_forwarding(body);
+                            Ok(())
+                        }
+                        Err(error) => Err(error),
+                    }
+                }
             };
             if let Err(error) = parsed {
                 self.refuse(error);
@@ -189,16 +212,22 @@
             Ok(decoder) => decoder,
             Err(error) => return Ok(Err(error)),
         };
+        let needed = REQUEST_BYTES + decoder.memory_after(0);
+        let Some(memory) = self.shared.memory.reserve(needed) else {
+            self.refuse_for_memory(Some(&head));
+            return Ok(Ok(()));
+        };
         if head.expects_continue && self.pipeline.is_empty() {
             self.writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         self.since = Instant::now();
-        self.read_state = ReadState::Body { head: Box::new(head), decoder };
+        self.read_state = ReadState::Body { head: Box::new(head), decoder, memory };
         Ok(Ok(()))
     }
 
-    fn start_forwarding(&mut self, body: Bytes) {
-        let ReadState::Body { head, .. } = std::mem::replace(&mut self.read_state, ReadState::Head)
+    fn start_forwarding(&mut self, body: Segments) {
+        let ReadState::Body { head, memory, .. } =
+            std::mem::replace(&mut self.read_state, ReadState::Head)
         else {
             return;
         };
@@ -211,7 +240,7 @@
         let in_flight = Some(shared.track_request());
         self.pipeline.push(async move {
             let response = forward::forward(shared, *head, body, received_at).await;
-            Reply { response, keep_alive, in_flight }
+            Reply { response, keep_alive, in_flight, memory: Some(memory) }
         });
         self.since = Instant::now();
     }
@@ -222,7 +251,25 @@
         self.shared.metrics.record_refusal(error.into());
         self.read_state = ReadState::Closed;
         let response = Response::error(error.status(), error.into());
-        self.pipeline.push(async move { Reply { response, keep_alive: false, in_flight: None } });
+        self.push_refusal(response, false);
+    }
+
+    /// Refuses a request for which there is no memory, after the pending responses. A body that was
+    /// announced is not read, so that the connection closes.
+    fn refuse_for_memory(&mut self, head: Option<&Head>) {
+        let reserved = self.shared.memory.reserved();
+        log::warn!(
+            "event=refused id=- outcome=not-run reason=memory-full status=503 reserved={reserved}"
+        );
+        self.shared.metrics.record_refusal("memory-full");
+        let keep_alive = head.is_some_and(|h| h.keep_alive && h.length == Length::Known(0));
+        self.read_state = if keep_alive { ReadState::Head } else { ReadState::Closed };
+        self.push_refusal(refusal::memory_full(), keep_alive);
+    }
+
+    fn push_refusal(&mut self, response: Response, keep_alive: bool) {
+        self.pipeline
+            .push(async move { Reply { response, keep_alive, in_flight: None, memory: None } });
     }
 
     async fn write_response(&mut self, mut response: Response, keep_alive: bool) -> io::Result<()> {
--- a/crates/citron-gateway/src/caller/pipeline.rs
+++ b/crates/citron-gateway/src/caller/pipeline.rs
@@ -4,7 +4,7 @@
 
 use futures::{StreamExt, stream::FuturesOrdered};
 
-use crate::{http1::Response, shared::InFlight};
+use crate::{http1::Response, memory::Reservation, shared::InFlight};
 
 /// The response to a request.
 pub struct Reply {
@@ -15,6 +15,8 @@
     /// Counts the request as in flight until the response is written; `None` for bytes that are no
     /// request.
     pub in_flight: Option<InFlight>,
+    /// The memory of the request and the response; `None` for a refusal.
+    pub memory: Option<Reservation>,
 }
 
 /// The requests of one connection without a written response.
--- a/crates/citron-gateway/src/connection.rs
+++ b/crates/citron-gateway/src/connection.rs
@@ -20,7 +20,6 @@
 
 use bytes::Bytes;
 use http_body::Body as _;
-use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -31,6 +30,7 @@
 use tokio::{net::TcpStream, time};
 
 use self::metered::{Allowance, Metered};
+use crate::http1::Sending;
 
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -39,11 +39,11 @@
 /// The most bytes that a target may send before the first part of its response's body.
 const AHEAD_LIMIT_BYTES: u64 = 2 * HEAD_LIMIT_BYTES as u64;
 
-type Driver = Pin<Box<http1::Connection<TokioIo<Metered>, Full<Bytes>>>>;
+type Driver = Pin<Box<http1::Connection<TokioIo<Metered>, Sending>>>;
 
 /// A connection to one incarnation of a target.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending>,
     driver: Option<Driver>,
     allowance: Allowance,
 }
@@ -93,7 +93,7 @@
     /// Fails if the connection was closed or breaks.
     pub async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Sending>,
     ) -> Result<Response<ResponseBody>, Error> {
         self.allowance.reset(AHEAD_LIMIT_BYTES);
         let mut pending = Box::pin(self.sender.send_request(request));
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -8,7 +8,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use citron::{
     attempt::{AttemptSeries, RetryPolicy, Step},
     gray::{Choice, Criteria, Eligibility, NoCapacity},
@@ -22,7 +21,7 @@
 
 use self::header::text;
 use crate::{
-    http1::{Head, Response},
+    http1::{Head, Response, Segments},
     refusal,
     shared::Shared,
 };
@@ -39,7 +38,7 @@
     shared: &'a Arc<Shared>,
     route: &'a Route,
     head: &'a Head,
-    body: Bytes,
+    body: Segments,
     id: &'a str,
     service: Arc<str>,
     deadline: Duration,
@@ -49,7 +48,7 @@
 pub async fn forward(
     shared: Arc<Shared>,
     head: Head,
-    body: Bytes,
+    body: Segments,
     received_at: Duration,
 ) -> Response {
     let id = text(&head.headers, ATTEMPT_ID).unwrap_or("-").to_owned();
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use citron::{
     attempt::AttemptResult,
     catalog::Target,
@@ -12,7 +12,6 @@
     header::{ATTEMPT_ID, EXPECTED_TARGET, NOT_RUN, REMAINING_MS, SIGNATURE},
     notice,
 };
-use http_body_util::Full;
 use hyper::{
     Method, Request, StatusCode,
     header::{CONTENT_LENGTH, EXPECT, HeaderValue},
@@ -26,7 +25,7 @@
 };
 use crate::{
     connection::{self, Connection, ResponseBody},
-    http1::{BodyStream, Response},
+    http1::{BodyStream, Response, Sending},
     refusal,
 };
 
@@ -159,8 +158,8 @@
     }
 
     /// Builds the request as the target receives it.
-    fn build_request(&self, target: &Target) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn build_request(&self, target: &Target) -> Option<Request<Sending>> {
+        let mut request = Request::new(self.body.send());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         let headers = request.headers_mut();
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -160,6 +160,8 @@
     metrics.targets_held.set(shared.targets.lock().catalog.lapsed().count() as i64);
     metrics.targets_limited.set(shared.targets.lock().statements.limited_count() as i64);
     metrics.idle_connections.set(shared.pool.len() as i64);
+    metrics.memory_reserved_bytes.set(shared.memory.reserved() as i64);
+    metrics.memory_limit_bytes.set(shared.memory.limit() as i64);
     metrics.store_lost.set(i64::from(shared.link.is_down()));
     metrics.store_silent_seconds.set(shared.link.silent_for(now).as_secs_f64());
     if let Some(age) = shared.confirmation_age(now) {
--- a/crates/citron-gateway/src/http1.rs
+++ b/crates/citron-gateway/src/http1.rs
@@ -7,11 +7,13 @@
 mod body;
 mod head;
 mod response;
+mod segments;
 
 pub use self::{
     body::BodyDecoder,
     head::{Head, Length, parse},
     response::{BodyStream, Response, write_head},
+    segments::{Segments, Sending},
 };
 
 use strum::{Display, IntoStaticStr};
--- a/crates/citron-gateway/src/http1/body.rs
+++ b/crates/citron-gateway/src/http1/body.rs
@@ -1,8 +1,11 @@
 //! Decodes the body of a caller's request.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 
-use super::{Length, ParseError};
+use super::{
+    Length, ParseError,
+    segments::{Growing, Segments},
+};
 
 /// The maximum length of a chunk-size line or of a trailer line.
 const MAX_LINE_BYTES: usize = 4096;
@@ -12,7 +15,7 @@
 pub struct BodyDecoder {
     state: State,
     limit: u64,
-    collected: BytesMut,
+    collected: Growing,
 }
 
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
@@ -37,17 +40,26 @@
             Length::Known(bytes) => State::Fixed(bytes),
             Length::Chunked => State::ChunkSize,
         };
-        Ok(Self { state, limit, collected: BytesMut::new() })
+        let capacity = match length {
+            Length::Known(bytes) => bytes as usize,
+            Length::Chunked => 0,
+        };
+        Ok(Self { state, limit, collected: Growing::with_capacity(capacity) })
+    }
+
+    /// Returns how many bytes of memory the body has after `more` bytes.
+    pub fn memory_after(&self, more: usize) -> usize {
+        self.collected.memory_after(more)
     }
 
     /// Consumes the bytes of the body at the front of `buffer`; returns the body once it is complete.
     ///
     /// # Errors
     /// Fails if the framing is malformed or the body exceeds the limit.
-    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, ParseError> {
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Segments>, ParseError> {
         loop {
             match self.state {
-                State::Done => return Ok(Some(self.collected.split().freeze())),
+                State::Done => return Ok(Some(self.collected.finish())),
                 State::Fixed(left) | State::ChunkData(left) => {
                     if buffer.is_empty() {
                         return Ok(None);
@@ -64,7 +76,7 @@
                 State::ChunkSize => {
                     let Some(line) = take_line(buffer)? else { return Ok(None) };
                     let size = chunk_size(&line)?;
-                    if self.collected.len() as u64 + size > self.limit {
+                    if self.collected.len() + size > self.limit {
                         return Err(ParseError::BodyTooLong);
                     }
                     self.state = if size == 0 { State::Trailer } else { State::ChunkData(size) };
@@ -81,7 +93,7 @@
 
     fn collect(&mut self, buffer: &mut BytesMut, left: u64) {
         let count = left.min(buffer.len() as u64);
-        self.collected.extend_from_slice(&buffer[..count as usize]);
+        self.collected.extend(&buffer[..count as usize]);
         buffer.advance(count as usize);
         let rest = left - count;
         self.state = match self.state {
@@ -90,7 +102,7 @@
             _ if rest == 0 => State::ChunkEnd,
             _ => State::ChunkData(rest),
         };
-        assert!(self.collected.len() as u64 <= self.limit, "a body must stay within its limit");
+        assert!(self.collected.len() <= self.limit, "a body must stay within its limit");
     }
 }
 
--- a/crates/citron-gateway/src/lib.rs
+++ b/crates/citron-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod gateway;
 mod http1;
+mod memory;
 mod metrics;
 mod peer;
 mod refusal;
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -59,6 +59,10 @@
     pub targets_limited: IntGauge,
     /// Idle connections to targets.
     pub idle_connections: IntGauge,
+    /// Bytes of memory reserved for what callers and targets send.
+    pub memory_reserved_bytes: IntGauge,
+    /// How many bytes may be reserved.
+    pub memory_limit_bytes: IntGauge,
     /// 1 while the last call to the store failed, else 0.
     pub store_lost: IntGauge,
     /// The version of the current routes.
@@ -209,6 +213,14 @@
                 "Log lines that were dropped since the start",
             )?,
             idle_connections: gauge("citron_idle_connections", "Idle connections to targets")?,
+            memory_reserved_bytes: gauge(
+                "citron_memory_reserved_bytes",
+                "Memory reserved for what callers and targets send",
+            )?,
+            memory_limit_bytes: gauge(
+                "citron_memory_limit_bytes",
+                "How much memory may be reserved for what callers and targets send",
+            )?,
             store_lost: gauge(
                 "citron_store_lost",
                 "1 while the last call to the store failed, else 0",
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -32,6 +32,11 @@
     Response::error(503, "routes-unknown").retry_after(RETRY_AFTER_S)
 }
 
+/// Returns the response to a request for which there is no memory.
+pub fn memory_full() -> Response {
+    Response::error(503, "memory-full").retry_after(RETRY_AFTER_S)
+}
+
 /// Returns the response to a request that this gateway would not complete before it is killed;
 /// others serve it at once.
 pub fn stopping() -> Response {
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -34,6 +34,7 @@
 use crate::{
     budget::RetryBudgets,
     connection::Pool,
+    memory::Memory,
     metrics::Metrics,
     peer::message::Outcome,
     store_link::StoreLink,
@@ -65,6 +66,8 @@
     pub targets: Mutex<Targets>,
     /// The other gateways.
     pub gateways: Mutex<Gateways>,
+    /// The memory for what callers and targets send.
+    pub memory: Arc<Memory>,
     /// Idle connections to targets.
     pub pool: Pool,
     /// The retry budgets, by service.
@@ -113,6 +116,7 @@
     /// Creates the state of a gateway that has no routes and targets yet.
     pub fn new(settings: Settings, clock: Clock, metrics: Metrics, seed: u64) -> Self {
         let targets = Targets::new(&settings.domain, seed);
+        let memory = Memory::new(settings.memory_bytes);
         Self {
             settings: RwLock::new(Arc::new(settings)),
             clock,
@@ -121,6 +125,7 @@
             routes: RwLock::default(),
             targets: Mutex::new(targets),
             gateways: Mutex::default(),
+            memory,
             pool: Pool::new(POOL_IDLE_TIMEOUT),
             budgets: RetryBudgets::default(),
             pending_outcomes: Mutex::default(),
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -85,6 +85,8 @@
 
 /// The bytes of a long answer.
 pub const LONG_BYTES: usize = 300_000;
+/// How many bytes of a request's body are kept.
+const KEPT_BODY_BYTES: usize = 64 * 1024;
 
 /// A request as the target read it.
 #[derive(Debug, Clone)]
@@ -377,16 +379,39 @@
             let headers: BTreeMap<String, String> =
                 pairs.map(|(n, v)| (n.trim().to_ascii_lowercase(), v.trim().to_owned())).collect();
             let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
-            if buffer.len() >= end + 4 + length {
-                let body = String::from_utf8_lossy(&buffer[end + 4..end + 4 + length]).into_owned();
-                buffer.drain(..end + 4 + length);
-                return Some(Seen { at: Instant::now(), first_line, headers, body });
-            }
+            buffer.drain(..end + 4);
+            let body = read_body(stream, buffer, length).await?;
+            return Some(Seen { at: Instant::now(), first_line, headers, body });
+        }
+        receive(stream, buffer).await?;
+    }
+}
+
+/// Reads a body of `length` bytes, of which the first [`KEPT_BODY_BYTES`] are kept.
+async fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> Option<String> {
+    let mut left = length;
+    let mut kept = Vec::new();
+    while left > 0 {
+        let count = left.min(buffer.len());
+        let room = KEPT_BODY_BYTES - kept.len();
+        kept.extend_from_slice(&buffer[..count.min(room)]);
+        buffer.drain(..count);
+        left -= count;
+        if left > 0 {
+            receive(stream, buffer).await?;
         }
-        let mut part = [0; 4096];
-        match stream.read(&mut part).await {
-            Ok(count) if count > 0 => buffer.extend_from_slice(&part[..count]),
-            _ => return None,
+    }
+    Some(String::from_utf8_lossy(&kept).into_owned())
+}
+
+/// Appends what comes next; returns `None` when the connection ends.
+async fn receive(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+    let mut part = [0; 4096];
+    match stream.read(&mut part).await {
+        Ok(count) if count > 0 => {
+            buffer.extend_from_slice(&part[..count]);
+            Some(())
         }
+        _ => None,
     }
 }
