Complete a long response before it is written while requests behind it are being forwarded

Now such a response is received whole first, up to 4 MiB and as far as there is memory, while there are requests behind it; one that breaks off becomes a 502 (504 at the deadline), and the others are answered. Without requests behind it, nothing changes. Ruled out: to forward nothing behind the first request, which would cost every pipelined request its concurrency. The latency of long responses with others behind them is that of their last byte; not measured.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -9,6 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use citron::{gray::Verdict, route::Limits};
+use strum::{Display, IntoStaticStr};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -37,6 +38,9 @@
 const MEMORY_INTERVAL: Duration = Duration::from_millis(20);
 /// The buffer space reserved before each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// The size, in bytes, up to which a response is complete before it is written while requests behind
+/// it are being forwarded.
+const COMPLETE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// How long a write of a response to a caller may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a caller may take to send the body of a request.
@@ -94,6 +98,16 @@
     connection.close(&mut reader).await;
 }
 
+/// Why a response is not received to its end.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Cut {
+    /// The time of its request is over.
+    Deadline,
+    /// The target's connection broke.
+    TargetBroken,
+}
+
 /// How a connection ended.
 enum End {
     /// The caller closed it.
@@ -139,7 +153,10 @@
             tokio::select! {
                 biased;
                 Some(reply) = self.pipeline.next(), if has_pending => {
-                    let Reply { response, keep_alive, in_flight, memory } = reply;
+                    let Reply { mut response, keep_alive, in_flight, mut memory } = reply;
+                    if !self.pipeline.is_empty() {
+                        response = self.complete(response, &mut memory).await;
+                    }
                     self.write_response(response, keep_alive).await?;
                     // The process must not end before the connection is closed.
                     self.closing = in_flight.filter(|_| self.is_finished());
@@ -295,12 +312,45 @@
         Ok(())
     }
 
+    /// Receives the whole response before its head is written, up to [`COMPLETE_LIMIT_BYTES`] and as
+    /// far as there is memory.
+    ///
+    /// A response that breaks off while it is written closes the connection, and the requests behind
+    /// it, which targets may have run, would get none.
+    async fn complete(
+        &mut self,
+        mut response: Response,
+        memory: &mut Option<Reservation>,
+    ) -> Response {
+        let Some(mut rest) = response.rest.take() else { return response };
+        let mut body = BytesMut::from(&response.body[..]);
+        loop {
+            let has_memory =
+                memory.as_mut().is_some_and(|m| m.grow_to(REQUEST_BYTES + 2 * body.len()));
+            if !has_memory || body.len() > COMPLETE_LIMIT_BYTES {
+                response.rest = Some(rest);
+                break;
+            }
+            match self.next_part(&mut rest).await {
+                Ok(Some(part)) => body.extend_from_slice(&part),
+                Ok(None) => {
+                    rest.attempt.end(rest.verdict);
+                    break;
+                }
+                Err(cut) => return refusal::cut(cut),
+            }
+        }
+        response.body = body.freeze();
+        response
+    }
+
     /// Forwards the rest of a response; an error closes the connection before the response looks
     /// complete.
     async fn write_rest(&mut self, mut rest: http1::BodyStream, chunked: bool) -> io::Result<()> {
         let until = rest.deadline;
         let mut out = BytesMut::new();
-        while let Some(part) = self.next_part(&mut rest).await? {
+        let broken = |_| io::Error::from(io::ErrorKind::BrokenPipe);
+        while let Some(part) = self.next_part(&mut rest).await.map_err(broken)? {
             write_part(&mut out, &part, chunked);
             self.write(&out, until).await?;
             out.clear();
@@ -310,19 +360,22 @@
     }
 
     /// Returns the next part of a body, `None` after the last one.
-    async fn next_part(&mut self, rest: &mut http1::BodyStream) -> io::Result<Option<Bytes>> {
+    async fn next_part(&mut self, rest: &mut http1::BodyStream) -> Result<Option<Bytes>, Cut> {
+        // A response that waited behind others until its deadline says nothing about its target.
+        let was_late = Instant::now() >= rest.deadline;
         let next = time::timeout_at(rest.deadline, rest.body.next_chunk());
-        let (reason, verdict) = match self.pipeline.forward_during(next).await {
+        let (cut, verdict) = match self.pipeline.forward_during(next).await {
             Ok(Ok(None)) => return Ok(None),
             // A timeout does not end a future that is always ready.
             Ok(Ok(part)) if Instant::now() < rest.deadline => return Ok(part),
-            Ok(Ok(_)) | Err(_) => ("deadline", Verdict::Silent),
-            Ok(Err(_)) => ("target-broken", Verdict::Failed),
+            Ok(Ok(_)) | Err(_) if was_late => (Cut::Deadline, None),
+            Ok(Ok(_)) | Err(_) => (Cut::Deadline, Some(Verdict::Silent)),
+            Ok(Err(_)) => (Cut::TargetBroken, Some(Verdict::Failed)),
         };
         let target = &rest.attempt.choice().target.id;
-        log::info!("event=answer-broken target={target} reason={reason}");
-        rest.attempt.end(Some(verdict));
-        Err(io::ErrorKind::BrokenPipe.into())
+        log::info!("event=answer-broken target={target} reason={cut}");
+        rest.attempt.end(verdict);
+        Err(cut)
     }
 
     async fn write(&mut self, bytes: &[u8], until: Instant) -> io::Result<()> {
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use citron::attempt::{Cause, Outcome};
 use hyper::StatusCode;
 
-use crate::http1::Response;
+use crate::{caller::Cut, http1::Response};
 
 /// The delay, in seconds, after which a caller may retry a refused request if nothing is known that
 /// takes longer.
@@ -64,6 +64,15 @@
     Response::error(502, "run-failed")
 }
 
+/// Returns the response to a request whose response from a target was cut before any of it was
+/// forwarded.
+pub fn cut(cut: Cut) -> Response {
+    match cut {
+        Cut::Deadline => Response::error(504, cut.into()),
+        Cut::TargetBroken => Response::error(502, cut.into()),
+    }
+}
+
 /// Returns the response to a request whose path matches no route.
 pub fn no_route() -> Response {
     Response::error(404, "no-route")
--- a/crates/citron-gateway/tests/request.rs
+++ b/crates/citron-gateway/tests/request.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use support::{Request, TestFleet, lookup, order, target::Act};
+use support::{
+    Request, TestFleet, lookup, order,
+    target::{Act, LONG_BYTES},
+};
 use tokio::time;
 
 #[tokio::test]
@@ -193,3 +196,36 @@
     let attempts: usize = fleet.targets.iter().map(|target| target.runs("id-2")).sum();
     assert_eq!(attempts, 2, "the second request is hedged");
 }
+
+#[tokio::test]
+async fn requests_behind_a_long_response_that_breaks_off_are_answered() {
+    let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: x\r\nContent-Length: 300000\r\n\r\n";
+    let cut: &'static str = format!("{head}{}", "x".repeat(150_000)).leak();
+    let fleet = TestFleet::start(2).await;
+    for target in &fleet.targets {
+        target.set_plan(move |seen| match seen.id() {
+            "id-0" => Act::BreakOff(cut),
+            _ => Act::ServeLong,
+        });
+    }
+    let mut caller = fleet.caller().await;
+    let ids: Vec<String> = (0..5).map(|n| format!("id-{n}")).collect();
+    let text: String = ids.iter().map(|id| lookup(id).text()).collect();
+    caller.send(&text).await;
+    assert_eq!(caller.answer().await.status, 502, "none of it was forwarded");
+    for id in &ids[1..] {
+        let response = caller.answer().await;
+        assert_eq!((response.status, response.header("attempt-id")), (200, Some(id.as_str())));
+        assert!(response.whole && response.body.len() == LONG_BYTES);
+    }
+}
+
+#[tokio::test]
+async fn a_long_response_that_breaks_off_is_visibly_cut_without_requests_behind_it() {
+    let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: x\r\nContent-Length: 300000\r\n\r\n";
+    let cut: &'static str = format!("{head}{}", "x".repeat(150_000)).leak();
+    let fleet = TestFleet::start(1).await;
+    fleet.targets[0].set(Act::BreakOff(cut));
+    let response = fleet.send(&lookup("id-1")).await;
+    assert_eq!((response.status, response.whole), (200, false));
+}
