--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -149,6 +149,7 @@
             self.buffered.set(self.buffer.len() + READ_BUFFER_BYTES);
             let has_pending = !self.pipeline.is_empty();
             let deadline = self.wait_deadline();
+            let was_between_requests = self.is_between_requests();
             self.buffer.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
@@ -163,7 +164,11 @@
                     drop(memory);
                 }
                 count = reader.read_buf(&mut self.buffer), if can_read => {
-                    if count? == 0 {
+                    let count = count?;
+                    if was_between_requests {
+                        self.since = Instant::now();
+                    }
+                    if count == 0 {
                         self.record_disconnect();
                         return Ok(End::CallerLeft);
                     }
--- a/crates/citron-gateway/tests/request.rs
+++ b/crates/citron-gateway/tests/request.rs
@@ -229,3 +229,17 @@
     let response = fleet.send(&lookup("id-1")).await;
     assert_eq!((response.status, response.whole), (200, false));
 }
+
+#[tokio::test]
+async fn a_head_that_comes_in_parts_after_a_long_idle_time_has_its_own_time() {
+    let fleet = TestFleet::start(1).await;
+    let mut caller = fleet.caller().await;
+    // The head has 0.4 s, an idle connection 3 s.
+    time::sleep(Duration::from_millis(700)).await;
+    let text = lookup("id-1").text();
+    let (start, rest) = text.split_at(20);
+    caller.send(start).await;
+    time::sleep(Duration::from_millis(100)).await;
+    caller.send(rest).await;
+    assert_eq!(caller.answer().await.status, 200);
+}
