Accept as many headers as the limit of the head holds

The size of a head is bounded, so that the number of its headers need not be. The usual ones still need no allocation. many_headers_within_the_limit_of_the_head_are_passed_on_both_ways failed before.

--- a/crates/citron-gateway/src/connection.rs
+++ b/crates/citron-gateway/src/connection.rs
@@ -36,6 +36,8 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The maximum size of the head of a target's response.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+/// The maximum number of headers of a target's response.
+const HEADERS_LIMIT: usize = HEAD_LIMIT_BYTES / 16;
 /// The most bytes that a target may send before the first part of its response's body.
 const AHEAD_LIMIT_BYTES: u64 = 2 * HEAD_LIMIT_BYTES as u64;
 
@@ -75,6 +77,7 @@
         let allowance = Allowance::default();
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
+            .max_headers(HEADERS_LIMIT)
             .handshake(TokioIo::new(Metered::new(stream, allowance.clone())))
             .await
             .map_err(io::Error::other)?;
--- a/crates/citron-gateway/src/http1/head.rs
+++ b/crates/citron-gateway/src/http1/head.rs
@@ -10,8 +10,10 @@
 
 use super::ParseError;
 
-/// The maximum number of headers of a request.
-const MAX_HEADERS: usize = 100;
+/// The number of headers for which there is room on the stack.
+const USUAL_HEADERS: usize = 100;
+/// The minimum length of a header with its line break, in bytes.
+const HEADER_BYTES_MIN: usize = 4;
 
 /// The head of a request.
 #[derive(Debug, Clone)]
@@ -44,21 +46,42 @@
 /// # Errors
 /// Fails if the head is malformed or longer than `limit` bytes.
 pub fn parse(buffer: &mut BytesMut, limit: usize) -> Result<Option<Head>, ParseError> {
-    let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut storage);
-    let parsed = request.parse(buffer).map_err(|error| match error {
+    let mut usual = [httparse::EMPTY_HEADER; USUAL_HEADERS];
+    let parsed = match parse_with(buffer, limit, &mut usual) {
+        Err(httparse::Error::TooManyHeaders) => {
+            let mut all = vec![httparse::EMPTY_HEADER; limit / HEADER_BYTES_MIN];
+            parse_with(buffer, limit, &mut all)
+        }
+        parsed => parsed,
+    };
+    let parsed = parsed.map_err(|error| match error {
         httparse::Error::TooManyHeaders => ParseError::HeadTooLong,
         _ => ParseError::Malformed,
     })?;
-    let httparse::Status::Complete(length) = parsed else {
-        return if buffer.len() > limit { Err(ParseError::HeadTooLong) } else { Ok(None) };
+    let Some((head, length)) = parsed.transpose()? else { return Ok(None) };
+    buffer.advance(length);
+    Ok(Some(head))
+}
+
+/// The head with its length in bytes, `None` while it is incomplete.
+type Parsed = Option<Result<(Head, usize), ParseError>>;
+
+/// Parses the head with room for the headers in `storage`.
+fn parse_with<'b>(
+    buffer: &'b [u8],
+    limit: usize,
+    storage: &mut [httparse::Header<'b>],
+) -> Result<Parsed, httparse::Error> {
+    let mut request = httparse::Request::new(storage);
+    let length = match request.parse(buffer)? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial if buffer.len() <= limit => return Ok(None),
+        httparse::Status::Partial => return Ok(Some(Err(ParseError::HeadTooLong))),
     };
     if length > limit {
-        return Err(ParseError::HeadTooLong);
+        return Ok(Some(Err(ParseError::HeadTooLong)));
     }
-    let head = build_head(&request)?;
-    buffer.advance(length);
-    Ok(Some(head))
+    Ok(Some(build_head(&request).map(|head| (head, length))))
 }
 
 fn build_head(request: &httparse::Request<'_, '_>) -> Result<Head, ParseError> {
--- a/crates/citron-gateway/tests/request.rs
+++ b/crates/citron-gateway/tests/request.rs
@@ -243,3 +243,13 @@
     caller.send(rest).await;
     assert_eq!(caller.answer().await.status, 200);
 }
+
+#[tokio::test]
+async fn many_headers_within_the_limit_of_the_head_are_passed_on_both_ways() {
+    let fleet = TestFleet::start(1).await;
+    let headers = (0..150).map(|n| format!("h{n}: 1\r\n")).collect::<String>().leak();
+    fleet.targets[0].set(Act::ServeWith(headers));
+    let response = fleet.send(&Request { extra: headers, ..lookup("id-1") }).await;
+    assert_eq!((response.status, response.header("h149")), (200, Some("1")));
+    assert_eq!(fleet.targets[0].seen()[0].headers["h149"], "1");
+}
