Follow the store to the address that new settings name

Now calls that are under way are abandoned, and routes, targets and the gateway's own entry are read and written at the new address. a_gateway_follows_the_store_to_the_address_of_its_new_settings.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -97,6 +97,8 @@
     StoreReturned,
     /// The store has come back from an older copy since the watch began.
     StoreRestored,
+    /// The settings name another address of the store.
+    StoreMoved,
 }
 
 impl Follower {
@@ -134,7 +136,7 @@
                 Ok(true) if self.cursor.is_none() => {}
                 Ok(true) => time::sleep(WATCH_INTERVAL_MIN).await,
                 Ok(false) => self.backoff.wait(&self.shared, kind).await,
-                Err(Abandoned::StoreRestored) => self.cursor = None,
+                Err(Abandoned::StoreRestored | Abandoned::StoreMoved) => self.cursor = None,
                 Err(_) => {}
             }
         }
@@ -187,6 +189,7 @@
     async fn poll(&mut self, begun_at: Duration, wait: Duration) -> Result<bool, Abandoned> {
         let shared = Arc::clone(&self.shared);
         let mut calls = Calls::default();
+        let mut moves = shared.store_moves.subscribe();
         self.begin_call(&mut calls, wait);
         let interval = if shared.is_poller() { POLL_INTERVAL } else { CALL_INTERVAL };
         let mut next_call_at = begun_at + wait + interval;
@@ -210,6 +213,9 @@
                 {
                     return Err(self.abandon(&calls, begun_at, Abandoned::PeerAhead));
                 }
+                Ok(()) = moves.changed() => {
+                    return Err(self.abandon(&calls, begun_at, Abandoned::StoreMoved));
+                }
                 () = time::sleep_until(shared.clock.instant(next_call_at)) => {
                     next_call_at += interval;
                     self.end_copies(&mut calls);
@@ -230,6 +236,7 @@
     async fn watch(&mut self, begun_at: Duration, wait: Duration) -> Result<bool, Abandoned> {
         let shared = Arc::clone(&self.shared);
         let mut calls = Calls::default();
+        let mut moves = shared.store_moves.subscribe();
         self.begin_call(&mut calls, wait);
         let mut positions = shared.store_position.subscribe();
         loop {
@@ -260,6 +267,9 @@
                 () = self.subject.overdue(&shared).notified(), if !calls.is_receiving() => {
                     return Err(self.abandon(&calls, begun_at, Abandoned::PeerAhead));
                 }
+                Ok(()) = moves.changed() => {
+                    return Err(self.abandon(&calls, begun_at, Abandoned::StoreMoved));
+                }
                 Ok(()) = positions.changed() => {}
                 () = time::sleep(pause) => {}
             }
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -15,14 +15,19 @@
 use crate::shared::Shared;
 
 /// Registers this gateway's datagram address in the store and reads those of the others, and again
-/// each time the store comes back from an older copy; runs until the process ends.
+/// each time the store comes back from an older copy or has another address; runs until the process
+/// ends.
 pub async fn run(shared: Arc<Shared>, store: Store, own: SocketAddr) {
     let mut latest_era = shared.store_era.subscribe();
+    let mut moves = shared.store_moves.subscribe();
     loop {
         let era = register(&shared, &store, own).await;
         learn(&shared, &list(&shared, &store).await);
-        // The sender lives as long as `shared`.
-        let _ = latest_era.wait_for(|latest| *latest > era).await;
+        // The senders live as long as `shared`.
+        tokio::select! {
+            _ = latest_era.wait_for(|latest| *latest > era) => {}
+            _ = moves.changed() => {}
+        }
         time::sleep(turn(&shared)).await;
     }
 }
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     shared: Arc<Shared>,
+    store: Store,
     accept: JoinHandle<()>,
     servers: Vec<Server>,
 }
@@ -68,7 +69,7 @@
         shared.set_listen_addrs(directory.addr(), ready.addr(), servers[0].addr());
         tokio::spawn(follow::routes(Arc::clone(&shared), store.clone()));
         tokio::spawn(follow::targets(Arc::clone(&shared), store.clone()));
-        tokio::spawn(follow::registry(Arc::clone(&shared), store, socket_addr));
+        tokio::spawn(follow::registry(Arc::clone(&shared), store.clone(), socket_addr));
         let accept = tokio::spawn(accept(Arc::clone(&shared), listener));
         let http = reqwest::Client::builder()
             .no_proxy()
@@ -85,10 +86,10 @@
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::send_outcomes(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
-        reload::spawn(Arc::clone(&shared)).wrap_err("cannot handle SIGHUP")?;
+        reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
         servers.extend([directory, ready]);
-        Ok(Self { shared, accept, servers })
+        Ok(Self { shared, store, accept, servers })
     }
 
     /// Returns the address that callers connect to.
@@ -106,6 +107,16 @@
         self.shared.settings().ready
     }
 
+    /// Applies new settings, as the process does when their file changes.
+    pub fn reload(&self, settings: Settings) {
+        reload::apply(&self.shared, &self.store, settings, true);
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.shared.settings()
+    }
+
     /// Shuts down gracefully: directs callers to other gateways, responds to all requests that were
     /// read, then closes all sockets.
     pub async fn shut_down(self) {
--- a/crates/citron-gateway/src/reload.rs
+++ b/crates/citron-gateway/src/reload.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citron_adapter::settings::Settings;
+use citron_adapter::{settings::Settings, store::Store};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     time,
@@ -17,17 +17,17 @@
 ///
 /// # Errors
 /// Fails if the signal cannot be handled.
-pub fn spawn(shared: Arc<Shared>) -> std::io::Result<()> {
+pub fn spawn(shared: Arc<Shared>, store: Store) -> std::io::Result<()> {
     let hangup = signal(SignalKind::hangup())?;
-    tokio::spawn(watch(shared, hangup));
+    tokio::spawn(watch(shared, store, hangup));
     Ok(())
 }
 
-async fn watch(shared: Arc<Shared>, mut hangup: Signal) {
+async fn watch(shared: Arc<Shared>, store: Store, mut hangup: Signal) {
     loop {
         let signalled = time::timeout(POLL_INTERVAL, hangup.recv()).await.is_ok();
         match Settings::read() {
-            Ok(settings) => apply(&shared, settings, signalled),
+            Ok(settings) => apply(&shared, &store, settings, signalled),
             Err(error) if signalled => {
                 log::error!(
                     "event=reload-failed reason={:?} kept=the-settings-in-force",
@@ -39,7 +39,8 @@
     }
 }
 
-fn apply(shared: &Shared, settings: Settings, signalled: bool) {
+/// Applies new settings; `signalled` tells whether a signal announced them.
+pub fn apply(shared: &Shared, store: &Store, settings: Settings, signalled: bool) {
     let current = shared.settings();
     if *current == settings {
         if signalled {
@@ -50,12 +51,17 @@
     let addresses_changed = settings.callers != current.callers
         || settings.ready != current.ready
         || settings.directory != current.directory
-        || settings.peers != current.peers
-        || settings.store != current.store;
+        || settings.peers != current.peers;
     if addresses_changed {
         log::warn!("event=reloaded changed=yes note=addresses-apply-at-the-next-start");
     } else {
         log::info!("event=reloaded changed=yes");
     }
+    let moved_to = Some(settings.store).filter(|address| *address != current.store);
     *shared.settings.write() = Arc::new(settings);
+    if let Some(address) = moved_to {
+        log::info!("event=store-moved address={address} before={}", current.store);
+        store.set_address(address);
+        shared.store_moves.send_modify(|moves| *moves += 1);
+    }
 }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -95,6 +95,8 @@
     pub store_position: watch::Sender<Position>,
     /// The latest era of the store that a response or a peer named.
     pub store_era: watch::Sender<u64>,
+    /// Rises each time the settings name another address of the store.
+    pub store_moves: watch::Sender<u64>,
     /// What the store's responses to this gateway confirm.
     pub freshness: Mutex<Freshness>,
     /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
@@ -140,6 +142,7 @@
             link: StoreLink::default(),
             store_position: watch::Sender::default(),
             store_era: watch::Sender::default(),
+            store_moves: watch::Sender::default(),
             freshness: Mutex::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use citron::poller::{self, Member};
+use citron_adapter::settings::Settings;
 use citron_gateway::Gateway;
 use citron_stand::relay::{self, Cut, Relay};
 use support::{
@@ -447,3 +448,19 @@
     shutdown.await.expect("the shutdown task ends without a panic");
     assert!(tokio::net::TcpStream::connect(addr).await.is_err(), "the port is closed");
 }
+
+#[tokio::test]
+async fn a_gateway_follows_the_store_to_the_address_of_its_new_settings() {
+    let fleet = TestFleet::start(1).await;
+    let other = Store::bind().await;
+    let mut spec = config("r9", 1.0);
+    spec["hosts"][0]["paths"][0]["pathPrefix"] = "/moved/".into();
+    other.put("config", "main", spec);
+    other.put("servers", "t0", fleet.targets[0].entry("ready"));
+    let settings = (*fleet.gateway.settings()).clone();
+    fleet.gateway.reload(Settings { store: other.addr(), ..settings });
+    let moved = Request { path: "/moved/1", ..lookup("id-1") };
+    time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(fleet.send(&moved).await.status, 200);
+    assert!(other.get("citron-gateways", "entry-1").is_some(), "it is registered there");
+}
