--- a/crates/citron/src/outage.rs
+++ b/crates/citron/src/outage.rs
@@ -35,17 +35,24 @@
 /// begun before may never be answered.
 ///
 /// A silence of a second or more that does not end the `contacts` of all other gateways was only of
-/// the path of the one that noticed it.
+/// the path of the one that noticed it, and so is one that lasts while another gateway had a response
+/// since it began.
 pub fn last_return<'a>(
     silences: impl Iterator<Item = &'a Silence>,
     contacts: &[Contact],
 ) -> Option<Duration> {
     let is_common = |silence: &&Silence| {
-        let Some(returned_at) = silence.returned_at else { return true };
-        let covers = |contact: &Contact| {
-            contact.since <= silence.unanswered_at && contact.last + OUTAGE_MIN >= returned_at
+        let unanswered_at = silence.unanswered_at;
+        let was_answered_until = |at: Duration| {
+            contacts.iter().any(|contact| contact.since <= unanswered_at && contact.last >= at)
         };
-        returned_at < silence.unanswered_at + OUTAGE_MIN || !contacts.iter().any(covers)
+        match silence.returned_at {
+            None => !was_answered_until(unanswered_at),
+            Some(returned_at) => {
+                returned_at < unanswered_at + OUTAGE_MIN
+                    || !was_answered_until(returned_at.saturating_sub(OUTAGE_MIN))
+            }
+        }
     };
     let silences: SmallVec<[&Silence; 32]> = silences.filter(is_common).collect();
     let unanswered_at = silences.iter().map(|silence| silence.unanswered_at).max()?;
