--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -138,6 +138,8 @@
                     subject.wake_follower(&shared);
                 }
             }
+            // The store was first.
+            Err(Error::NotNewer) if subject.peer_ahead(&shared, failures).is_none() => {}
             Err(error) => {
                 failures += 1;
                 let reason = error.to_string();
