Let a process that replaced another not use the slack of its retry budget once more

It has it now once it has run for a window; at the system's first start nobody can have used it, and it has it at once. The test fleet's budget has no slack now and a ratio of 1, as its gateways are seconds old.

--- a/crates/citron-gateway/src/shared/attempt.rs
+++ b/crates/citron-gateway/src/shared/attempt.rs
@@ -152,6 +152,10 @@
             slack: settings.retry_budget.slack,
             window: settings.retry_budget.window,
             hosts: hosts.max(HOSTS_MIN),
+            slack_from: RetryBudgetParams::slack_from(
+                settings.retry_budget.window,
+                settings.is_first_start,
+            ),
         }
     }
 }
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -141,7 +141,8 @@
         internal_port: 0,
         store,
         object_bytes: OBJECT_BYTES,
-        retry_budget: RetryBudget { ratio: 0.2, slack: 800.0, window: Duration::from_secs(10) },
+        // Nothing may be used of the slack in the first window.
+        retry_budget: RetryBudget { ratio: 1.0, slack: 0.0, window: Duration::from_secs(10) },
         ttl_max: Duration::from_secs(5),
         grace: Duration::from_secs(6),
         is_first_start: false,
--- a/crates/citron/src/attempt/window.rs
+++ b/crates/citron/src/attempt/window.rs
@@ -16,6 +16,18 @@
     pub window: Duration,
     /// The hosts that share the slack, at least 1.
     pub hosts: usize,
+    /// From when this host may use the slack, see [`RetryBudgetParams::slack_from`].
+    pub slack_from: Duration,
+}
+
+impl RetryBudgetParams {
+    /// Returns from when a process that started at zero may use its host's slack.
+    ///
+    /// One that replaced another does not know what that one used. What it used is out of the window
+    /// once the new one has run for as long.
+    pub fn slack_from(window: Duration, is_first_start: bool) -> Duration {
+        if is_first_start { Duration::ZERO } else { window }
+    }
 }
 
 /// The requests and retries of one service in the last window.
@@ -40,8 +52,8 @@
     /// Counts a retry if the budget allows one, otherwise returns false.
     pub fn withdraw(&mut self, params: RetryBudgetParams, now: Duration) -> bool {
         let (requests, retries) = self.totals(params, now);
-        let allowed =
-            params.ratio * f64::from(requests) + params.slack / params.hosts.max(1) as f64;
+        let slack = if now < params.slack_from { 0.0 } else { params.slack };
+        let allowed = params.ratio * f64::from(requests) + slack / params.hosts.max(1) as f64;
         if f64::from(retries + 1) > allowed {
             return false;
         }
--- a/crates/citron/tests/window.rs
+++ b/crates/citron/tests/window.rs
@@ -6,8 +6,13 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const PARAMS: RetryBudgetParams =
-    RetryBudgetParams { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10), hosts: 5 };
+const PARAMS: RetryBudgetParams = RetryBudgetParams {
+    ratio: 0.2,
+    slack: 10.0,
+    window: Duration::from_secs(10),
+    hosts: 5,
+    slack_from: Duration::ZERO,
+};
 
 #[test]
 fn the_slack_is_shared_by_the_hosts() {
@@ -62,3 +67,19 @@
         }
     }
 }
+
+/// Returns how many retries a process makes in `window` ends at once, one second after its start.
+fn retries_after_start(slack_from: Duration) -> usize {
+    let params = RetryBudgetParams { slack_from, ..PARAMS };
+    let mut budget = WindowedRetryBudget::default();
+    (0..100).filter(|_| budget.withdraw(params, Duration::from_secs(1))).count()
+}
+
+#[test]
+fn a_process_that_replaced_another_does_not_use_the_slack_of_its_host_once_more() {
+    let window = PARAMS.window;
+    assert_eq!(retries_after_start(RetryBudgetParams::slack_from(window, false)), 0);
+    assert_eq!(retries_after_start(RetryBudgetParams::slack_from(window, true)), 2);
+    let params = RetryBudgetParams { slack_from: window, ..PARAMS };
+    assert!(WindowedRetryBudget::default().withdraw(params, window), "its first window is over");
+}
