--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -33,6 +33,9 @@
 /// response is sent to a second target.
 const HEDGE_DELAY_SHARE: f64 = 0.6;
 
+/// The reason of a retry beside an attempt that is overdue.
+const HEDGE: &str = "hedge";
+
 /// A request being forwarded.
 struct Forwarder<'a> {
     shared: &'a Arc<Shared>,
@@ -122,7 +125,12 @@
             match series.next_step(now, || self.charge_retry(now)) {
                 Step::Claim => unreachable!("the gateway claims no idempotency keys"),
                 Step::Send { .. } => match self.dispatch(&mut tried) {
-                    Some(choice) => attempts.push(self.attempt(choice)),
+                    Some(choice) => {
+                        if let Some(reason) = series.last_result() {
+                            self.record_retry(&choice, reason.into());
+                        }
+                        attempts.push(self.attempt(choice));
+                    }
                     None => series.record_no_target(),
                 },
                 Step::Wait => tokio::select! {
@@ -165,9 +173,7 @@
     fn charge_retry(&self, now: Duration) -> bool {
         let params = self.shared.retry_budget_params();
         let allowed = self.shared.budgets.withdraw(&self.service, params, now);
-        if allowed {
-            self.shared.metrics.retries.with_label_values(&[&*self.service]).inc();
-        } else {
+        if !allowed {
             log::warn!(
                 "event=not-repeated id={} service={} reason=budget-spent hosts={}",
                 self.id,
@@ -179,6 +185,17 @@
         allowed
     }
 
+    /// Records that the request is sent once more; `reason` is how the attempt before ended.
+    fn record_retry(&self, choice: &Choice, reason: &str) {
+        log::info!(
+            "event=repeated id={} target={} service={} reason={reason}",
+            self.id,
+            choice.target.id,
+            self.service
+        );
+        self.shared.metrics.retries.with_label_values(&[&*self.service, reason]).inc();
+    }
+
     /// Chooses a target that has not been tried yet and adds it to `tried`.
     fn dispatch(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
         let may_be_trial = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
@@ -210,12 +227,7 @@
             self.shared.end_attempt(&choice.target, None, Duration::ZERO);
             return None;
         }
-        log::info!(
-            "event=hedged id={} target={} service={}",
-            self.id,
-            choice.target.id,
-            self.service
-        );
+        self.record_retry(&choice, HEDGE);
         tried.push(Arc::clone(&choice.target.id));
         Some(choice)
     }
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -27,7 +27,7 @@
     pub state_bytes: IntCounterVec,
     /// Retries that the retry budget did not allow, by service.
     pub retries_denied: IntCounterVec,
-    /// Retries that the retry budget allowed, by service.
+    /// Retries that were sent, by service and by how the attempt before ended.
     pub retries: IntCounterVec,
     /// Verdicts about targets, by verdict and by source: this gateway or a peer.
     pub verdicts: IntCounterVec,
@@ -168,8 +168,8 @@
             )?,
             retries: counters(
                 "citron_repetitions_total",
-                "Repetitions that the budget allowed, by service",
-                &["service"],
+                "Repetitions that were sent, by service and by how the attempt before ended",
+                &["service", "reason"],
             )?,
             verdicts: counters(
                 "citron_verdicts_total",
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -254,6 +254,11 @@
         self.stop_cause = Some(Cause::CallerGone);
     }
 
+    /// Returns how the latest attempt ended, if one has.
+    pub fn last_result(&self) -> Option<AttemptResult> {
+        self.results.last().copied()
+    }
+
     /// Returns the number of attempts so far, except the connect failures that the policy allows
     /// besides.
     pub fn attempts(&self) -> u32 {
