Spend retries from a token bucket of each host, so that no window of the fleet exceeds the budget

Cause: each host allowed itself what its own last ten seconds had earned, and its part of the slack.

Now for each host and any span: arrivals of retries <= ratio x requests received + burst + refill x span; the sum over hosts for one span is the fleet's bound. A retry that could not be sent returns its token, or pays for the next attempt.

--- a/crates/citron-daemon/src/clock.rs
+++ b/crates/citron-daemon/src/clock.rs
@@ -18,6 +18,13 @@
         Self { origin: Instant::now(), origin_wall_ms: wall.as_millis() as u64 }
     }
 
+    /// Returns the clock of a process that has run for `age`.
+    pub fn started_before(age: Duration) -> Self {
+        let now = Self::start();
+        let origin_wall_ms = now.origin_wall_ms.saturating_sub(age.as_millis() as u64);
+        Self { origin: now.origin - age, origin_wall_ms }
+    }
+
     /// Returns the time since the origin.
     pub fn now(&self) -> Duration {
         self.origin.elapsed()
--- a/crates/citron-gateway/src/budget.rs
+++ b/crates/citron-gateway/src/budget.rs
@@ -2,23 +2,139 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use citron::attempt::{RetryBudgetParams, WindowedRetryBudget};
+use citron::attempt::{Denial, RetryBucket, RetryShare, Standstill, Ticket};
 use parking_lot::Mutex;
+use tokio::time;
 
-/// This host's share of the fleet's retry budgets, by service.
-#[derive(Debug, Default)]
+use crate::{
+    connection::{CONNECT_TIMEOUT, USER_TIMEOUT},
+    shared::Shared,
+};
+
+/// How long after its withdrawal a retry may still arrive: then its connection was not established,
+/// or the kernel has given up bytes that are not acknowledged.
+const RETRY_FLIGHT: Duration = CONNECT_TIMEOUT.saturating_add(USER_TIMEOUT);
+/// The interval between two looks at whether the process stands still.
+const TICK: Duration = Duration::from_millis(100);
+
+/// This host's shares of the fleet's retry budgets, by service.
+#[derive(Debug)]
 pub struct RetryBudgets {
-    windows: Mutex<HashMap<Arc<str>, WindowedRetryBudget>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    share: RetryShare,
+    standstill: Standstill,
+    buckets: HashMap<Arc<str>, RetryBucket>,
+}
+
+impl Default for RetryBudgets {
+    fn default() -> Self {
+        let state = State {
+            share: RetryShare::NONE,
+            standstill: Standstill::new(TICK),
+            buckets: HashMap::new(),
+        };
+        Self { state: Mutex::new(state) }
+    }
 }
 
 impl RetryBudgets {
-    /// Records a request to a service, which adds to its budget.
-    pub fn record_request(&self, service: &Arc<str>, params: RetryBudgetParams, now: Duration) {
-        self.windows.lock().entry(Arc::clone(service)).or_default().record_request(params, now);
+    /// Sets this host's share of each budget; returns true if it has changed.
+    pub fn set_share(&self, share: RetryShare) -> bool {
+        let mut state = self.state.lock();
+        std::mem::replace(&mut state.share, share) != share
+    }
+
+    /// Records a request to a service, which adds to its budget unless it may have waited while
+    /// this process stood still.
+    pub fn record_request(&self, service: &Arc<str>, now: Duration) {
+        let mut state = self.state.lock();
+        if state.standstill.is_over(now) {
+            state.with_bucket(service, |bucket, share| bucket.record_request(share, now));
+        }
+    }
+
+    /// Spends a token of a service's budget.
+    fn withdraw(&self, service: &Arc<str>, now: Duration) -> Result<Ticket, Denial> {
+        let mut state = self.state.lock();
+        state.with_bucket(service, |bucket, share| bucket.withdraw(share, now))
+    }
+
+    /// Returns the tokens and the number of retries on their way, by service.
+    pub fn levels(&self) -> Vec<(Arc<str>, f64, usize)> {
+        let state = self.state.lock();
+        let levels = state.buckets.iter();
+        levels.map(|(name, b)| (Arc::clone(name), b.tokens(), b.in_flight())).collect()
+    }
+
+    fn with_known(&self, service: &str, update: impl FnOnce(&mut RetryBucket)) {
+        if let Some(bucket) = self.state.lock().buckets.get_mut(service) {
+            update(bucket);
+        }
     }
+}
+
+impl State {
+    fn with_bucket<T>(
+        &mut self,
+        service: &Arc<str>,
+        update: impl FnOnce(&mut RetryBucket, &RetryShare) -> T,
+    ) -> T {
+        let bucket = self.buckets.entry(Arc::clone(service));
+        update(bucket.or_insert_with(|| RetryBucket::new(RETRY_FLIGHT)), &self.share)
+    }
+}
+
+/// Records that this process runs, until it ends.
+pub async fn watch_standstill(shared: Arc<Shared>) {
+    loop {
+        let stood_for = shared.budgets.state.lock().standstill.tick(shared.clock.now());
+        if let Some(stood_for) = stood_for {
+            log::warn!("event=stood-still for_ms={}", stood_for.as_millis());
+        }
+        time::sleep(TICK).await;
+    }
+}
+
+/// A retry that the budget allowed. Dropping it returns its token if it was not sent.
+#[derive(Debug)]
+pub struct Retry {
+    shared: Arc<Shared>,
+    service: Arc<str>,
+    ticket: Ticket,
+    sent: bool,
+}
+
+impl Retry {
+    /// Spends a token of a service's budget.
+    ///
+    /// # Errors
+    /// Fails with the reason if no retry is allowed.
+    pub fn withdraw(shared: &Arc<Shared>, service: &Arc<str>) -> Result<Self, Denial> {
+        let ticket = shared.budgets.withdraw(service, shared.clock.now())?;
+        Ok(Self { shared: Arc::clone(shared), service: Arc::clone(service), ticket, sent: false })
+    }
+
+    /// Records whether some of it may have been sent.
+    pub fn set_sent(&mut self, sent: bool) {
+        self.sent = sent;
+    }
+
+    /// Records that it has arrived at its target.
+    pub fn record_arrival(&self) {
+        let ticket = self.ticket;
+        self.shared.budgets.with_known(&self.service, |bucket| bucket.record_arrival(ticket));
+    }
+}
 
-    /// Withdraws one retry from a service's budget, or returns false if the budget is exhausted.
-    pub fn withdraw(&self, service: &Arc<str>, params: RetryBudgetParams, now: Duration) -> bool {
-        self.windows.lock().entry(Arc::clone(service)).or_default().withdraw(params, now)
+impl Drop for Retry {
+    fn drop(&mut self) {
+        if !self.sent {
+            let ticket = self.ticket;
+            self.shared.budgets.with_known(&self.service, |bucket| bucket.refund(ticket));
+        }
     }
 }
--- a/crates/citron-gateway/src/connection.rs
+++ b/crates/citron-gateway/src/connection.rs
@@ -32,8 +32,10 @@
 use self::metered::{Allowance, Metered};
 use crate::http1::Sending;
 
+/// How long connecting to a target may take.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+pub const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The maximum size of the head of a target's response.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 /// The maximum number of headers of a target's response.
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -77,5 +77,7 @@
             log::info!("event=gateway-learned host={other} address={address} source=store");
         }
     }
+    shared.gateways.lock().record_list();
+    shared.update_retry_share();
     shared.state_changed.notify_one();
 }
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -21,6 +21,7 @@
 
 use self::header::text;
 use crate::{
+    budget::Retry,
     http1::{Head, Response, Segments},
     refusal,
     shared::Shared,
@@ -78,7 +79,7 @@
         return refusal::stopping();
     }
     let service = shared.select_service(&route);
-    shared.budgets.record_request(&service, shared.retry_budget_params(), shared.clock.now());
+    shared.budgets.record_request(&service, shared.clock.now());
     let forwarder =
         Forwarder { shared: &shared, route: &route, head: &head, body, id: &id, service, deadline };
     let (response, attempts) = tokio::select! {
@@ -117,19 +118,21 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut attempts = FuturesUnordered::new();
         let mut response = None;
+        // The retry that is sent next, or one that could not be sent and may be sent elsewhere.
+        let mut retry = None;
         let started_at = self.shared.clock.now();
         let mut hedged = false;
         let hedge_at = started_at + self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
         loop {
             let now = self.shared.clock.now();
-            match series.next_step(now, || self.charge_retry(now)) {
+            match series.next_step(now, || self.charge(&mut retry)) {
                 Step::Claim => unreachable!("the gateway claims no idempotency keys"),
                 Step::Send { .. } => match self.dispatch(&mut tried) {
                     Some(choice) => {
                         if let Some(reason) = series.last_result() {
                             self.record_retry(&choice, reason.into());
                         }
-                        attempts.push(self.attempt(choice));
+                        attempts.push(self.attempt(choice, retry.take()));
                     }
                     None => series.record_no_target(),
                 },
@@ -137,11 +140,12 @@
                     Some(attempt) = attempts.next() => {
                         series.record_result(attempt.result);
                         response = attempt.response.map(|r| (r, attempt.took)).or(response);
+                        retry = attempt.unsent_retry.or(retry);
                     }
                     () = time::sleep_until(self.shared.clock.instant(hedge_at)), if !hedged => {
                         hedged = true;
-                        if let Some(choice) = self.hedge(&mut series, &mut tried) {
-                            attempts.push(self.attempt(choice));
+                        if let Some(choice) = self.hedge(&mut series, &mut tried, &mut retry) {
+                            attempts.push(self.attempt(choice, retry.take()));
                         }
                     }
                 },
@@ -169,20 +173,25 @@
         }
     }
 
-    /// Charges a retry to the service's budget; returns false if the budget is exhausted.
-    fn charge_retry(&self, now: Duration) -> bool {
-        let params = self.shared.retry_budget_params();
-        let allowed = self.shared.budgets.withdraw(&self.service, params, now);
-        if !allowed {
-            log::warn!(
-                "event=not-repeated id={} service={} reason=budget-spent hosts={}",
-                self.id,
-                self.service,
-                params.hosts
-            );
-            self.shared.metrics.retries_denied.with_label_values(&[&*self.service]).inc();
+    /// Charges a retry to the service's budget, unless one is charged that was not sent; returns
+    /// false if the budget does not allow it.
+    fn charge(&self, retry: &mut Option<Retry>) -> bool {
+        if retry.is_some() {
+            return true;
         }
-        allowed
+        match Retry::withdraw(self.shared, &self.service) {
+            Ok(charged) => *retry = Some(charged),
+            Err(reason) => {
+                log::warn!(
+                    "event=not-repeated id={} service={} reason={reason}",
+                    self.id,
+                    self.service
+                );
+                let labels = &[&*self.service, reason.into()];
+                self.shared.metrics.retries_denied.with_label_values(labels).inc();
+            }
+        }
+        retry.is_some()
     }
 
     /// Records that the request is sent once more; `reason` is how the attempt before ended.
@@ -218,12 +227,17 @@
     }
 
     /// Chooses a target with a free slot for a hedge of an overdue attempt, if one is allowed.
-    fn hedge(&self, series: &mut AttemptSeries, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
+    fn hedge(
+        &self,
+        series: &mut AttemptSeries,
+        tried: &mut Vec<Arc<str>>,
+        retry: &mut Option<Retry>,
+    ) -> Option<Choice> {
         let criteria =
             Criteria { service: &self.service, tried, eligibility: Eligibility::FreeSlot };
         let choice = self.shared.begin_attempt(criteria).ok()?;
         let now = self.shared.clock.now();
-        if series.hedge(now, || self.charge_retry(now)).is_none() {
+        if series.hedge(now, || self.charge(retry)).is_none() {
             self.shared.end_attempt(&choice.target, None, Duration::ZERO);
             return None;
         }
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -24,13 +24,12 @@
     header::{end_to_end, is_hop_by_hop, keep_alive_timeout, text},
 };
 use crate::{
-    connection::{self, Connection, ResponseBody},
+    budget::Retry,
+    connection::{self, CONNECT_TIMEOUT, Connection, ResponseBody},
     http1::{BodyStream, Response, Sending},
     refusal,
 };
 
-/// How long connecting to a target may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// A response up to this size is buffered until it is complete, so that the request can be retried
 /// if the response breaks off.
 const BUFFER_LIMIT_BYTES: usize = 64 * 1024;
@@ -47,6 +46,8 @@
     pub response: Option<Response>,
     /// How long it took.
     pub took: Duration,
+    /// The retry that was charged for it, if nothing was sent.
+    pub unsent_retry: Option<Retry>,
     verdict: Option<Verdict>,
     /// The rest of a body that is too long to be buffered.
     rest: Option<PartialBody>,
@@ -54,7 +55,14 @@
 
 impl Attempt {
     fn new(result: AttemptResult, verdict: Option<Verdict>) -> Self {
-        Self { result, response: None, took: Duration::ZERO, verdict, rest: None }
+        Self {
+            result,
+            response: None,
+            took: Duration::ZERO,
+            unsent_retry: None,
+            verdict,
+            rest: None,
+        }
     }
 }
 
@@ -66,15 +74,16 @@
 }
 
 impl Forwarder<'_> {
-    /// Makes one attempt at the chosen target.
-    pub(super) async fn attempt(&self, choice: Choice) -> Attempt {
+    /// Makes one attempt at the chosen target, for which `retry` was charged if it is not the first.
+    pub(super) async fn attempt(&self, choice: Choice, mut retry: Option<Retry>) -> Attempt {
         let overdue_after = self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
         let mut guard = AttemptGuard::start(self.shared, choice, overdue_after);
         let deadline = self.shared.clock.instant(self.deadline);
-        let sent = time::timeout_at(deadline, self.send(&guard.choice().target)).await;
+        let sent = time::timeout_at(deadline, self.send(&guard.choice().target, &mut retry)).await;
         let mut attempt =
             sent.unwrap_or(Attempt::new(AttemptResult::TimedOut, Some(Verdict::Silent)));
         attempt.took = guard.elapsed();
+        attempt.unsent_retry = retry.filter(|_| attempt.result == AttemptResult::NotConnected);
         if attempt.verdict == Some(Verdict::Served) && attempt.took > self.route.objective {
             attempt.verdict = Some(Verdict::Late);
         }
@@ -120,7 +129,7 @@
     }
 
     /// Sends the request to a target and receives the response.
-    async fn send(&self, target: &Target) -> Attempt {
+    async fn send(&self, target: &Target, retry: &mut Option<Retry>) -> Attempt {
         let Some(request) = self.build_request(target) else {
             return Attempt::new(AttemptResult::Broken, None);
         };
@@ -146,9 +155,20 @@
                 }
             },
         };
+        if let Some(retry) = retry {
+            retry.set_sent(true);
+        }
         match connection.send(request).await {
-            Ok(response) => self.receive(target, response).await,
+            Ok(response) => {
+                if let Some(retry) = retry {
+                    retry.record_arrival();
+                }
+                self.receive(target, response).await
+            }
             Err(connection::Error::NotSent) => {
+                if let Some(retry) = retry {
+                    retry.set_sent(false);
+                }
                 Attempt::new(AttemptResult::NotConnected, Some(Verdict::Unreachable))
             }
             Err(connection::Error::Broken) => {
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr;
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
-use crate::{caller, directory, follow, metrics::Metrics, peer, reload, shared::Shared};
+use crate::{budget, caller, directory, follow, metrics::Metrics, peer, reload, shared::Shared};
 
 /// How long a gateway still accepts connections after it announced its shutdown, so that callers
 /// learn of the shutdown first.
@@ -88,6 +88,7 @@
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
         reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
+        tokio::spawn(budget::watch_standstill(Arc::clone(&shared)));
         servers.extend([directory, ready]);
         Ok(Self { shared, store, accept, servers })
     }
@@ -159,6 +160,7 @@
         update_gauges(&shared);
         shared.expire_targets();
         shared.update_limits();
+        shared.update_retry_share();
     }
 }
 
@@ -181,5 +183,9 @@
     for (kind, age) in shared.link.response_ages(now) {
         metrics.store_response_age_seconds.with_label_values(&[kind]).set(age.as_secs_f64());
     }
+    for (service, tokens, in_flight) in shared.budgets.levels() {
+        metrics.retry_tokens.with_label_values(&[&*service]).set(tokens);
+        metrics.retries_in_flight.with_label_values(&[&*service]).set(in_flight as f64);
+    }
     metrics.log_lines_dropped.set(citron_daemon::dropped_log_lines() as i64);
 }
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -25,8 +25,14 @@
     pub pulls: IntCounterVec,
     /// Bytes of state that arrived, by where they came from, subject and whether they were used.
     pub state_bytes: IntCounterVec,
-    /// Retries that the retry budget did not allow, by service.
+    /// Retries that the retry budget did not allow, by service and by why.
     pub retries_denied: IntCounterVec,
+    /// The most retries that this host may make at once, by its share of the slack.
+    pub retry_share: Gauge,
+    /// The retries that this host may make now, by service.
+    pub retry_tokens: GaugeVec,
+    /// The retries that may still be on their way, by service.
+    pub retries_in_flight: GaugeVec,
     /// Retries that were sent, by service and by how the attempt before ended.
     pub retries: IntCounterVec,
     /// Verdicts about targets, by verdict and by source: this gateway or a peer.
@@ -100,6 +106,16 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
+        let levels = |name: &str, help: &str, labels: &[&str]| {
+            let levels = GaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(levels.clone()))?;
+            prometheus::Result::Ok(levels)
+        };
+        let level = |name: &str, help: &str| {
+            let level = Gauge::new(name, help)?;
+            registry.register(Box::new(level.clone()))?;
+            prometheus::Result::Ok(level)
+        };
         let latency = HistogramVec::new(
             HistogramOpts::new(
                 "citron_request_duration_seconds",
@@ -117,24 +133,6 @@
             .buckets(ADDED_BOUNDS_S.to_vec()),
         )?;
         registry.register(Box::new(added.clone()))?;
-        let store_silent_seconds = Gauge::new(
-            "citron_store_silent_seconds",
-            "Time since the store ceased to answer, 0 while it answers",
-        )?;
-        registry.register(Box::new(store_silent_seconds.clone()))?;
-        let state_unconfirmed_seconds = Gauge::new(
-            "citron_state_unconfirmed_seconds",
-            "Time since routes and targets were last known to be current",
-        )?;
-        registry.register(Box::new(state_unconfirmed_seconds.clone()))?;
-        let store_response_age_seconds = GaugeVec::new(
-            Opts::new(
-                "citron_store_response_age_seconds",
-                "Time since the store's latest response to the calls of a subject",
-            ),
-            &["subject"],
-        )?;
-        registry.register(Box::new(store_response_age_seconds.clone()))?;
         Ok(Self {
             refused: counters(
                 "citron_refusals_total",
@@ -163,7 +161,21 @@
             )?,
             retries_denied: counters(
                 "citron_repetitions_denied_total",
-                "Repetitions that the budget did not allow, by service",
+                "Repetitions that the budget did not allow, by service and by why",
+                &["service", "reason"],
+            )?,
+            retry_share: level(
+                "citron_retry_share",
+                "The most repetitions that this host may send at once, 0 if it has no share",
+            )?,
+            retry_tokens: levels(
+                "citron_retry_tokens",
+                "Repetitions that this host may send now, by service",
+                &["service"],
+            )?,
+            retries_in_flight: levels(
+                "citron_retries_in_flight",
+                "Repetitions that may still be on their way, by service",
                 &["service"],
             )?,
             retries: counters(
@@ -236,9 +248,19 @@
             )?,
             latency,
             added,
-            store_silent_seconds,
-            store_response_age_seconds,
-            state_unconfirmed_seconds,
+            store_silent_seconds: level(
+                "citron_store_silent_seconds",
+                "Time since the store ceased to answer, 0 while it answers",
+            )?,
+            store_response_age_seconds: levels(
+                "citron_store_response_age_seconds",
+                "Time since the store's latest response to the calls of a subject",
+                &["subject"],
+            )?,
+            state_unconfirmed_seconds: level(
+                "citron_state_unconfirmed_seconds",
+                "Time since routes and targets were last known to be current",
+            )?,
             registry,
         })
     }
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -187,6 +187,7 @@
         ready: state.ready,
         routes_version: state.routes_version,
         targets_position: Position { era: state.targets_era, revision: state.targets_revision },
+        fleet_hosts: state.fleet_hosts,
         store_contact,
         confirmed_at: state.confirmed_age_ms.map(ago),
         store_silence: state.store_silence.map(|silence| Silence {
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -201,6 +201,7 @@
         routes_version: shared.routes().map_or(0, |routes| routes.version),
         targets_revision: position.revision,
         targets_era: position.era,
+        fleet_hosts: shared.gateways.lock().fleet_hosts(),
         wants_reply,
         datagrams: socket.local_addr().map_or_else(|_| String::new(), |own| own.to_string()),
         store_answers_for_ms: contact.map_or(0, |contact| age_ms(contact.since)),
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -100,6 +100,9 @@
     /// The last silence of the store that the sender noticed.
     #[prost(message, optional, tag = "14")]
     pub store_silence: Option<Silence>,
+    /// The number of hosts that the sender knows, 0 if it has not read the platform's list.
+    #[prost(uint32, tag = "17")]
+    pub fleet_hosts: u32,
     /// Whether the sender requests a reply with the gateways that the receiver knows.
     #[prost(bool, tag = "8")]
     pub wants_reply: bool,
--- a/crates/citron-gateway/src/shared/attempt.rs
+++ b/crates/citron-gateway/src/shared/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citron::{
-    attempt::RetryBudgetParams,
+    attempt::RetryShare,
     catalog::Target,
     gray::{Choice, Criteria, NoCapacity, Verdict},
     placement::Host,
@@ -15,8 +15,6 @@
 use super::Shared;
 use crate::peer::message::Outcome;
 
-/// The minimum number of hosts that the slack of a retry budget is divided by.
-const HOSTS_MIN: usize = 8;
 /// The maximum number of outcomes that wait to be sent to the peers; further ones are dropped and
 /// counted.
 const PENDING_OUTCOMES_LIMIT: usize = 1024;
@@ -143,19 +141,20 @@
         self.outcomes_added.notify_one();
     }
 
-    /// Returns the parameters of this host's share of the retry budgets.
-    pub fn retry_budget_params(&self) -> RetryBudgetParams {
+    /// Computes this host's share of the retry budgets anew.
+    pub fn update_retry_share(&self) {
         let settings = self.settings();
-        let hosts = 1 + self.gateways.lock().iter().count();
-        RetryBudgetParams {
-            ratio: settings.retry_budget.ratio,
-            slack: settings.retry_budget.slack,
-            window: settings.retry_budget.window,
-            hosts: hosts.max(HOSTS_MIN),
-            slack_from: RetryBudgetParams::slack_from(
-                settings.retry_budget.window,
-                settings.is_first_start,
-            ),
+        let sharer = self.gateways.lock().retry_sharer(&settings.host, self.clock.now());
+        let share = sharer
+            .map_or(RetryShare::NONE, |sharer| RetryShare::new(&settings.retry_bound, sharer));
+        self.metrics.retry_share.set(share.burst);
+        if self.budgets.set_share(share) {
+            log::info!(
+                "event=retry-share hosts={} burst={:.2} refill_per_s={:.3}",
+                sharer.map_or(0, |sharer| sharer.hosts),
+                share.burst,
+                share.refill_per_s
+            );
         }
     }
 }
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -11,7 +11,8 @@
     time::Duration,
 };
 
-use citron_adapter::settings::{RetryBudget, Settings};
+use citron::attempt::RetryBound;
+use citron_adapter::settings::Settings;
 use citron_daemon::Clock;
 use citron_gateway::Gateway;
 use serde_json::{Value, json};
@@ -24,6 +25,9 @@
 /// How long a test waits for a condition to become true.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// For how long the gateway of a test fleet has run, so that it may make retries.
+const RUN_TIME: Duration = Duration::from_secs(60);
+
 /// A gateway with its store and targets.
 pub struct TestFleet {
     pub store: Store,
@@ -42,7 +46,8 @@
             store.put("servers", &target.id, target.entry("ready"));
             bound.push(target);
         }
-        let gateway = gateway("entry-1", &store).await;
+        let clock = Clock::started_before(RUN_TIME);
+        let gateway = gateway_with("entry-1", store.addr(), clock).await;
         let fleet = Self { store, targets: bound, gateway };
         fleet.wait_ready().await;
         fleet
@@ -126,6 +131,10 @@
 
 /// Starts a gateway on free ports that calls the store at `store`.
 pub async fn gateway_at(host: &str, store: SocketAddr) -> Gateway {
+    gateway_with(host, store, Clock::start()).await
+}
+
+async fn gateway_with(host: &str, store: SocketAddr, clock: Clock) -> Gateway {
     let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let settings = Settings {
         host: host.to_owned(),
@@ -141,13 +150,12 @@
         internal_port: 0,
         store,
         object_bytes: OBJECT_BYTES,
-        // Nothing may be used of the slack in the first window.
-        retry_budget: RetryBudget { ratio: 1.0, slack: 0.0, window: Duration::from_secs(10) },
+        retry_bound: RetryBound { ratio: 1.0, slack: 800.0, window: Duration::from_secs(10) },
         ttl_max: Duration::from_secs(5),
         grace: Duration::from_secs(6),
         is_first_start: false,
     };
-    Gateway::bind(settings, None, Clock::start()).await.expect("a gateway")
+    Gateway::bind(settings, None, clock).await.expect("a gateway")
 }
 
 /// Returns the status of a gateway's readiness check.
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -229,6 +229,7 @@
             ready: true,
             routes_version: 1,
             targets_position: Position::default(),
+            fleet_hosts: 0,
             store_contact: None,
             confirmed_at: None,
             store_silence: None,
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -1,13 +1,15 @@
 //! The attempts of one request: how each ended, whether to retry, and when to refuse the request.
 
+mod bucket;
 mod budget;
 mod key;
-mod window;
+mod standstill;
 
 pub use self::{
+    bucket::{Denial, RetryBound, RetryBucket, RetryShare, SHARED_PART, Sharer, Ticket},
     budget::RetryBudget,
     key::key_digest,
-    window::{RetryBudgetParams, WindowedRetryBudget},
+    standstill::Standstill,
 };
 
 use std::time::Duration;
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -1,6 +1,11 @@
 //! The other gateways of the fleet, as known from their reports.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::{
     Rng,
@@ -9,6 +14,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    attempt::Sharer,
     catalog::Target,
     delay::Delay,
     outage::{self, Contact, Silence},
@@ -73,6 +79,8 @@
     pub routes_version: u64,
     /// The position of its target list, revision 0 if it has none.
     pub targets_position: Position,
+    /// The number of hosts that it knows, 0 if it does not know of all that the platform lists.
+    pub fleet_hosts: u32,
     /// Its contact with the store by the receiver's clock, `None` if the store does not respond.
     pub store_contact: Option<Contact>,
     /// When the store confirmed to it that these routes and targets are current, by the receiver's
@@ -104,6 +112,10 @@
 #[derive(Debug, Default)]
 pub struct Gateways {
     by_host: BTreeMap<Arc<str>, Gateway>,
+    /// The hosts that were ever known, which may be alive although they are not heard.
+    ever_known: BTreeSet<Arc<str>>,
+    /// Whether all hosts that the platform lists are known.
+    has_list: bool,
     /// How reports are delayed, by host, with the start of the process that sent them.
     delays: BTreeMap<Arc<str>, (u64, Delay)>,
 }
@@ -115,7 +127,9 @@
             return false;
         }
         let gateway = Gateway { address, report: None, last_seen: now };
-        self.by_host.insert(Arc::from(host), gateway);
+        let host: Arc<str> = Arc::from(host);
+        self.ever_known.insert(Arc::clone(&host));
+        self.by_host.insert(host, gateway);
         true
     }
 
@@ -147,7 +161,11 @@
         let is_new =
             known.is_none_or(|g| g.report.is_none() || now - g.last_seen >= LIVENESS_TIMEOUT);
         let gateway = Gateway { address, report: Some(report), last_seen: now };
-        self.by_host.insert(Arc::from(host), gateway);
+        let host: Arc<str> = Arc::from(host);
+        if is_new {
+            self.ever_known.insert(Arc::clone(&host));
+        }
+        self.by_host.insert(host, gateway);
         is_new
     }
 
@@ -333,6 +351,29 @@
         }
     }
 
+    /// Records that all hosts that the platform lists have been learned.
+    pub fn record_list(&mut self) {
+        self.has_list = true;
+    }
+
+    /// Returns the number of hosts of the fleet that are known, this one included, or 0 if the
+    /// platform's list has not been read.
+    pub fn fleet_hosts(&self) -> u32 {
+        if self.has_list { self.ever_known.len() as u32 + 1 } else { 0 }
+    }
+
+    /// Returns which part of the fleet's slack for retries the gateway on `own` may use, `None`
+    /// while neither it nor a peer has read how many hosts there are.
+    ///
+    /// A host counts although it is silent: it may be alive behind a cut and use its part.
+    pub fn retry_sharer(&self, own: &str, now: Duration) -> Option<Sharer> {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        let named = reports.map(|report| report.fleet_hosts).chain([self.fleet_hosts()]).max();
+        let named = named.filter(|hosts| *hosts > 0)? as usize;
+        let rank = self.ever_known.iter().filter(|host| &***host < own).count();
+        Some(Sharer { hosts: named.max(self.ever_known.len() + 1), rank })
+    }
+
     /// Returns how long without a report others wait before they take over from a gateway. In a
     /// large failure domain each report reaches only some gateways.
     fn takeover_timeout(&self) -> Duration {
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use citron::{
+    attempt::Sharer,
     catalog::Target,
     gateways::{Gateways, Report},
     outage::{Contact, Silence},
@@ -25,6 +26,7 @@
         ready,
         routes_version: u64::from(port),
         targets_position: Position { era: 1, revision: 5 },
+        fleet_hosts: 0,
         store_contact: None,
         confirmed_at: None,
         store_silence: None,
@@ -286,3 +288,33 @@
     assert_eq!(asked.len(), 8, "each is asked by some");
     assert!(most < Some(50), "one is asked {most:?} times of 200");
 }
+
+fn sharer(gateways: &Gateways, own: &str, now: Duration) -> Option<Sharer> {
+    gateways.retry_sharer(own, now)
+}
+
+#[test]
+fn a_gateway_that_does_not_know_the_fleet_has_no_share_of_the_retry_budget() {
+    let mut gateways = fleet();
+    assert_eq!(sharer(&gateways, "a3", at(100)), None);
+    gateways.record_list();
+    assert_eq!(sharer(&gateways, "a3", at(100)), Some(Sharer { hosts: 4, rank: 2 }));
+}
+
+#[test]
+fn a_gateway_that_cannot_read_the_list_takes_the_number_of_hosts_from_a_peer() {
+    let mut gateways = fleet();
+    let known = Report { fleet_hosts: 9, ..report("b", 30, true) };
+    gateways.apply_report("b1", address(32), known, at(100));
+    assert_eq!(sharer(&gateways, "a0", at(200)), Some(Sharer { hosts: 9, rank: 0 }));
+    assert_eq!(gateways.fleet_hosts(), 0, "what it took from a peer it does not tell");
+    assert_eq!(sharer(&gateways, "a0", at(60_000)), None, "the peer is silent");
+}
+
+#[test]
+fn a_silent_gateway_may_still_use_its_share_of_the_retry_budget() {
+    let mut gateways = fleet();
+    gateways.record_list();
+    assert_eq!(gateways.expire(at(300_000)).len(), 3);
+    assert_eq!(sharer(&gateways, "a3", at(300_000)), Some(Sharer { hosts: 4, rank: 2 }));
+}
--- /dev/null
+++ b/crates/citron/tests/retry_bucket.rs
@@ -0,0 +1,186 @@
+//! A host's share of the fleet's retry budget, and the bucket that it is spent from.
+
+use std::{collections::VecDeque, time::Duration};
+
+use citron::attempt::{Denial, RetryBound, RetryBucket, RetryShare, Sharer, Standstill, Ticket};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const WINDOW: Duration = Duration::from_secs(10);
+const FLIGHT: Duration = Duration::from_secs(3);
+const BOUND: RetryBound = RetryBound { ratio: 0.2, slack: 20.0, window: WINDOW };
+/// One of five hosts: 3.4 tokens a window, of which 2.21 at once.
+const SHARER: Sharer = Sharer { hosts: 5, rank: 0 };
+
+fn share() -> RetryShare {
+    RetryShare::new(&BOUND, SHARER)
+}
+
+fn at(seconds: f64) -> Duration {
+    FLIGHT + Duration::from_secs_f64(seconds)
+}
+
+/// Returns the bucket of a process that has run for long, and has made no retries.
+fn full() -> RetryBucket {
+    let mut bucket = RetryBucket::new(FLIGHT);
+    bucket.record_request(&share(), at(0.0));
+    bucket.record_request(&share(), at(60.0));
+    bucket
+}
+
+/// Makes retries that arrive at once until one is denied; returns how many, and why it was denied.
+fn spend(bucket: &mut RetryBucket, share: &RetryShare, now: Duration) -> (usize, Denial) {
+    for count in 0.. {
+        match bucket.withdraw(share, now) {
+            Ok(ticket) => bucket.record_arrival(ticket),
+            Err(denial) => return (count, denial),
+        }
+    }
+    unreachable!("some retry is denied")
+}
+
+macro_rules! shares {
+    ($($name:ident: $slack:expr, $hosts:expr, $rank:expr => $burst:expr, $refill:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let bound = RetryBound { slack: $slack, ..BOUND };
+            let share = RetryShare::new(&bound, Sharer { hosts: $hosts, rank: $rank });
+            assert!((share.burst - $burst).abs() < 1e-9, "{share:?}");
+            assert!((share.refill_per_s - $refill).abs() < 1e-9, "{share:?}");
+        }
+    )*};
+}
+
+shares! {
+    the_slack_is_shared_by_the_hosts: 20.0, 5, 4 => 2.21, 0.119;
+    one_host_has_all_of_it: 20.0, 1, 0 => 11.05, 0.595;
+    a_small_share_is_a_whole_token: 20.0, 12, 3 => 1.0, (17.0 / 12.0 - 1.0) / 10.0;
+    a_host_without_a_whole_token_has_no_share: 20.0, 30, 17 => 0.0, 0.0;
+    a_host_that_comes_first_has_a_share_of_little: 20.0, 30, 16 => 1.0, 0.0;
+    no_slack_is_no_share: 0.0, 1, 0 => 0.0, 0.0;
+    a_fleet_that_is_not_counted_counts_one: 20.0, 0, 0 => 11.05, 0.595;
+}
+
+#[test]
+fn all_shares_stay_below_the_slack() {
+    for hosts in 1..200 {
+        let shares = (0..hosts).map(|rank| RetryShare::new(&BOUND, Sharer { hosts, rank }));
+        let sum: f64 = shares.map(|s| s.burst + s.refill_per_s * WINDOW.as_secs_f64()).sum();
+        assert!(sum <= 0.85 * BOUND.slack + 1e-9, "{sum} of {hosts} hosts");
+    }
+}
+
+#[test]
+fn requests_add_their_part() {
+    let mut bucket = full();
+    assert_eq!(spend(&mut bucket, &share(), at(60.0)), (2, Denial::Spent));
+    (0..50).for_each(|_| {
+        bucket.record_request(&share(), at(60.0));
+    });
+    assert_eq!(spend(&mut bucket, &share(), at(60.0)).0, 2, "the bucket holds 2.21 tokens");
+    let retries: usize = (0..50)
+        .map(|_| {
+            bucket.record_request(&share(), at(60.0));
+            spend(&mut bucket, &share(), at(60.0)).0
+        })
+        .sum();
+    assert_eq!(retries, 10, "a fifth of the requests, as their tokens are spent at once");
+}
+
+#[test]
+fn the_share_is_refilled_over_the_window() {
+    let mut bucket = full();
+    assert_eq!(spend(&mut bucket, &share(), at(60.0)).0, 2);
+    assert!(bucket.withdraw(&share(), at(66.0)).is_err(), "0.21 and 0.71 tokens");
+    assert!(bucket.withdraw(&share(), at(67.0)).is_ok(), "0.21 and 0.83 tokens");
+}
+
+#[test]
+fn a_process_that_replaced_another_does_not_use_the_slack_of_its_host_once_more() {
+    let mut bucket = RetryBucket::new(FLIGHT);
+    (0..50).for_each(|_| {
+        bucket.record_request(&share(), FLIGHT - Duration::from_millis(1));
+    });
+    let too_early = bucket.withdraw(&share(), FLIGHT - Duration::from_millis(1));
+    assert_eq!(too_early, Err(Denial::Starting));
+    assert_eq!(bucket.withdraw(&share(), FLIGHT), Err(Denial::Spent));
+}
+
+#[test]
+fn a_retry_on_its_way_counts_in_the_burst_until_it_cannot_arrive() {
+    let mut bucket = full();
+    (0..2).for_each(|_| {
+        bucket.withdraw(&share(), at(60.0)).expect("a token");
+    });
+    (0..50).for_each(|_| {
+        bucket.record_request(&share(), at(60.0));
+    });
+    assert_eq!(bucket.withdraw(&share(), at(62.9)), Err(Denial::InFlight));
+    (0..50).for_each(|_| {
+        bucket.record_request(&share(), at(63.0));
+    });
+    assert!(bucket.withdraw(&share(), at(63.0)).is_ok());
+}
+
+#[test]
+fn a_retry_that_was_not_sent_returns_its_token_once() {
+    let mut bucket = full();
+    let ticket: Ticket = bucket.withdraw(&share(), at(60.0)).expect("a token");
+    assert!(bucket.withdraw(&share(), at(60.0)).is_ok());
+    bucket.refund(ticket);
+    bucket.refund(ticket);
+    assert!(bucket.withdraw(&share(), at(60.0)).is_ok());
+    assert!(bucket.withdraw(&share(), at(60.0)).is_err());
+}
+
+#[test]
+fn a_host_that_does_not_know_its_share_makes_no_retries() {
+    let mut bucket = full();
+    assert_eq!(bucket.withdraw(&RetryShare::NONE, at(60.0)), Err(Denial::NoShare));
+    assert_eq!(bucket.withdraw(&share(), at(60.0)), Err(Denial::Spent), "nor saves tokens");
+}
+
+/// No span, however long, has more retries than the requests in that span and the share allow.
+#[test]
+fn random_spans_keep_the_bound() {
+    for seed in 1..=40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut bucket = RetryBucket::new(FLIGHT);
+        let mut now = FLIGHT;
+        let (mut requests, mut retries) = (VecDeque::new(), VecDeque::new());
+        for _ in 0..3000 {
+            now += Duration::from_millis(rng.random_range(0..60));
+            if rng.random_ratio(1, 2) {
+                bucket.record_request(&share(), now);
+                requests.push_back(now);
+            } else if let Ok(ticket) = bucket.withdraw(&share(), now) {
+                bucket.record_arrival(ticket);
+                retries.push_back(now);
+            }
+            let span = Duration::from_millis(rng.random_range(1..20_000));
+            let during = |times: &VecDeque<Duration>| {
+                times.iter().rev().take_while(|at| **at + span > now).count() as f64
+            };
+            let share = share();
+            let allowed = share.ratio * during(&requests)
+                + share.burst
+                + share.refill_per_s * span.as_secs_f64();
+            assert!(during(&retries) <= allowed + 1e-6, "seed {seed} at {now:?}");
+        }
+    }
+}
+
+const TICK: Duration = Duration::from_millis(100);
+
+#[test]
+fn a_request_that_waited_while_the_process_stood_still_is_told() {
+    let mut standstill = Standstill::new(TICK);
+    let at = Duration::from_millis;
+    assert_eq!(standstill.tick(at(100)), None);
+    assert!(standstill.is_over(at(350)));
+    assert!(!standstill.is_over(at(3000)), "before the tick that is late");
+    assert_eq!(standstill.tick(at(3000)), Some(at(2900)));
+    assert!(!standstill.is_over(at(3100)));
+    assert_eq!(standstill.tick(at(3100)), None);
+    assert!(standstill.is_over(at(3200)));
+}
