Judge rejected arrivals in the soak's budget, let targets reject for long, and measure the fleet's budget with real processes

The soak counted only requests that a target ran; a target that rejects one left no run, so that no soak could see the incident. Rejections count now, most targets reject most requests for long as a trouble, and each run prints how near its windows came to the bound.

--- a/crates/citron-stand/src/bench/mod.rs
+++ b/crates/citron-stand/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements, each ending in one line of `key=value` pairs.
 
+mod budget;
 mod change;
 mod child;
 mod choice;
@@ -26,6 +27,11 @@
         self.pairs.push((key.into(), value));
     }
 
+    /// Returns the figures in their order.
+    pub fn pairs(&self) -> &[(String, f64)] {
+        &self.pairs
+    }
+
     /// Returns a figure by its key.
     pub fn get(&self, key: &str) -> Option<f64> {
         self.pairs.iter().find(|(name, _)| name == key).map(|(_, value)| *value)
@@ -47,6 +53,7 @@
 
 /// The benches by name.
 pub const BENCHES: &[(&str, Bench)] = &[
+    ("budget", budget::run),
     ("change", change::run),
     ("choice", choice::run),
     ("control", control::run),
--- a/crates/citron-stand/src/soak.rs
+++ b/crates/citron-stand/src/soak.rs
@@ -3,6 +3,7 @@
 //! A seed gives the faults and the traffic. The promises are judged while the run goes on, from
 //! what callers and targets saw; see [`promise::Promise`].
 
+pub mod budget;
 pub mod plan;
 pub mod process;
 pub mod promise;
@@ -80,6 +81,8 @@
     pub requests: (usize, usize),
     /// The runs at targets that were judged.
     pub runs: usize,
+    /// The most that any window of ten seconds held of the retries that it allows.
+    pub budget_used: f64,
     /// How often the harness itself stood still; requests around that are not held to times.
     pub stalls: usize,
     /// What was found.
@@ -128,13 +131,18 @@
         faults: count(&steps),
         requests: (record.sent.len(), served(&record, started)),
         runs: record.runs.len(),
+        budget_used: budget::usages(&record, &Bounds::default())
+            .iter()
+            .map(budget::Usage::part)
+            .fold(0.0, f64::max),
         stalls: record.troubles.iter().filter(|t| t.what == What::Harness).count(),
         findings,
         folder,
     })
 }
 
-fn call(settings: &Settings, world: &World) -> JoinSet<()> {
+/// Starts the callers of a run, which end when the set is dropped.
+pub fn call(settings: &Settings, world: &World) -> JoinSet<()> {
     let traffic = Arc::new(Traffic {
         directories: world.hosts.iter().map(process::Host::directory).collect(),
         gateways: world.hosts.iter().map(process::Host::callers).collect(),
@@ -235,6 +243,10 @@
             world.upset_target(place, act, time).await;
             Ok(())
         }
+        Action::Reject(time) => {
+            world.reject(time).await;
+            Ok(())
+        }
         Action::TargetLink(place, fault, time) => {
             world.upset_target_link(place, fault, time).await;
             Ok(())
@@ -291,9 +303,10 @@
         let faults: usize = self.faults.values().sum();
         write!(
             f,
-            "seed {}: {faults} faults, {requests} requests, {served} served, {} runs, {} stalls of the harness, {} findings",
+            "seed {}: {faults} faults, {requests} requests, {served} served, {} runs, {:.2} of a window's retries, {} stalls of the harness, {} findings",
             self.seed,
             self.runs,
+            self.budget_used,
             self.stalls,
             self.findings.len()
         )
--- a/crates/citron-stand/src/soak/plan.rs
+++ b/crates/citron-stand/src/soak/plan.rs
@@ -15,6 +15,9 @@
 /// The bounds of how long a fault lasts, in milliseconds.
 const LENGTH_MS: (u64, u64) = (300, 5000);
 
+/// How much longer than other faults targets reject requests, so that retries spend their budget.
+const REJECT_TIMES: u32 = 4;
+
 /// What is done at one moment.
 #[derive(Debug, Clone, EnumDiscriminants)]
 #[strum_discriminants(name(Kind), derive(Hash, PartialOrd, Ord, EnumIter, IntoStaticStr))]
@@ -43,6 +46,8 @@
     StoreLink(usize, Fault, Duration),
     /// A target treats its requests otherwise for a while.
     Target(usize, Act, Duration),
+    /// Most targets reject most requests for a while.
+    Reject(Duration),
     /// The link to a target fails for a while.
     TargetLink(usize, Fault, Duration),
     /// A target says that it leaves and another takes its place.
@@ -107,7 +112,8 @@
         27..34 => Action::Store(mood(rng), time),
         34..37 => Action::ForgetHistory,
         37..45 => Action::StoreLink(gateway, fault(rng), time),
-        45..65 => Action::Target(target, act(rng), time),
+        45..48 => Action::Reject(time * REJECT_TIMES),
+        48..65 => Action::Target(target, act(rng), time),
         65..74 => Action::TargetLink(target, fault(rng), time),
         74..84 => Action::Replace(target),
         84..90 => Action::Vanish(target),
--- a/crates/citron-stand/src/soak/process.rs
+++ b/crates/citron-stand/src/soak/process.rs
@@ -16,6 +16,8 @@
 const SETTINGS_VARIABLE: &str = "CITRONLANDING_CONFIG";
 /// The variable that sets the port of the metrics.
 const METRICS_VARIABLE: &str = "CITRON_METRICS_PORT";
+/// The variable that names another build of the gateway.
+const PROGRAM_VARIABLE: &str = "CITRON_GATEWAY_PROGRAM";
 /// The ports that every gateway uses on its own address.
 const CALLERS_PORT: u16 = 28144;
 const READY_PORT: u16 = 28140;
@@ -204,8 +206,12 @@
     OpenOptions::new().create(true).append(true).open(path)
 }
 
-/// Finds the gateway beside the running program, or one folder above it.
+/// Finds the gateway: the one that the environment names, or else the one beside the running program
+/// or one folder above it.
 fn program() -> eyre::Result<PathBuf> {
+    if let Some(program) = std::env::var_os(PROGRAM_VARIABLE) {
+        return Ok(PathBuf::from(program));
+    }
     let own = std::env::current_exe()?;
     let mut folders = own.ancestors().skip(1).take(2).map(|folder| folder.join("citron-gateway"));
     folders
--- a/crates/citron-stand/src/soak/promise.rs
+++ b/crates/citron-stand/src/soak/promise.rs
@@ -9,7 +9,10 @@
 use strum::{EnumIter, IntoStaticStr};
 use tokio::time::Instant;
 
-use super::record::{Answered, End, Record, Run, Sent, What};
+use super::{
+    budget,
+    record::{Answered, End, Record, Run, Sent, What},
+};
 
 /// The bounds that the users' pages state for a run.
 #[derive(Debug, Copy, Clone)]
@@ -269,36 +272,9 @@
     }
 
     fn judge_budget(&self, findings: &mut Vec<Finding>) {
-        let window = self.bounds.retry_window;
-        let mut repeats: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
-        for runs in self.runs.values() {
-            let mut runs = runs.clone();
-            runs.sort_by_key(|run| run.seen.at);
-            for run in runs.iter().skip(1) {
-                repeats.entry(&run.service).or_default().push(run.seen.at);
-            }
-        }
-        for (service, mut times) in repeats {
-            times.sort();
-            let requests = |from: Instant, until: Instant| {
-                let of_service = |sent: &&Sent| self.services(sent, |_| true).contains(service);
-                let during = |sent: &&Sent| sent.at >= from && sent.at < until;
-                self.record.sent.iter().filter(during).filter(of_service).count()
-            };
-            for (index, from) in times.iter().enumerate() {
-                let count = times[index..].iter().filter(|at| **at < *from + window).count();
-                if (count as f64) <= self.bounds.retry_slack {
-                    continue;
-                }
-                let spans = [window, window * 2, window + window / 2];
-                let counts =
-                    spans.map(|back| requests(*from + window - back, *from + window * 2 - back));
-                let most = counts.into_iter().max().unwrap_or(0) as f64;
-                if count as f64 > self.bounds.retry_ratio * most + self.bounds.retry_slack {
-                    let detail = format!("{count} repetitions at {service} for {most} requests");
-                    findings.push(Finding { promise: Promise::Budget, detail });
-                    break;
-                }
+        for usage in budget::usages(self.record, self.bounds) {
+            if usage.retries as f64 > usage.allowed {
+                findings.push(Finding { promise: Promise::Budget, detail: usage.to_string() });
             }
         }
     }
@@ -328,8 +304,7 @@
     }
 
     fn service(&self, sent: &Sent, version: usize) -> &str {
-        let services = &self.record.versions[version].services;
-        services.get(route(&sent.first_line)).map_or("", String::as_str)
+        self.record.service(sent, version)
     }
 
     /// Returns the services that versions send a request to.
@@ -372,9 +347,3 @@
         report(Promise::OwnAnswer, format!("{status} for a proper request"));
     }
 }
-
-/// Returns the part of the path that selects the route.
-fn route(first_line: &str) -> &str {
-    let path = first_line.split(' ').nth(1).unwrap_or_default();
-    path.split('/').nth(1).unwrap_or_default()
-}
--- a/crates/citron-stand/src/soak/record.rs
+++ b/crates/citron-stand/src/soak/record.rs
@@ -77,6 +77,17 @@
     pub left_at: Option<Instant>,
 }
 
+/// A request that a target rejected without running it.
+#[derive(Debug, Clone)]
+pub struct Rejection {
+    /// The target's service.
+    pub service: String,
+    /// The caller's id of the request.
+    pub id: String,
+    /// When the target read it.
+    pub at: Instant,
+}
+
 /// A span in which a gateway, or all of them, cannot be held to promises with a time.
 #[derive(Debug, Copy, Clone)]
 pub struct Trouble {
@@ -124,8 +135,10 @@
 pub struct Record {
     /// The requests.
     pub sent: Vec<Sent>,
-    /// What the targets saw.
+    /// What the targets ran.
     pub runs: Vec<Run>,
+    /// What the targets rejected.
+    pub rejections: Vec<Rejection>,
     /// The versions of the configuration, oldest first.
     pub versions: Vec<Version>,
     /// When each target that leaves was acknowledged to leave.
@@ -157,6 +170,13 @@
         })
     }
 
+    /// Returns the service that a version sends a request to, empty if it has none.
+    pub fn service(&self, sent: &Sent, version: usize) -> &str {
+        let path = sent.first_line.split(' ').nth(1).unwrap_or_default();
+        let route = path.split('/').nth(1).unwrap_or_default();
+        self.versions[version].services.get(route).map_or("", String::as_str)
+    }
+
     /// Returns true if a target or the link to it misbehaved between two moments.
     pub fn is_target_troubled(&self, target: &str, from: Instant, until: Instant) -> bool {
         self.target_troubles.iter().any(|(id, begin, end)| {
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -23,7 +23,7 @@
     Settings,
     plan::Fault,
     process::{Host, Process, free_block},
-    record::{Record, Run, Trouble, Version, What},
+    record::{Record, Rejection, Run, Trouble, Version, What},
 };
 use crate::{
     gateway::{
@@ -47,6 +47,10 @@
 const RESTORE_TIME: Duration = Duration::from_millis(500);
 /// How long a process that ended stays down.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// One target of so many goes on as usual while the others reject requests.
+const REJECTING_EVERY: usize = 10;
+/// The share of requests that a target rejects meanwhile.
+const REJECTED_SHARE: f64 = 0.8;
 /// The pause between two looks at a process or a condition.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -247,6 +251,23 @@
         self.end_target(trouble);
     }
 
+    /// Lets most targets reject most requests for a while.
+    pub async fn reject(&self, time: Duration) {
+        let count = self.places.lock().current.len();
+        let places: Vec<_> =
+            (0..count).filter(|n| n % REJECTING_EVERY != 0).map(|n| self.place(n)).collect();
+        let troubles: Vec<_> = places.iter().map(|place| self.begin_target(place)).collect();
+        for (seed, place) in (0..).zip(&places) {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            place.target.set_plan(move |seen| {
+                if rng.random_bool(REJECTED_SHARE) { Act::Shed } else { work(seen) }
+            });
+        }
+        time::sleep(time).await;
+        places.iter().for_each(|place| place.target.set_plan(work));
+        troubles.into_iter().for_each(|trouble| self.end_target(trouble));
+    }
+
     /// Lets the way to a target fail for a while.
     pub async fn upset_target_link(&self, place: usize, fault: Fault, time: Duration) {
         let place = self.place(place);
@@ -374,6 +395,7 @@
             places.current.iter().chain(&places.past).cloned().collect()
         };
         let mut runs = Vec::new();
+        let mut rejections = Vec::new();
         for Place { target, .. } in places.iter().map(|place| &**place) {
             let left: BTreeMap<String, Instant> = target.left_at().into_iter().collect();
             runs.extend(target.seen().into_iter().map(|seen| Run {
@@ -382,8 +404,15 @@
                 left_at: left.get(seen.id()).copied(),
                 seen,
             }));
+            rejections.extend(target.refused().into_iter().map(|seen| Rejection {
+                service: target.service().to_owned(),
+                id: seen.id().to_owned(),
+                at: seen.at,
+            }));
         }
-        self.record.lock().runs = runs;
+        let mut record = self.record.lock();
+        record.runs = runs;
+        record.rejections = rejections;
     }
 
     async fn open(&self, index: usize) -> eyre::Result<Arc<Place>> {
