--- a/crates/citron-stand/src/soak/promise.rs
+++ b/crates/citron-stand/src/soak/promise.rs
@@ -12,6 +12,7 @@
 use super::{
     budget,
     record::{Answered, End, Record, Run, Sent, What},
+    world::MAX_ATTEMPTS,
 };
 
 /// The bounds that the users' pages state for a run.
@@ -38,6 +39,8 @@
     pub retry_slack: f64,
     /// The window of the budget of repetitions.
     pub retry_window: Duration,
+    /// The targets at which a request may run.
+    pub attempts: usize,
 }
 
 impl Default for Bounds {
@@ -53,6 +56,7 @@
             retry_ratio: 0.2,
             retry_slack: 62.0,
             retry_window: Duration::from_secs(10),
+            attempts: MAX_ATTEMPTS,
         }
     }
 }
@@ -81,6 +85,8 @@
     NeverBack,
     /// Repetitions stay within the budget of the fleet.
     Budget,
+    /// A request runs at no more targets than its route allows.
+    Attempts,
     /// Planned work cuts no request.
     NothingLost,
     /// Each request has its answer in time.
@@ -141,6 +147,10 @@
         if sent.is_order && runs.len() > 1 {
             report(Promise::RunsOnce, format!("an order ran {} times", runs.len()));
         }
+        let targets: BTreeSet<&str> = runs.iter().map(|run| &*run.target).collect();
+        if targets.len() > self.bounds.attempts {
+            report(Promise::Attempts, format!("it ran at {targets:?}"));
+        }
         if let Some((_, End::Answered(answer))) = &sent.end {
             judge_answer(sent, answer, runs, &mut report);
         }
--- a/crates/citron-stand/src/soak/world.rs
+++ b/crates/citron-stand/src/soak/world.rs
@@ -37,6 +37,8 @@
 const SERVICES: [&str; 4] = ["north", "south", "east", "forbidden"];
 /// The routes.
 const ROUTES: [&str; 2] = ["lots", "orders"];
+/// The targets at which a request of any route may run.
+pub const MAX_ATTEMPTS: usize = 3;
 /// The failure domains of gateways, targets and callers.
 pub const DOMAINS: usize = 3;
 /// The time between SIGTERM and the kill.
@@ -538,7 +540,7 @@
         .map(|(route, service)| {
             let kind = if route == "orders" { "unsafe" } else { "safe" };
             json!({"name": route, "pathPrefix": format!("/{route}/"), "routeType": kind, "timeoutS": 2.5,
-                   "targetLatencyS": 0.2, "priority": 1, "maxAttempts": 3, "service": service})
+                   "targetLatencyS": 0.2, "priority": 1, "maxAttempts": MAX_ATTEMPTS, "service": service})
         })
         .collect();
     let names =
--- a/crates/citron-stand/tests/soak.rs
+++ b/crates/citron-stand/tests/soak.rs
@@ -7,7 +7,7 @@
     soak::{
         plan,
         promise::{Bounds, Promise, judge},
-        record::{Answered, End, Record, Run, Sent, Trouble, Version, What},
+        record::{Answered, End, Record, Rejection, Run, Sent, Trouble, Version, What},
     },
 };
 use tokio::time::Instant;
@@ -210,6 +210,24 @@
             record.sent.push(lookup);
         }
     }
+    more_rejected_repetitions_than_the_budget: [Budget] |record, t0| {
+        for n in 0..100 {
+            let mut lookup = sent(&format!("b{n}"), false, t0 + after(n));
+            lookup.end = Some((t0 + after(n + 50), answered(&lookup, 503, None)));
+            for at in [10, 11] {
+                let (service, id) = ("north".to_owned(), lookup.id.clone());
+                let at = t0 + after(n + at);
+                record.rejections.push(Rejection { service, id, at });
+            }
+            record.sent.push(lookup);
+        }
+    }
+    a_lookup_that_ran_at_more_targets_than_its_route_allows: [Attempts] |record, t0| {
+        for target in ["i-5", "i-6", "i-7"] {
+            let again = run(&record.sent[0], target, "north", t0 + after(20));
+            record.runs.push(again);
+        }
+    }
     a_connection_closed_while_a_target_worked: [NothingLost] |record, t0| {
         record.sent[0].end = Some((t0 + after(100), End::Closed));
     }
