--- a/crates/citron/src/attempt/bucket.rs
+++ b/crates/citron/src/attempt/bucket.rs
@@ -20,7 +20,7 @@
 pub const SHARED_PART: f64 = 0.85;
 /// The part of a host's share of the slack that may be spent at once; the rest is refilled over each
 /// window.
-const BURST_PART: f64 = 0.65;
+const BURST_PART: f64 = 0.85;
 /// The smallest burst with which a retry can be made.
 const BURST_MIN: f64 = 1.0;
 /// How much less than a whole token pays for a retry, for the rounding of sums.
