Take downloads for requests that may be repeated

Cause: the platform's route type download (large responses, to be treated as safe) was unknown, so that no download was retried, hedged or used as a trial. A download that breaks off is cut visibly, not sent again, and counts against its target.

--- a/crates/citron-gateway/tests/attempt.rs
+++ b/crates/citron-gateway/tests/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use support::{
-    TestFleet, lookup, order,
+    TestFleet, download, lookup, order,
     target::{Act, LONG_BYTES},
 };
 use tokio::time;
@@ -213,6 +213,40 @@
     assert_eq!(response.body.len(), LONG_BYTES);
 }
 
+#[tokio::test]
+async fn a_download_whose_target_resets_before_the_head_is_served_by_another() {
+    let fleet = TestFleet::start(2).await;
+    fleet.targets[0].set(Act::Reset);
+    fleet.targets[1].set(Act::ServeLong);
+    for n in 0..4 {
+        let response = fleet.send(&download(&format!("id-{n}"))).await;
+        assert!(response.status == 200 && response.whole, "{:?}", response.status);
+        assert_eq!(response.body.len(), LONG_BYTES);
+    }
+}
+
+#[tokio::test]
+async fn a_download_that_breaks_off_is_not_whole_and_not_sent_again() {
+    let fleet = TestFleet::start(2).await;
+    fleet.targets.iter().for_each(|target| target.set(Act::CutLong));
+    let response = fleet.send(&download("id-1")).await;
+    assert!(!response.whole && response.body.len() < LONG_BYTES);
+    assert_eq!(fleet.targets.iter().map(|target| target.runs("id-1")).sum::<usize>(), 1);
+}
+
+#[tokio::test]
+async fn a_target_that_broke_off_a_download_is_avoided() {
+    let fleet = TestFleet::start(2).await;
+    fleet.targets[0].set(Act::CutLong);
+    fleet.targets[1].set(Act::ServeLong);
+    let mut broken = 0;
+    for n in 0..20 {
+        broken += u32::from(!fleet.send(&download(&format!("id-{n}"))).await.whole);
+    }
+    // One that finds the fault out, and trials.
+    assert!((1..=3).contains(&broken), "{broken} downloads broke off");
+}
+
 #[tokio::test]
 async fn idempotent_requests_reuse_connections() {
     let fleet = TestFleet::start(1).await;
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -84,6 +84,11 @@
     Request { method: "GET", path: "/lots/7?x=1", id, body: "", remaining_ms: 2000, extra: "" }
 }
 
+/// A download, which is idempotent and has a long response.
+pub fn download(id: &str) -> Request<'_> {
+    Request { path: "/briefs/7", ..lookup(id) }
+}
+
 /// An order, which is not idempotent and must not run twice.
 pub fn order(id: &str) -> Request<'_> {
     Request {
@@ -110,7 +115,7 @@
     }
 }
 
-/// Returns a configuration that routes lookups and orders to the service `desk`.
+/// Returns a configuration that routes lookups, orders and downloads to the service `desk`.
 pub fn config(version: &str, timeout_s: f64) -> Value {
     json!({
         "version": version,
@@ -120,7 +125,9 @@
             {"name": "lots", "pathPrefix": "/lots/", "routeType": "safe", "timeoutS": timeout_s,
              "targetLatencyS": 0.2, "priority": 2, "maxAttempts": 2, "service": "desk"},
             {"name": "orders", "pathPrefix": "/orders/", "routeType": "unsafe", "timeoutS": timeout_s,
-             "targetLatencyS": 0.2, "priority": 1, "maxAttempts": 2, "service": "desk"}]}]
+             "targetLatencyS": 0.2, "priority": 1, "maxAttempts": 2, "service": "desk"},
+            {"name": "briefs", "pathPrefix": "/briefs/", "routeType": "download", "timeoutS": timeout_s,
+             "targetLatencyS": 0.2, "priority": 3, "maxAttempts": 2, "service": "desk"}]}]
     })
 }
 
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -70,6 +70,8 @@
     ServeTwice,
     /// Sends a longer body than callers hold in memory.
     ServeLong,
+    /// Runs the request and breaks off in the middle of such a body.
+    CutLong,
     /// Sends `start`, with the request's id in place of `{id}`, and then `repeat` until the
     /// connection is closed.
     Endless {
@@ -309,6 +311,12 @@
             let rest = format!("Content-Length: {LONG_BYTES}\r\n");
             head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES)
         }
+        Act::CutLong => {
+            let rest = format!("Content-Length: {LONG_BYTES}\r\n");
+            let text = head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES / 2);
+            let _ = stream.write_all(text.as_bytes()).await;
+            return false;
+        }
         Act::RefuseAnother { status, id_header } => {
             format!("HTTP/1.1 {status}\r\n{id_header}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         }
--- a/crates/citron/src/route.rs
+++ b/crates/citron/src/route.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
+use strum::EnumIter;
 
 use crate::position::Position;
 
@@ -68,6 +69,30 @@
     pub backends: SmallVec<[Backend; 2]>,
 }
 
+/// What kind of requests a route carries.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, EnumIter)]
+pub enum Kind {
+    /// Reads with small responses.
+    Read,
+    /// Reads with large responses.
+    Download,
+    /// Requests that change something, such as orders.
+    Order,
+    /// A kind that this version does not know.
+    Unknown,
+}
+
+impl Kind {
+    /// Returns true if executing a request more than once has the same effect as executing it once;
+    /// false if that is not certain.
+    pub fn is_idempotent(self) -> bool {
+        match self {
+            Self::Read | Self::Download => true,
+            Self::Order | Self::Unknown => false,
+        }
+    }
+}
+
 /// A service that a route sends requests to.
 #[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
