Keep the sum of the peers' loads, so that a choice does not look at each peer's report

Cause: for each target that a request may go to, a gateway went through the load reports of all its peers, so that a choice took hosts x targets. Change: PeerLoad keeps the sum by target, updated when a report arrives or expires.

--- a/crates/citron-stand/src/bench/decision.rs
+++ b/crates/citron-stand/src/bench/decision.rs
@@ -7,9 +7,12 @@
 };
 
 use citron::{
+    catalog::{self, Catalog, Snapshot, Source},
     choice::{Balancer, Load, PickArgs, Proxy, State, Target, TargetReport},
+    gray::{Criteria, Eligibility, Verdict, View, target_key},
     limit::{HANDOVER, RateLimiter},
     policy::{Allowance, Customer, Plan, Policy, Route},
+    position::Position,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +22,12 @@
 const ROUNDS: usize = 200_000;
 const SERVICE: &str = "lot-desk";
 const PLAN: Allowance = Allowance { rate: 1e6, burst: 1e6 };
+/// The rounds of a decision that looks at all targets of a service.
+const GATEWAY_ROUNDS: usize = 2_000;
+/// Gateways of the fleet and targets of the service.
+const FLEETS: [(usize, usize); 3] = [(18, 19), (178, 585), (2_900, 585)];
+/// The requests that each gateway has in flight.
+const IN_FLIGHT: usize = 10;
 const TARGETS: [usize; 2] = [54, 2_900];
 const ROUTES: [usize; 2] = [20, 7_100];
 const TEAMS: [usize; 2] = [1_000, 110_000];
@@ -42,9 +51,56 @@
             summary.push(format!("{name}_{size}_kb"), memory_kb);
         }
     }
+    for (gateways, targets) in FLEETS {
+        let (time_ns, memory_kb) = gateway_choice(gateways, targets)?;
+        let entries = format!("{gateways}x{targets}");
+        println!("{:<10} {entries:>8} {time_ns:>10.0} {memory_kb:>10.0}", "gateway");
+        summary.push(format!("gateway_{entries}_ns"), time_ns);
+        summary.push(format!("gateway_{entries}_kb"), memory_kb);
+    }
     Ok(summary)
 }
 
+/// Times a gateway's choice with the end of its attempt, while all peers report their load.
+fn gateway_choice(gateways: usize, targets: usize) -> eyre::Result<(f64, f64)> {
+    let before = memory_kb()?;
+    let name = |index: usize| format!("t{index}");
+    let mut catalog = Catalog::default();
+    let entry = |index| catalog::Target {
+        id: name(index).into(),
+        born_ms: 1,
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: format!("domain-{}", index % 4).into(),
+        slots: 3,
+        leaving: false,
+        warmup_ms: 0,
+        heartbeat: 0,
+    };
+    let position = Position { era: 1, revision: 1 };
+    let list =
+        Snapshot { position, targets: (0..targets).map(entry).collect(), lapsed: Vec::new() };
+    catalog.replace(list, Source::Store, Duration::ZERO);
+    let mut view = View::new("domain-0");
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for gateway in 1..gateways {
+        let keys = (0..IN_FLIGHT).map(|_| target_key(&name(rng.random_range(0..targets))));
+        let load = keys.map(|key| (key, 1)).collect();
+        view.apply_peer_load(&format!("entry-{gateway}").into(), load, Duration::ZERO);
+    }
+    let memory = memory_kb()? - before;
+    let start = Instant::now();
+    for round in 0..GATEWAY_ROUNDS {
+        let now = Duration::from_micros(round as u64);
+        let criteria = Criteria { service: SERVICE, tried: &[], eligibility: Eligibility::Any };
+        let choice = view.begin_attempt(&catalog, criteria, |_| 0, &mut rng, now);
+        if let Ok(choice) = hint::black_box(choice) {
+            view.end_attempt(&choice.target, Some(Verdict::Served), now);
+        }
+    }
+    Ok((start.elapsed().as_nanos() as f64 / GATEWAY_ROUNDS as f64, memory))
+}
+
 /// Times a choice with the start, the end and the answer of its request.
 fn choice(size: usize) -> eyre::Result<(f64, f64)> {
     let before = memory_kb()?;
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -6,10 +6,12 @@
 //! detect a failing target.
 
 mod choice;
+mod peer_load;
 mod view;
 
 pub use self::{
     choice::{Candidate, Eligibility, NoCapacity, choose, no_capacity},
+    peer_load::PeerLoad,
     view::{Choice, Criteria, Load, TargetKey, View, target_key},
 };
 
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Candidate, Eligibility, FailureEstimate, NoCapacity, REPORT_THRESHOLD, SUSPECT_THRESHOLD,
-    Verdict, choose, no_capacity,
+    Candidate, Eligibility, FailureEstimate, NoCapacity, PeerLoad, REPORT_THRESHOLD,
+    SUSPECT_THRESHOLD, Verdict, choose, no_capacity,
 };
 use crate::{
     catalog::{Catalog, Target},
@@ -29,9 +29,6 @@
 /// it have not sent, because they had no suitable request or are gone.
 const TRIAL_STAGGER: Duration = Duration::from_millis(250);
 
-/// How long a peer's load report is valid.
-const LOAD_REPORT_TTL: Duration = Duration::from_millis(1200);
-
 /// A target's identity in load reports, a hash of its id.
 pub type TargetKey = u32;
 
@@ -45,7 +42,7 @@
     states: HashMap<Arc<str>, State>,
     /// The limits that the targets name.
     pub limits: Limits,
-    loads: HashMap<Arc<str>, (Duration, Load)>,
+    peer_load: PeerLoad,
 }
 
 #[derive(Debug)]
@@ -116,7 +113,7 @@
             domain: Arc::from(domain),
             states: HashMap::new(),
             limits: Limits::default(),
-            loads: HashMap::new(),
+            peer_load: PeerLoad::default(),
         }
     }
 
@@ -137,6 +134,7 @@
         now: Duration,
     ) -> Result<Choice, NoCapacity> {
         let Criteria { service, tried, eligibility } = criteria;
+        self.peer_load.expire(now);
         let targets: Vec<&Target> = catalog
             .serving(service, now)
             .filter(|target| !tried.contains(&target.id))
@@ -228,7 +226,7 @@
 
     /// Replaces the load report of a peer.
     pub fn apply_peer_load(&mut self, host: &Arc<str>, load: Load, now: Duration) {
-        self.loads.insert(Arc::clone(host), (now, load));
+        self.peer_load.apply(host, load, now);
     }
 
     /// Returns the requests that this gateway has in flight, by target.
@@ -278,7 +276,7 @@
 
     /// Removes load reports that have expired.
     pub fn expire(&mut self, now: Duration) {
-        self.loads.retain(|_, (at, _)| now.saturating_sub(*at) < LOAD_REPORT_TTL);
+        self.peer_load.expire(now);
     }
 
     /// Returns the probability that a target is failing or unreachable, 0 if it is unknown.
@@ -315,35 +313,23 @@
         };
         let rank = trial_rank(target);
         // The request of a peer may be a trial that is still in flight.
-        if rank > 0 && self.peer_in_flight(&target.id, now) > 0 {
+        if rank > 0 && self.peer_load.in_flight(target_key(&target.id)) > 0 {
             return None;
         }
         due_for.checked_sub(TRIAL_STAGGER * rank as u32)
     }
 
-    /// Returns the requests that the peers have in flight at a target.
-    fn peer_in_flight(&self, id: &str, now: Duration) -> u32 {
-        let key = target_key(id);
-        let fresh = self.loads.values().filter(|(at, _)| now.saturating_sub(*at) < LOAD_REPORT_TTL);
-        fresh
-            .flat_map(|(_, load)| load)
-            .filter(|(k, _)| *k == key)
-            .map(|(_, in_flight)| in_flight)
-            .sum()
-    }
-
     fn candidate(&self, catalog: &Catalog, target: &Target, now: Duration) -> Candidate {
         let state = self.states.get(&target.id).filter(|s| s.born_ms == target.born_ms);
+        let own_in_flight = state.map_or(0, |state| state.in_flight);
+        let peers_in_flight = self.peer_load.in_flight(target_key(&target.id));
         Candidate {
             failure_probability: state.map_or_else(
                 || FailureEstimate::new(now).probability(now),
                 |state| state.failure_probability(now),
             ),
-            load: (
-                state.map_or(0, |s| s.in_flight) + self.peer_in_flight(&target.id, now),
-                target.slots,
-            ),
-            own_in_flight: state.map_or(0, |state| state.in_flight),
+            load: (own_in_flight.saturating_add(peers_in_flight), target.slots),
+            own_in_flight,
             same_domain: target.domain == self.domain,
             warming: target.warmup_ms > 0,
             lapsed: catalog.is_lapsed(&target.id),
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -4,7 +4,10 @@
 
 use citron::{
     catalog::{Catalog, Change, Snapshot, Source, Target},
-    gray::{Criteria, Eligibility, FailureEstimate, SUSPECT_THRESHOLD, Verdict, View, target_key},
+    gray::{
+        Criteria, Eligibility, FailureEstimate, Load, PeerLoad, SUSPECT_THRESHOLD, Verdict, View,
+        target_key,
+    },
     position::Position,
 };
 use rand::{Rng, SeedableRng};
@@ -399,3 +402,44 @@
         assert_eq!(world.pick(Eligibility::Any, at(0)), None);
     }
 }
+
+/// The sum that is kept equals one that is computed from the valid reports.
+#[test]
+fn random_load_reports_add_up() {
+    const TTL: Duration = Duration::from_millis(1200);
+    let hosts: Vec<Arc<str>> = (0..12).map(|n| format!("entry-{n}").into()).collect();
+    for seed in 1..=20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut kept = PeerLoad::default();
+        let mut reports: Vec<Option<(Duration, Load)>> = vec![None; hosts.len()];
+        let mut now = Duration::ZERO;
+        for _ in 0..400 {
+            now += at(rng.random_range(0..200));
+            let host = rng.random_range(0..hosts.len());
+            let count = rng.random_range(0..6);
+            let load: Load =
+                (0..count).map(|_| (rng.random_range(0..9), rng.random_range(0..4))).collect();
+            kept.apply(&hosts[host], load.clone(), now);
+            reports[host] = Some((now, load));
+            kept.expire(now);
+            let valid = reports.iter().flatten().filter(|(at, _)| now - *at < TTL);
+            let valid: Vec<_> = valid.flat_map(|(_, load)| load).collect();
+            for key in 0..9 {
+                let sum: u32 = valid.iter().filter(|(k, _)| *k == key).map(|(_, n)| n).sum();
+                assert_eq!(kept.in_flight(key), sum, "seed {seed} at {now:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn forged_load_reports_do_not_overflow() {
+    let mut kept = PeerLoad::default();
+    for host in ["entry-1", "entry-2"] {
+        kept.apply(&Arc::from(host), Load::from_slice(&[(7, u32::MAX)]), at(0));
+    }
+    assert_eq!(kept.in_flight(7), u32::MAX);
+    kept.apply(&Arc::from("entry-1"), Load::from_slice(&[(7, 2)]), at(1));
+    kept.apply(&Arc::from("entry-2"), Load::new(), at(1));
+    assert_eq!(kept.in_flight(7), 2);
+}
