Lend retry tokens between gateways

Cause: a host may spend only its own share of the retry budget, some 2.5 tokens at once. Where failures meet a host in bursts, or its tokens are held by retries that wait for their response, it denied retries while the tokens of its neighbours were idle: callers got the failure of the first target. Change: a gateway without a token asks two others of its failure domain, then two elsewhere, by datagram; the first grant pays for the retry. To the lender a lent token is a retry of its own on its way for the term of a loan (100 ms) longer, until it is told that it arrived or was returned. So the bound of each host, and with it that of the fleet, holds as before; lost messages, killed and paused hosts cost tokens and create none. A lender keeps a token for itself.

--- a/crates/citron-gateway/src/budget.rs
+++ b/crates/citron-gateway/src/budget.rs
@@ -1,11 +1,14 @@
 //! The retry budgets of the services.
 
+pub mod loan;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use citron::attempt::{Denial, RetryBucket, RetryShare, Standstill, Ticket};
 use parking_lot::Mutex;
 use tokio::time;
 
+use self::loan::Lent;
 use crate::{
     connection::{CONNECT_TIMEOUT, USER_TIMEOUT},
     shared::Shared,
@@ -63,6 +66,12 @@
         state.with_bucket(service, |bucket, share| bucket.withdraw(share, now))
     }
 
+    /// Spends a token of a service's budget for a retry of another host.
+    fn lend(&self, service: &Arc<str>, now: Duration) -> Result<Ticket, Denial> {
+        let mut state = self.state.lock();
+        state.with_bucket(service, |bucket, share| bucket.lend(share, now))
+    }
+
     /// Returns the tokens and the number of retries on their way, by service.
     pub fn levels(&self) -> Vec<(Arc<str>, f64, usize)> {
         let state = self.state.lock();
@@ -104,10 +113,19 @@
 pub struct Retry {
     shared: Arc<Shared>,
     service: Arc<str>,
-    ticket: Ticket,
+    token: Token,
     sent: bool,
 }
 
+/// What a retry is paid with.
+#[derive(Debug)]
+enum Token {
+    /// A token of this host.
+    Own(Ticket),
+    /// A token that another host lent.
+    Lent(Lent),
+}
+
 impl Retry {
     /// Spends a token of a service's budget.
     ///
@@ -115,7 +133,24 @@
     /// Fails with the reason if no retry is allowed.
     pub fn withdraw(shared: &Arc<Shared>, service: &Arc<str>) -> Result<Self, Denial> {
         let ticket = shared.budgets.withdraw(service, shared.clock.now())?;
-        Ok(Self { shared: Arc::clone(shared), service: Arc::clone(service), ticket, sent: false })
+        Ok(Self::new(shared, service, Token::Own(ticket)))
+    }
+
+    /// Creates a retry that is paid with a token that another host lent.
+    fn lent(shared: &Arc<Shared>, service: &Arc<str>, lent: Lent) -> Self {
+        Self::new(shared, service, Token::Lent(lent))
+    }
+
+    fn new(shared: &Arc<Shared>, service: &Arc<str>, token: Token) -> Self {
+        Self { shared: Arc::clone(shared), service: Arc::clone(service), token, sent: false }
+    }
+
+    /// Returns true if it may be sent now: a lent token has a term.
+    pub fn is_usable(&self) -> bool {
+        match &self.token {
+            Token::Own(_) => true,
+            Token::Lent(lent) => lent.loan.is_usable(self.shared.clock.now()),
+        }
     }
 
     /// Records whether some of it may have been sent.
@@ -125,16 +160,25 @@
 
     /// Records that it has arrived at its target.
     pub fn record_arrival(&self) {
-        let ticket = self.ticket;
-        self.shared.budgets.with_known(&self.service, |bucket| bucket.record_arrival(ticket));
+        match &self.token {
+            Token::Own(ticket) => {
+                self.shared.budgets.with_known(&self.service, |b| b.record_arrival(*ticket));
+            }
+            Token::Lent(lent) => loan::end(&self.shared, lent, loan::End::Arrived),
+        }
     }
 }
 
 impl Drop for Retry {
     fn drop(&mut self) {
-        if !self.sent {
-            let ticket = self.ticket;
-            self.shared.budgets.with_known(&self.service, |bucket| bucket.refund(ticket));
+        if self.sent {
+            return;
+        }
+        match &self.token {
+            Token::Own(ticket) => {
+                self.shared.budgets.with_known(&self.service, |bucket| bucket.refund(*ticket));
+            }
+            Token::Lent(lent) => loan::end(&self.shared, lent, loan::End::Returned),
         }
     }
 }
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citron::{
-    attempt::{AttemptSeries, RetryPolicy, Step},
+    attempt::{AttemptSeries, Denial, RetryPolicy, Step},
     gray::{Choice, Criteria, Eligibility, NoCapacity},
     route::Route,
 };
@@ -21,7 +21,7 @@
 
 use self::header::text;
 use crate::{
-    budget::Retry,
+    budget::{Retry, loan},
     http1::{Head, Response, Segments},
     refusal,
     shared::Shared,
@@ -122,10 +122,22 @@
         let mut retry = None;
         let started_at = self.shared.clock.now();
         let mut hedged = false;
+        // Whether others were asked for a token.
+        let mut asked = false;
         let hedge_at = started_at + self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
         loop {
             let now = self.shared.clock.now();
-            match series.next_step(now, || self.charge(&mut retry)) {
+            let mut denial = None;
+            let step = series.next_step(now, || self.charge(&mut retry, &mut denial));
+            if let Some(denial) = denial {
+                if !asked {
+                    asked = true;
+                    retry = self.borrow(denial).await;
+                    continue;
+                }
+                self.record_denial(denial);
+            }
+            match step {
                 Step::Claim => unreachable!("the gateway claims no idempotency keys"),
                 Step::Send { .. } => match self.dispatch(&mut tried) {
                     Some(choice) => {
@@ -174,26 +186,39 @@
     }
 
     /// Charges a retry to the service's budget, unless one is charged that was not sent; returns
-    /// false if the budget does not allow it.
-    fn charge(&self, retry: &mut Option<Retry>) -> bool {
+    /// false and the reason in `denial` if the budget does not allow it.
+    fn charge(&self, retry: &mut Option<Retry>, denial: &mut Option<Denial>) -> bool {
+        retry.take_if(|retry| !retry.is_usable());
         if retry.is_some() {
             return true;
         }
         match Retry::withdraw(self.shared, &self.service) {
             Ok(charged) => *retry = Some(charged),
-            Err(reason) => {
-                log::warn!(
-                    "event=not-repeated id={} service={} reason={reason}",
-                    self.id,
-                    self.service
-                );
-                let labels = &[&*self.service, reason.into()];
-                self.shared.metrics.retries_denied.with_label_values(labels).inc();
-            }
+            Err(reason) => *denial = Some(reason),
         }
         retry.is_some()
     }
 
+    /// Borrows a token for a retry that this host's own budget does not allow.
+    async fn borrow(&self, denial: Denial) -> Option<Retry> {
+        let retry = loan::borrow(self.shared, &self.service).await;
+        if retry.is_some() {
+            log::info!(
+                "event=retry-borrowed id={} service={} reason={denial}",
+                self.id,
+                self.service
+            );
+        }
+        retry
+    }
+
+    /// Records that the request is not sent once more.
+    fn record_denial(&self, reason: Denial) {
+        log::warn!("event=not-repeated id={} service={} reason={reason}", self.id, self.service);
+        let labels = &[&*self.service, reason.into()];
+        self.shared.metrics.retries_denied.with_label_values(labels).inc();
+    }
+
     /// Records that the request is sent once more; `reason` is how the attempt before ended.
     fn record_retry(&self, choice: &Choice, reason: &str) {
         log::info!(
@@ -237,7 +262,9 @@
             Criteria { service: &self.service, tried, eligibility: Eligibility::FreeSlot };
         let choice = self.shared.begin_attempt(criteria).ok()?;
         let now = self.shared.clock.now();
-        if series.hedge(now, || self.charge(retry)).is_none() {
+        let mut denial = None;
+        if series.hedge(now, || self.charge(retry, &mut denial)).is_none() {
+            denial.into_iter().for_each(|reason| self.record_denial(reason));
             self.shared.end_attempt(&choice.target, None, Duration::ZERO);
             return None;
         }
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -85,6 +85,7 @@
         tokio::spawn(peer::report_state(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::send_outcomes(Arc::clone(&shared), Arc::clone(&socket)));
+        tokio::spawn(peer::send_loans(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
         reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -27,6 +27,10 @@
     pub state_bytes: IntCounterVec,
     /// Retries that the retry budget did not allow, by service and by why.
     pub retries_denied: IntCounterVec,
+    /// Retry tokens that gateways lend each other, by service and by what happened.
+    pub retry_loans: IntCounterVec,
+    /// Messages about lent retry tokens that were ignored, by reason.
+    pub loan_messages_ignored: IntCounterVec,
     /// The most retries that this host may make at once, by its share of the slack.
     pub retry_share: Gauge,
     /// The retries that this host may make now, by service.
@@ -164,6 +168,16 @@
                 "Repetitions that the budget did not allow, by service and by why",
                 &["service", "reason"],
             )?,
+            retry_loans: counters(
+                "citron_retry_loans_total",
+                "Retry tokens that gateways lend each other, by service and by what happened",
+                &["service", "event"],
+            )?,
+            loan_messages_ignored: counters(
+                "citron_loan_messages_ignored_total",
+                "Messages about lent retry tokens that were ignored, by reason",
+                &["reason"],
+            )?,
             retry_share: level(
                 "citron_retry_share",
                 "The most repetitions that this host may send at once, 0 if it has no share",
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! The datagrams that gateways exchange.
 
-use prost::Message;
+use citron::attempt::LoanId;
+use prost::{Enumeration, Message};
 
 /// The maximum size of a datagram, in bytes.
 pub const DATAGRAM_LIMIT_BYTES: usize = 1200;
@@ -36,6 +37,65 @@
     /// The sender's requests in flight at targets; replaces its previous report.
     #[prost(message, optional, tag = "5")]
     pub load: Option<Load>,
+    /// Messages about lent retry tokens.
+    #[prost(message, repeated, tag = "10")]
+    pub loans: Vec<LoanMessage>,
+}
+
+/// A message about a retry token that one gateway lends another.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoanMessage {
+    /// What it says.
+    #[prost(enumeration = "LoanStep", tag = "1")]
+    pub step: i32,
+    /// The service whose retry budget the token belongs to.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The borrower's number of its ask, in an ask and the answer to it.
+    #[prost(uint64, tag = "3")]
+    pub ask: u64,
+    /// When the lender's process started, in milliseconds since the Unix epoch by its own clock.
+    #[prost(uint64, tag = "4")]
+    pub lender_born_ms: u64,
+    /// The lender's number of the token.
+    #[prost(uint64, tag = "5")]
+    pub ticket: u64,
+}
+
+/// What a message about a lent token says.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Enumeration)]
+#[repr(i32)]
+pub enum LoanStep {
+    /// Something that this version does not know.
+    Unknown = 0,
+    /// The sender asks for a token.
+    Ask = 1,
+    /// The sender lends one.
+    Grant = 2,
+    /// The sender has none to lend.
+    Denial = 3,
+    /// The retry that was paid with it has arrived at its target.
+    Arrived = 4,
+    /// It was not used, and will not be.
+    Returned = 5,
+}
+
+impl LoanMessage {
+    /// Asks for a token of a service.
+    pub fn ask(service: &str, ask: u64) -> Self {
+        Self { step: LoanStep::Ask.into(), service: service.to_owned(), ask, ..Self::default() }
+    }
+
+    /// Says something about a token.
+    pub fn about(step: LoanStep, ask: u64, id: &LoanId) -> Self {
+        Self {
+            step: step.into(),
+            service: id.service.to_string(),
+            ask,
+            lender_born_ms: id.lender_born_ms,
+            ticket: id.ticket.0,
+        }
+    }
 }
 
 /// The requests of a gateway in flight, by target: keys and counts in the same order.
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -29,8 +29,13 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget::RetryBudgets, connection::Pool, memory::Memory, metrics::Metrics,
-    peer::message::Outcome, store_link::StoreLink, targets::Targets,
+    budget::{RetryBudgets, loan::Loans},
+    connection::Pool,
+    memory::Memory,
+    metrics::Metrics,
+    peer::message::Outcome,
+    store_link::StoreLink,
+    targets::Targets,
 };
 
 /// How long an idle connection to a target stays in the pool.
@@ -59,6 +64,8 @@
     pub pool: Pool,
     /// The retry budgets, by service.
     pub budgets: RetryBudgets,
+    /// The retry tokens that gateways lend each other.
+    pub loans: Loans,
     /// Outcomes that have not been sent to the peers yet.
     pub pending_outcomes: Mutex<Vec<Outcome>>,
     /// Wakes the task that sends outcomes.
@@ -113,6 +120,7 @@
             memory,
             pool: Pool::new(POOL_IDLE_TIMEOUT),
             budgets: RetryBudgets::default(),
+            loans: Loans::default(),
             pending_outcomes: Mutex::default(),
             outcomes_added: Notify::new(),
             statements_added: Notify::new(),
--- a/crates/citron/src/attempt/bucket.rs
+++ b/crates/citron/src/attempt/bucket.rs
@@ -9,6 +9,9 @@
 //! Summed over all hosts, for the same span, this is the bound of the fleet, as the bursts and
 //! refills of all hosts stay below its slack. It does not matter which hosts live, how demand moves
 //! between them, or whether they hear each other.
+//!
+//! A host whose tokens are spent may use one that another host lends. To the lender that is a retry
+//! of its own that is on its way for longer, so the same bound holds.
 
 use std::time::Duration;
 
@@ -25,6 +28,10 @@
 const BURST_MIN: f64 = 1.0;
 /// How much less than a whole token pays for a retry, for the rounding of sums.
 const ROUNDING: f64 = 1e-6;
+/// The tokens that a host keeps for itself when it lends, if its burst is large enough.
+const KEPT_TOKENS: f64 = 1.0;
+/// How long after it asked for a lent token a host may still decide on a retry with it.
+pub const LOAN_TERM: Duration = Duration::from_millis(100);
 
 /// The bound of the fleet, the same at every host.
 #[derive(Debug, Copy, Clone, PartialEq)]
@@ -92,9 +99,9 @@
     Spent,
 }
 
-/// A retry for which a token was spent.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
-pub struct Ticket(u64);
+/// A retry for which a token was spent, distinct among those of one process and service.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Hash)]
+pub struct Ticket(pub u64);
 
 /// A host's part of the retry budget of one service.
 #[derive(Debug)]
@@ -114,14 +121,16 @@
 
 impl RetryBucket {
     /// Creates the empty budget of a process that started at time zero, whose retries arrive within
-    /// `flight` or never. Those of an earlier process of its host have done so after as long.
+    /// `flight` or never. Those of an earlier process of its host, and those that it lent, have done
+    /// so after that and the term of a loan.
     pub fn new(flight: Duration) -> Self {
+        let starts_at = flight + LOAN_TERM;
         Self {
             flight,
-            starts_at: flight,
+            starts_at,
             share: RetryShare::NONE,
             tokens: 0.0,
-            updated_at: flight,
+            updated_at: starts_at,
             in_flight: SmallVec::new(),
             next_ticket: 0,
         }
@@ -141,15 +150,18 @@
     /// Fails with the reason if no retry is allowed.
     pub fn withdraw(&mut self, share: &RetryShare, now: Duration) -> Result<Ticket, Denial> {
         self.update(share, now);
-        if self.tokens + ROUNDING < 1.0 {
-            return Err(self.denial(now));
-        }
-        self.tokens = (self.tokens - 1.0).max(0.0);
-        let ticket = Ticket(self.next_ticket);
-        self.next_ticket += 1;
-        self.in_flight.push((ticket, now + self.flight));
-        self.check();
-        Ok(ticket)
+        self.spend(0.0, now, self.flight)
+    }
+
+    /// Spends a token for a retry that another host may decide on within [`LOAN_TERM`], unless this
+    /// host needs it itself.
+    ///
+    /// # Errors
+    /// Fails with the reason if no token is lent.
+    pub fn lend(&mut self, share: &RetryShare, now: Duration) -> Result<Ticket, Denial> {
+        self.update(share, now);
+        let kept = KEPT_TOKENS.min(share.burst - 1.0);
+        self.spend(kept, now, self.flight + LOAN_TERM)
     }
 
     /// Records that a retry has arrived.
@@ -185,6 +197,19 @@
         self.add_tokens(elapsed * share.refill_per_s);
     }
 
+    /// Spends a token for a retry that arrives within `flight`, if `kept` tokens remain.
+    fn spend(&mut self, kept: f64, now: Duration, flight: Duration) -> Result<Ticket, Denial> {
+        if self.tokens + ROUNDING < 1.0 + kept {
+            return Err(self.denial(now));
+        }
+        self.tokens = (self.tokens - 1.0).max(0.0);
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.in_flight.push((ticket, now + flight));
+        self.check();
+        Ok(ticket)
+    }
+
     fn add_tokens(&mut self, count: f64) {
         let room = (self.share.burst - self.in_flight.len() as f64).max(0.0);
         self.tokens = (self.tokens + count).min(room);
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -2,11 +2,13 @@
 
 mod bucket;
 mod key;
+mod loan;
 mod standstill;
 
 pub use self::{
-    bucket::{Denial, RetryBound, RetryBucket, RetryShare, SHARED_PART, Sharer, Ticket},
+    bucket::{Denial, LOAN_TERM, RetryBound, RetryBucket, RetryShare, SHARED_PART, Sharer, Ticket},
     key::key_digest,
+    loan::{Asks, Loan, LoanId},
     standstill::Standstill,
 };
 
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -9,7 +9,7 @@
 
 use rand::{
     Rng,
-    seq::{IndexedRandom, SliceRandom},
+    seq::{IndexedRandom, IteratorRandom, SliceRandom},
 };
 use smallvec::SmallVec;
 
@@ -374,6 +374,28 @@
         Some(Sharer { hosts: named.max(self.ever_known.len() + 1), rank })
     }
 
+    /// Returns true if a host is known to belong to the fleet.
+    pub fn is_member(&self, host: &str) -> bool {
+        self.ever_known.contains(host)
+    }
+
+    /// Returns the addresses of up to `count` live gateways to ask for a retry token, drawn from those
+    /// of `domain` if `near`, else from all others.
+    pub fn lenders(
+        &self,
+        domain: &str,
+        near: bool,
+        count: usize,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let fresh = self.alive(now).filter(|(_, gateway)| gateway.age(now) < ADVERTISE_TIMEOUT);
+        let eligible = fresh.filter(|(_, gateway)| {
+            gateway.report.as_ref().is_some_and(|report| (&*report.domain == domain) == near)
+        });
+        eligible.map(|(_, gateway)| gateway.address).choose_multiple(rng, count)
+    }
+
     /// Returns how long without a report others wait before they take over from a gateway. In a
     /// large failure domain each report reaches only some gateways.
     fn takeover_timeout(&self) -> Duration {
