Believe a reset of a new connection like a failure

The targets there fail by resets, and a broken connection counted as a silence, which may be the observer's own path: a peer's report of it raised the estimate from 0.03 to 0.1 only, and some five gateways met a sick target before it was avoided (250 orders were lost in 17 s with 502). Change: a target that accepts a new connection and then ends it, or sends bytes that are no response, is reachable; Verdict::Reset weighs as a failure does, also from a peer. A connection that was idle before may have been closed for that and counts as before. Ruled out: limits of connections (busy=0 on 1,429 of 1,544, and the same targets again and again), disturbances (the resets come at all times). Tests: orders_avoid_a_target_that_reset_the_connection_of_another_gateway fails with the old verdict (502).

--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -136,6 +136,7 @@
         let idle_limit =
             if self.route.idempotent { IDEMPOTENT_IDLE_LIMIT } else { NON_IDEMPOTENT_IDLE_LIMIT };
         let pooled = self.shared.pool.take(&target.id, target.born_ms, idle_limit).await;
+        let is_new = pooled.is_none();
         let connection = match pooled {
             Some(connection) => connection,
             None => match Connection::connect(target.address, CONNECT_TIMEOUT).await {
@@ -172,7 +173,9 @@
                 Attempt::new(AttemptResult::NotConnected, Some(Verdict::Unreachable))
             }
             Err(connection::Error::Broken) => {
-                Attempt::new(AttemptResult::Broken, Some(Verdict::Silent))
+                // A connection that was idle may have been closed for that.
+                let verdict = if is_new { Verdict::Reset } else { Verdict::Silent };
+                Attempt::new(AttemptResult::Broken, Some(verdict))
             }
         }
     }
--- a/crates/citron-gateway/tests/attempt.rs
+++ b/crates/citron-gateway/tests/attempt.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use support::{
-    TestFleet, download, lookup, order,
+    TestFleet,
+    caller::Caller,
+    download, lookup, order,
     target::{Act, LONG_BYTES},
 };
 use tokio::time;
@@ -139,6 +141,32 @@
     assert!(failed <= 1, "{failed} orders failed");
 }
 
+#[tokio::test]
+async fn orders_avoid_a_target_that_reset_the_connection_of_another_gateway() {
+    let fleet = TestFleet::start(3).await;
+    let other = support::gateway("entry-2", &fleet.store).await;
+    support::eventually("the other is ready", async || support::ready(&other).await == 200).await;
+    time::sleep(Duration::from_millis(500)).await;
+    fleet.targets[0].set(Act::Reset);
+    while fleet.targets[0].seen().is_empty() {
+        fleet.send(&lookup("found-out")).await;
+    }
+    time::sleep(Duration::from_millis(100)).await;
+    let met_before = fleet.targets[0].seen().len();
+    fleet.targets[1..].iter().for_each(|target| target.set(Act::ServeAfter(700)));
+    let mut callers = Vec::new();
+    for n in 0..8 {
+        let mut caller = Caller::connect(other.callers()).await;
+        caller.send(&order(&format!("id-{n}")).text()).await;
+        callers.push(caller);
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    for mut caller in callers {
+        assert_eq!(caller.answer().await.status, 200);
+    }
+    assert_eq!(fleet.targets[0].seen().len(), met_before);
+}
+
 #[tokio::test]
 async fn responses_after_a_second_response_belong_to_their_requests() {
     let fleet = TestFleet::start(1).await;
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -45,12 +45,14 @@
     Failed = 3,
     /// The target refused the request without executing it.
     Shed = 4,
-    /// The target did not respond in time, or the connection broke.
+    /// The target did not respond in time, or a connection broke that had been idle before.
     Silent = 5,
     /// The connection could not be established.
     Unreachable = 6,
     /// Another target responded first, although this one had a free slot and plenty of time.
     Overdue = 7,
+    /// The target accepted a new connection, and ended it or sent bytes that are no response.
+    Reset = 8,
 }
 
 impl Verdict {
@@ -61,7 +63,7 @@
             // Mostly caused by load, which is reported separately.
             Self::Late => 1.0,
             Self::Overdue => 4.0,
-            Self::Failed => 45.0,
+            Self::Failed | Self::Reset => 45.0,
             Self::Shed => 4.0,
             Self::Silent => 20.0,
             Self::Unreachable => 8.0,
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -213,7 +213,7 @@
         now: Duration,
     ) {
         let weight = match verdict {
-            Verdict::Served | Verdict::Failed => 1.0,
+            Verdict::Served | Verdict::Failed | Verdict::Reset => 1.0,
             Verdict::Late => return,
             Verdict::Shed | Verdict::Overdue => 0.5,
             // May be caused by the peer's network path.
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -403,6 +403,25 @@
     }
 }
 
+macro_rules! verdict_of_one_peer {
+    ($($name:ident: $verdict:ident => suspected $suspected:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut world = World::near(3);
+            let target = world.get("t1");
+            world.view.apply_peer_outcome(&target, Verdict::$verdict, at(5), at(100));
+            let probability = world.view.failure_probability("t1", at(100));
+            assert_eq!(probability > SUSPECT_THRESHOLD, $suspected, "{probability}");
+        }
+    )*};
+}
+
+verdict_of_one_peer! {
+    a_failure_that_one_peer_met_is_believed: Failed => suspected true;
+    a_reset_that_one_peer_met_is_believed: Reset => suspected true;
+    a_silence_that_one_peer_met_may_be_its_own_path: Silent => suspected false;
+}
+
 /// The sum that is kept equals one that is computed from the valid reports.
 #[test]
 fn random_load_reports_add_up() {
