Let a host that never ran start with its whole share of the retry budget, and lend it

Change: a process of the system's first start whose entry in the store did not exist before has no predecessor, and starts with its burst. Lenders keep no token: a host that has none borrows one in turn.

--- a/crates/citron-gateway/src/budget.rs
+++ b/crates/citron-gateway/src/budget.rs
@@ -30,6 +30,8 @@
 struct State {
     share: RetryShare,
     standstill: Standstill,
+    /// Whether no earlier process of this host can have made retries.
+    starts_full: bool,
     buckets: HashMap<Arc<str>, RetryBucket>,
 }
 
@@ -38,6 +40,7 @@
         let state = State {
             share: RetryShare::NONE,
             standstill: Standstill::new(TICK),
+            starts_full: false,
             buckets: HashMap::new(),
         };
         Self { state: Mutex::new(state) }
@@ -51,6 +54,12 @@
         std::mem::replace(&mut state.share, share) != share
     }
 
+    /// Records that no earlier process of this host can have made retries, so that all tokens of its
+    /// share are there at the start.
+    pub fn start_full(&self) {
+        self.state.lock().starts_full = true;
+    }
+
     /// Records a request to a service, which adds to its budget unless it may have waited while
     /// this process stood still.
     pub fn record_request(&self, service: &Arc<str>, now: Duration) {
@@ -92,8 +101,12 @@
         service: &Arc<str>,
         update: impl FnOnce(&mut RetryBucket, &RetryShare) -> T,
     ) -> T {
-        let bucket = self.buckets.entry(Arc::clone(service));
-        update(bucket.or_insert_with(|| RetryBucket::new(RETRY_FLIGHT)), &self.share)
+        let starts_full = self.starts_full;
+        let bucket = self.buckets.entry(Arc::clone(service)).or_insert_with(|| match starts_full {
+            true => RetryBucket::of_new_host(RETRY_FLIGHT),
+            false => RetryBucket::new(RETRY_FLIGHT),
+        });
+        update(bucket, &self.share)
     }
 }
 
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -5,7 +5,7 @@
 use citron_adapter::{
     gateways,
     pages::Pages,
-    store::{List, Store},
+    store::{List, Store, Written},
 };
 use citron_daemon::transfer::Progress;
 use rand::Rng;
@@ -20,8 +20,13 @@
 pub async fn run(shared: Arc<Shared>, store: Store, own: SocketAddr) {
     let mut latest_era = shared.store_era.subscribe();
     let mut moves = shared.store_moves.subscribe();
+    let mut is_registered = false;
     loop {
-        let era = register(&shared, &store, own).await;
+        let Written { era, existed } = register(&shared, &store, own).await;
+        if !is_registered && !existed && shared.settings().is_first_start {
+            shared.budgets.start_full();
+        }
+        is_registered = true;
         learn(&shared, &list(&shared, &store).await);
         // The senders live as long as `shared`.
         tokio::select! {
@@ -37,15 +42,16 @@
     shared.gateways.lock().call_spread().mul_f64(rand::rng().random_range(0.0..1.0))
 }
 
-/// Registers this gateway and returns the era of the store that holds the entry.
-async fn register(shared: &Shared, store: &Store, own: SocketAddr) -> u64 {
+/// Registers this gateway.
+async fn register(shared: &Shared, store: &Store, own: SocketAddr) -> Written {
     let host = shared.settings().host.clone();
     let mut backoff = Backoff::default();
     loop {
         match store.put(gateways::KIND, &host, &gateways::encode(own)).await {
-            Ok(era) => {
-                log::info!("event=registered era={era}");
-                return era;
+            Ok(written) => {
+                let Written { era, existed } = written;
+                log::info!("event=registered era={era} existed={existed}");
+                return written;
             }
             Err(error) => {
                 backoff.record_failure("register", &error);
--- a/crates/citron/src/attempt/bucket.rs
+++ b/crates/citron/src/attempt/bucket.rs
@@ -28,8 +28,6 @@
 const BURST_MIN: f64 = 1.0;
 /// How much less than a whole token pays for a retry, for the rounding of sums.
 const ROUNDING: f64 = 1e-6;
-/// The tokens that a host keeps for itself when it lends, if its burst is large enough.
-const KEPT_TOKENS: f64 = 1.0;
 /// How long after it asked for a lent token a host may still decide on a retry with it.
 pub const LOAN_TERM: Duration = Duration::from_millis(100);
 
@@ -110,6 +108,8 @@
     flight: Duration,
     /// From when on tokens are added.
     starts_at: Duration,
+    /// Whether the burst is still to be added once the bucket starts and the share is known.
+    starts_full: bool,
     share: RetryShare,
     tokens: f64,
     /// When the tokens were last computed.
@@ -128,6 +128,7 @@
         Self {
             flight,
             starts_at,
+            starts_full: false,
             share: RetryShare::NONE,
             tokens: 0.0,
             updated_at: starts_at,
@@ -136,6 +137,11 @@
         }
     }
 
+    /// Creates the budget of the first process of a host, which has all its tokens once it starts.
+    pub fn of_new_host(flight: Duration) -> Self {
+        Self { starts_full: true, ..Self::new(flight) }
+    }
+
     /// Counts a request, which adds to the budget.
     pub fn record_request(&mut self, share: &RetryShare, now: Duration) {
         self.update(share, now);
@@ -150,18 +156,16 @@
     /// Fails with the reason if no retry is allowed.
     pub fn withdraw(&mut self, share: &RetryShare, now: Duration) -> Result<Ticket, Denial> {
         self.update(share, now);
-        self.spend(0.0, now, self.flight)
+        self.spend(now, self.flight)
     }
 
-    /// Spends a token for a retry that another host may decide on within [`LOAN_TERM`], unless this
-    /// host needs it itself.
+    /// Spends a token for a retry that another host may decide on within [`LOAN_TERM`].
     ///
     /// # Errors
-    /// Fails with the reason if no token is lent.
+    /// Fails with the reason if there is no token to lend.
     pub fn lend(&mut self, share: &RetryShare, now: Duration) -> Result<Ticket, Denial> {
         self.update(share, now);
-        let kept = KEPT_TOKENS.min(share.burst - 1.0);
-        self.spend(kept, now, self.flight + LOAN_TERM)
+        self.spend(now, self.flight + LOAN_TERM)
     }
 
     /// Records that a retry has arrived.
@@ -194,12 +198,16 @@
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
         self.share = *share;
+        if self.starts_full && now >= self.starts_at && share.burst > 0.0 {
+            self.starts_full = false;
+            self.add_tokens(share.burst);
+        }
         self.add_tokens(elapsed * share.refill_per_s);
     }
 
-    /// Spends a token for a retry that arrives within `flight`, if `kept` tokens remain.
-    fn spend(&mut self, kept: f64, now: Duration, flight: Duration) -> Result<Ticket, Denial> {
-        if self.tokens + ROUNDING < 1.0 + kept {
+    /// Spends a token for a retry that arrives within `flight` or never.
+    fn spend(&mut self, now: Duration, flight: Duration) -> Result<Ticket, Denial> {
+        if self.tokens + ROUNDING < 1.0 {
             return Err(self.denial(now));
         }
         self.tokens = (self.tokens - 1.0).max(0.0);
