Take the first list of the targets from a copy that may be stale

By the size of the lists, each host makes some 26 calls at its start: 20 pages of 50 for 990 targets, 4 for the gateways, 2 more. Change: the first list of a process may be stale, which costs a tenth and does not count in the store's rate. Its position is the oldest of its pages; the first watch begins at once, from there, and brings the rest. Such a list confirms nothing. Every later list is current, as an old copy may lie before the store's history. The store stand-in ignores the parameter; no test plays a stale list.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -18,7 +18,7 @@
 use citron::{freshness::CheckTimer, position::Position};
 use citron_adapter::{
     pages::Pages,
-    store::{Error, Store},
+    store::{Error, Recency, Store},
 };
 use citron_daemon::transfer::Progress;
 use rand::Rng;
@@ -71,6 +71,9 @@
     subject: Subject,
     /// The position from which the next watch continues, `None` if the next call is a list.
     cursor: Option<Position>,
+    /// How recent the next list must be. Only the first one may be stale: the store may have no
+    /// history since an old one.
+    recency: Recency,
     /// The size of the latest list, in bytes.
     list_bytes: usize,
     /// What arrived of a list that was not completed.
@@ -79,6 +82,8 @@
     checks: CheckTimer,
     /// Whether the last call was abandoned, so that the next one must not wait.
     has_abandoned: bool,
+    /// Whether the last response showed all that was written before its call.
+    is_confirmed: bool,
     /// Whether it asked at short intervals before its last call.
     is_polling: bool,
     /// Its turn, from 0 to 1, when all gateways call the store for the same reason.
@@ -108,11 +113,13 @@
             store,
             subject,
             cursor: None,
+            recency: Recency::MaybeStale,
             list_bytes: 0,
             pages: Pages::default(),
             backoff: Backoff::default(),
             checks: CheckTimer::new(&mut rand::rng()),
             has_abandoned: false,
+            is_confirmed: false,
             is_polling: false,
             turn: rand::rng().random_range(0.0..1.0),
         }
@@ -132,8 +139,9 @@
             };
             self.has_abandoned = response.is_err();
             match response {
-                // A list after a watch without history must not be delayed.
-                Ok(true) if self.cursor.is_none() => {}
+                // Neither a list after a watch without history nor the changes since a list that
+                // may be stale must be delayed.
+                Ok(true) if self.cursor.is_none() || !self.is_confirmed => {}
                 Ok(true) => time::sleep(WATCH_INTERVAL_MIN).await,
                 Ok(false) => self.backoff.wait(&self.shared, kind).await,
                 Err(Abandoned::StoreRestored | Abandoned::StoreMoved) => self.cursor = None,
@@ -335,7 +343,8 @@
         let store = self.store.clone();
         let history_limit = (self.list_bytes * HISTORY_LIMIT_LISTS).max(HISTORY_LIMIT_MIN_BYTES);
         let (subject, cursor, pages) = (self.subject, self.cursor, self.pages.clone());
-        let query = Query { subject, cursor, wait, history_limit, pages };
+        let recency = self.recency;
+        let query = Query { subject, cursor, wait, history_limit, recency, pages };
         let progress = Progress::default();
         let counted = progress.clone();
         calls.push(progress, async move { call::make(&shared, &store, query, counted).await });
@@ -373,10 +382,12 @@
         self.backoff = Backoff::default();
         self.shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
         self.cursor = response.cursor;
+        self.recency = Recency::Current;
+        self.is_confirmed = response.is_current;
         if wait.is_zero() {
             self.checks.record_response(begun_at, self.shared.clock.now());
         }
-        let Some(position) = response.cursor else { return };
+        let Some(position) = response.cursor.filter(|_| response.is_current) else { return };
         // A response without news was made after the whole wait.
         let confirmed_at = if response.has_news { begun_at } else { begun_at + wait };
         self.shared.freshness.lock().record(self.subject.confirmed(), position, confirmed_at);
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -10,7 +10,7 @@
 use citron_adapter::{
     pages::Pages,
     routes,
-    store::{Error, Event, Object, Store, WatchResult},
+    store::{Error, Event, Object, Recency, Store, WatchResult},
     targets,
 };
 use citron_daemon::transfer::Progress;
@@ -69,6 +69,8 @@
     pub cursor: Option<Position>,
     /// Whether it brought objects or changes.
     pub has_news: bool,
+    /// Whether it shows all that was written before the call.
+    pub is_current: bool,
 }
 
 /// What a call asks for.
@@ -82,6 +84,8 @@
     pub wait: Duration,
     /// The size of changes, in bytes, from which a list is preferred.
     pub history_limit: usize,
+    /// How recent a list must be.
+    pub recency: Recency,
     /// What earlier calls left of a list.
     pub pages: Pages,
 }
@@ -104,7 +108,8 @@
     progress: &Progress,
 ) -> Result<Response, Error> {
     let subject = query.subject;
-    let list = store.list(subject.kind(), &query.pages, progress).await?;
+    let begun_at = shared.clock.now();
+    let list = store.list_at(subject.kind(), query.recency, &query.pages, progress).await?;
     shared.record_era(list.position.era);
     match subject {
         Subject::Routes => {
@@ -120,7 +125,16 @@
             );
         }
     }
-    Ok(Response { cursor: Some(list.position), has_news: true })
+    log::info!(
+        "event=listed call={} recency={} revision={} objects={} took_ms={}",
+        subject.kind(),
+        query.recency,
+        list.position,
+        list.objects.len(),
+        shared.clock.now().saturating_sub(begun_at).as_millis()
+    );
+    let is_current = query.recency == Recency::Current;
+    Ok(Response { cursor: Some(list.position), has_news: true, is_current })
 }
 
 async fn watch(
@@ -136,19 +150,19 @@
     let (as_of, events) = match changes {
         WatchResult::HistoryGone => {
             log::info!("event=history-gone kind={kind} revision={position}");
-            return Ok(Response { cursor: None, has_news: true });
+            return Ok(Response { cursor: None, has_news: true, is_current: true });
         }
         WatchResult::HistoryTooLong => {
             log::info!(
                 "event=history-too-long kind={kind} revision={position} limit={history_limit}"
             );
-            return Ok(Response { cursor: None, has_news: true });
+            return Ok(Response { cursor: None, has_news: true, is_current: true });
         }
         WatchResult::Changes(as_of, events) => (as_of, events),
     };
     shared.record_era(as_of.era);
     apply(shared, subject, as_of, &events);
-    Ok(Response { cursor: Some(as_of), has_news: !events.is_empty() })
+    Ok(Response { cursor: Some(as_of), has_news: !events.is_empty(), is_current: true })
 }
 
 fn apply(shared: &Shared, subject: Subject, as_of: Position, events: &[Event]) {
