Report load at a rate that a large fleet can receive

Each of the 178 gateways sent its load every 50 ms to its failure domain and every 100 ms to the others, by calculation some 2,060 of 2,460 datagrams that a gateway received a second. Change: a gateway receives at most 240 such reports a second from its own domain and 400 from the others. Up to 13 and 41 gateways nothing changes; at 178 the intervals are 120 and 370 ms. Tests: load_intervals, for 18, 180 and 2,904 gateways.

--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -17,12 +17,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 /// How long outcomes wait to be sent in one datagram with later ones.
 const OUTCOME_BATCH_DELAY: Duration = Duration::from_millis(5);
-/// The interval between reports of a changing load to gateways of the same failure domain.
-const LOAD_INTERVAL: Duration = Duration::from_millis(50);
-/// The number of these intervals between reports to other failure domains.
-const LOAD_FAR_EVERY: u32 = 2;
-/// The number of these intervals after which a load that does not change is reported again.
-const LOAD_REPEAT_EVERY: u32 = 10;
+/// The interval between looks at whether the load has changed.
+const LOAD_TICK: Duration = Duration::from_millis(50);
+/// The interval after which a load that does not change is reported again.
+const LOAD_REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// The maximum number of outcomes in one datagram.
 const OUTCOMES_LIMIT: usize = 24;
 /// The number of gateways that statements are repeated to at an interval.
@@ -116,13 +114,15 @@
 /// intervals while there are any.
 pub async fn report_load(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let host = shared.settings().host.clone();
-    let mut sent = [gray::Load::new(), gray::Load::new()];
-    for tick in 0_u32.. {
-        time::sleep(LOAD_INTERVAL).await;
+    let (mut sent_near, mut sent_far) = (SentLoad::default(), SentLoad::default());
+    loop {
+        time::sleep(LOAD_TICK).await;
+        let now = shared.clock.now();
+        let domain = shared.settings().domain.clone();
+        let intervals = shared.gateways.lock().load_intervals(&domain, now);
         let load = shared.targets.lock().view.load();
-        let repeat = tick % LOAD_REPEAT_EVERY == 0 && !load.is_empty();
-        let far = tick % LOAD_FAR_EVERY == 0 && (load != sent[1] || repeat);
-        let near = load != sent[0] || repeat;
+        let near = sent_near.is_due(&load, intervals.near, now);
+        let far = sent_far.is_due(&load, intervals.far, now);
         if !near && !far {
             continue;
         }
@@ -130,9 +130,28 @@
         let datagram = Datagram { host: host.clone(), load: load_sent, ..Datagram::default() };
         broadcast(&shared, &socket, datagram, |to| if to.relays { far } else { near }).await;
         if far {
-            sent[1] = load.clone();
+            sent_far = SentLoad { load: load.clone(), at: now };
         }
-        sent[0] = load;
+        if near {
+            sent_near = SentLoad { load, at: now };
+        }
+    }
+}
+
+/// The latest report of this gateway's load to some of its peers.
+#[derive(Debug, Default)]
+struct SentLoad {
+    load: gray::Load,
+    at: Duration,
+}
+
+impl SentLoad {
+    /// Returns true if `load` should be reported, with at least `interval` between two reports.
+    fn is_due(&self, load: &gray::Load, interval: Duration, now: Duration) -> bool {
+        // A tick may come a little early.
+        let since = now.saturating_sub(self.at) + LOAD_TICK / 2;
+        let is_outdated = !load.is_empty() && since >= LOAD_REPEAT_INTERVAL;
+        since >= interval && (*load != self.load || is_outdated)
     }
 }
 
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -50,6 +50,24 @@
 /// same reason.
 const CALL_SPREAD_PER_GATEWAY: Duration = Duration::from_millis(1);
 
+/// The least intervals between two reports of a changing load, to the own failure domain and to the
+/// others.
+const LOAD_INTERVAL_MIN: LoadIntervals =
+    LoadIntervals { near: Duration::from_millis(50), far: Duration::from_millis(100) };
+/// How many reports a second a gateway receives at most from its own failure domain.
+const NEAR_LOAD_REPORTS_PER_S: f64 = 240.0;
+/// How many reports a second a gateway receives at most from all others.
+const FAR_LOAD_REPORTS_PER_S: f64 = 400.0;
+
+/// How often a gateway reports a changing load.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct LoadIntervals {
+    /// The interval between reports to its own failure domain.
+    pub near: Duration,
+    /// The interval between reports to the other failure domains.
+    pub far: Duration,
+}
+
 /// A receiver of a broadcast datagram.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub struct Receiver {
@@ -443,6 +461,18 @@
         near
     }
 
+    /// Returns how often a gateway of `domain` reports its load: less often in a larger fleet, so that
+    /// what each gateway receives does not grow with it.
+    pub fn load_intervals(&self, domain: &str, now: Duration) -> LoadIntervals {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        let (near, far): (Vec<_>, Vec<_>) = reports.partition(|report| &*report.domain == domain);
+        let interval = |count: usize, per_s: f64| Duration::from_secs_f64(count as f64 / per_s);
+        LoadIntervals {
+            near: interval(near.len(), NEAR_LOAD_REPORTS_PER_S).max(LOAD_INTERVAL_MIN.near),
+            far: interval(far.len(), FAR_LOAD_REPORTS_PER_S).max(LOAD_INTERVAL_MIN.far),
+        }
+    }
+
     /// Returns the addresses of the gateways in `part` of a failure domain with more gateways than a
     /// broadcast reaches.
     pub fn part_receivers(&self, domain: &str, part: u32, now: Duration) -> Vec<SocketAddr> {
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -5,7 +5,7 @@
 use citron::{
     attempt::Sharer,
     catalog::Target,
-    gateways::{Gateways, Report},
+    gateways::{Gateways, LoadIntervals, Report},
     outage::{Contact, Silence},
     poller::{Member, POLLERS},
     position::Position,
@@ -318,3 +318,31 @@
     assert_eq!(gateways.expire(at(300_000)).len(), 3);
     assert_eq!(sharer(&gateways, "a3", at(300_000)), Some(Sharer { hosts: 4, rank: 2 }));
 }
+
+/// Defines a test of a fleet of gateways that are spread evenly over failure domains.
+macro_rules! load_intervals {
+    ($($name:ident: $hosts:literal hosts in $domains:literal domains => $near_ms:literal, $far_ms:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut gateways = Gateways::default();
+            for n in 1..$hosts {
+                let domain = (n % $domains).to_string();
+                let host = format!("entry-{n}");
+                gateways.apply_report(&host, address(n + 2), report(&domain, n, true), at(0));
+            }
+            let intervals = gateways.load_intervals("0", at(100));
+            assert_eq!(intervals.near.as_millis(), $near_ms);
+            assert_eq!(intervals.far.as_millis(), $far_ms);
+            let LoadIntervals { near, far } = intervals;
+            let near_per_s = f64::from($hosts / $domains - 1) / near.as_secs_f64();
+            let far_per_s = f64::from($hosts - $hosts / $domains) / far.as_secs_f64();
+            assert!(near_per_s <= 241.0 && far_per_s <= 401.0, "{near_per_s}, {far_per_s}");
+        }
+    )*};
+}
+
+load_intervals! {
+    a_small_fleet_reports_its_load_often: 18_u16 hosts in 4_u16 domains => 50, 100;
+    what_a_gateway_of_a_large_fleet_receives_is_bounded: 180_u16 hosts in 6_u16 domains => 120, 375;
+    what_a_gateway_of_a_fleet_of_2900_receives_is_bounded: 2904_u16 hosts in 11_u16 domains => 1095, 6600;
+}
