--- a/crates/citron-gateway/tests/follow.rs
+++ b/crates/citron-gateway/tests/follow.rs
@@ -12,6 +12,7 @@
 use support::{
     Request, TestFleet, config, eventually, gateway, gateway_at, lookup, order, ready, resolve,
     store::{Mood, Store},
+    target::Target,
 };
 use tokio::time;
 
@@ -50,6 +51,46 @@
     assert_eq!(fleet.send(&lookup("id-2")).await.status, 404);
 }
 
+/// Lets the store's stale lists show a target that has been replaced since, and returns the new
+/// target and the old one.
+async fn replace_a_target_behind_a_stale_list(store: &Store) -> (Target, Target) {
+    let (old, new) = (Target::bind("old").await, Target::bind("new").await);
+    store.put("config", "main", config("r1", 1.0));
+    store.put("servers", &old.id, old.entry("ready"));
+    store.list_stale(store.copy());
+    store.put("servers", &new.id, new.entry("ready"));
+    store.delete("servers", &old.id);
+    (new, old)
+}
+
+async fn assert_that_all_orders_reach(gateway: &Gateway, new: &Target, old: &Target) {
+    eventually("the gateway is ready", async || ready(gateway).await == 200).await;
+    time::sleep(Duration::from_millis(100)).await;
+    for n in 0..10 {
+        let mut caller = support::caller::Caller::connect(gateway.callers()).await;
+        caller.send(&order(&format!("id-{n}")).text()).await;
+        assert_eq!(caller.answer().await.status, 200);
+    }
+    assert_eq!((new.seen().len(), old.seen().len()), (10, 0));
+}
+
+#[tokio::test]
+async fn a_gateway_whose_first_list_was_stale_knows_at_once_what_came_since() {
+    let store = Store::bind().await;
+    let (new, old) = replace_a_target_behind_a_stale_list(&store).await;
+    let gateway = gateway("entry-1", &store).await;
+    assert_that_all_orders_reach(&gateway, &new, &old).await;
+}
+
+#[tokio::test]
+async fn a_gateway_lists_again_if_the_history_since_a_stale_list_is_gone() {
+    let store = Store::bind().await;
+    let (new, old) = replace_a_target_behind_a_stale_list(&store).await;
+    store.forget_history();
+    let gateway = gateway("entry-1", &store).await;
+    assert_that_all_orders_reach(&gateway, &new, &old).await;
+}
+
 #[tokio::test]
 async fn an_older_configuration_is_ignored() {
     let fleet = TestFleet::start(1).await;
--- a/crates/citron-stand/src/gateway/store.rs
+++ b/crates/citron-stand/src/gateway/store.rs
@@ -55,6 +55,8 @@
     /// Rises by one each time the store comes back from a copy.
     era: u64,
     saved: Copy,
+    /// What a list shows that may be stale, if that is not what the store holds.
+    stale: Option<Copy>,
     mood: Mood,
     calls: u64,
 }
@@ -74,7 +76,7 @@
     /// Starts an empty store on a free port.
     pub async fn bind() -> Self {
         let saved = Copy { revision: 3, oldest: 0, objects: BTreeMap::new(), history: Vec::new() };
-        let state = Contents { era: 1, saved, mood: Mood::Well, calls: 0 };
+        let state = Contents { era: 1, saved, stale: None, mood: Mood::Well, calls: 0 };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Notify::new() });
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let current = Arc::clone(&shared);
@@ -129,6 +131,11 @@
         self.shared.state.lock().saved.clone()
     }
 
+    /// Answers lists that may be stale from a copy from now on.
+    pub fn list_stale(&self, copy: Copy) {
+        self.shared.state.lock().stale = Some(copy);
+    }
+
     /// Comes back from a copy: what was written since is gone, and its revisions are given out
     /// again. Watches that wait are never answered.
     pub fn restore(&self, copy: Copy) {
@@ -229,7 +236,7 @@
     Custom(Status::Ok, Json(value))
 }
 
-#[get("/<kind>?<watch>&<after>&<waitMs>")]
+#[get("/<kind>?<watch>&<after>&<waitMs>&<allowStale>")]
 #[expect(non_snake_case, reason = "the name of the query parameter on the wire")]
 async fn list(
     shared: &State<Arc<Shared>>,
@@ -237,6 +244,7 @@
     watch: Option<u64>,
     after: Option<&str>,
     waitMs: Option<u64>,
+    allowStale: Option<u8>,
 ) -> Answer {
     /// Objects on a page.
     const PAGE: usize = 2;
@@ -245,7 +253,9 @@
     }
     let era = shared.state.lock().era;
     let Some(since) = watch else {
-        let state = &shared.state.lock().saved;
+        let contents = &*shared.state.lock();
+        let stale = contents.stale.as_ref().filter(|_| allowStale == Some(1));
+        let state = stale.unwrap_or(&contents.saved);
         let of_kind = state
             .objects
             .iter()
