Accept requests by the keys of customers, which lapse where nothing confirms them

Cause: the configuration's customers, keys and open routes were not decoded. A caller's key was passed on to targets, an unknown one was served, and one that was removed stayed in force. Change: Customers in the routing table, with digests of keys; the customer's name for targets in place of the key; 401 for anything but one known key. The known keys are a lease, counted from the start of the call to the store that confirmed them, at this gateway or at a peer whose routes are not newer; a suspension of the host ends it. Without it 503, and callers are sent elsewhere. A watch that ended early confirms no longer than its start.

--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::position::Position;
+use citron::{gateways::OwnAddress, position::Position};
 use citron_adapter::ingress::{ADDRESSES_LIMIT, ResolveResponse};
 use citron_daemon::Server;
 use eyre::WrapErr;
@@ -73,7 +73,11 @@
 #[get("/v1/resolve?<zone>")]
 fn resolve(shared: &State<Arc<Shared>>, zone: Option<&str>) -> JsonResult<ResolveResponse> {
     let settings = shared.settings();
-    let own = shared.is_ready().then_some((settings.domain.as_str(), settings.callers));
+    let own = shared.is_ready().then(|| OwnAddress {
+        domain: &settings.domain,
+        callers: settings.callers,
+        accepts_keys: shared.accepts_keys(),
+    });
     let now = shared.clock.now();
     let mut addresses = shared.gateways.lock().caller_addresses(own, zone.unwrap_or_default(), now);
     addresses.truncate(ADDRESSES_LIMIT);
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -388,8 +388,10 @@
             self.checks.record_response(begun_at, self.shared.clock.now());
         }
         let Some(position) = response.cursor.filter(|_| response.is_current) else { return };
-        // A response without news was made after the whole wait.
-        let confirmed_at = if response.has_news { begun_at } else { begun_at + wait };
+        // A response without news was made after the whole wait, unless it was cut short.
+        let waited_until = begun_at + wait;
+        let has_waited = !response.has_news && self.shared.clock.now() >= waited_until;
+        let confirmed_at = if has_waited { waited_until } else { begun_at };
         self.shared.freshness.lock().record(self.subject.confirmed(), position, confirmed_at);
         self.shared.store_position.send_if_modified(|latest| {
             let is_newer = position > *latest;
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -21,6 +21,7 @@
 
 use self::header::text;
 use crate::{
+    access::{self, Access},
     budget::{Retry, loan},
     http1::{Head, Response, Segments},
     refusal,
@@ -41,6 +42,7 @@
 struct Forwarder<'a> {
     shared: &'a Arc<Shared>,
     route: &'a Route,
+    access: &'a Access,
     head: &'a Head,
     body: Segments,
     id: &'a str,
@@ -71,6 +73,20 @@
         shared.metrics.record_refusal("no-route");
         return refusal::no_route();
     };
+    let access = match access::authorize(&shared, &routes, &route, &head.headers, received_at) {
+        Ok(access) => access,
+        Err(denied) => {
+            let response = refusal::denied(denied);
+            log::info!(
+                "event=request id={id} outcome=not-run reason={denied} status={} route={} routes={}",
+                response.status.as_u16(),
+                route.name,
+                routes.version
+            );
+            shared.metrics.record_refusal(denied.into());
+            return response;
+        }
+    };
     let caller_timeout = refusal::caller_timeout(text(&head.headers, REMAINING_MS));
     let deadline = received_at + caller_timeout.min(route.timeout);
     if shared.serve_until().is_some_and(|until| deadline > until) {
@@ -80,8 +96,16 @@
     }
     let service = shared.select_service(&route);
     shared.budgets.record_request(&service, shared.clock.now());
-    let forwarder =
-        Forwarder { shared: &shared, route: &route, head: &head, body, id: &id, service, deadline };
+    let forwarder = Forwarder {
+        shared: &shared,
+        route: &route,
+        access: &access,
+        head: &head,
+        body,
+        id: &id,
+        service,
+        deadline,
+    };
     let (response, attempts) = tokio::select! {
         done = forwarder.run() => done,
         () = shared.end_of_service() => {
@@ -95,8 +119,9 @@
     let level = if response.status.is_server_error() { Level::Warn } else { Level::Info };
     log::log!(
         level,
-        "event=request id={id} route={} service={} status={} attempts={attempts} took_ms={} given_ms={} routes={}",
+        "event=request id={id} route={} customer={} service={} status={} attempts={attempts} took_ms={} given_ms={} routes={}",
         route.name,
+        access.customer().map_or("-", |customer| &customer.name),
         forwarder.service,
         response.status.as_u16(),
         took.as_millis(),
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -9,7 +9,7 @@
     gray::{Choice, Verdict},
 };
 use citron_adapter::{
-    header::{ATTEMPT_ID, EXPECTED_TARGET, NOT_RUN, REMAINING_MS, SIGNATURE},
+    header::{ATTEMPT_ID, CUSTOMER, EXPECTED_TARGET, KEY, NOT_RUN, REMAINING_MS, SIGNATURE},
     notice,
 };
 use hyper::{
@@ -187,14 +187,19 @@
         *request.uri_mut() = self.head.uri.clone();
         let headers = request.headers_mut();
         for (name, value) in &self.head.headers {
-            if !is_hop_by_hop(name, &self.head.headers) && name != CONTENT_LENGTH && name != EXPECT
-            {
+            let is_own = name == CONTENT_LENGTH
+                || name == EXPECT
+                || (self.access.is_restricted() && (name == KEY || name == CUSTOMER));
+            if !is_own && !is_hop_by_hop(name, &self.head.headers) {
                 headers.append(name.clone(), value.clone());
             }
         }
         let left = self.deadline.saturating_sub(self.shared.clock.now());
         headers.insert(REMAINING_MS, HeaderValue::from(left.as_millis() as u64));
         headers.insert(EXPECTED_TARGET, HeaderValue::from_str(&target.id).ok()?);
+        if let Some(customer) = self.access.customer() {
+            headers.insert(CUSTOMER, HeaderValue::from_str(&customer.name).ok()?);
+        }
         Some(request)
     }
 
--- a/crates/citron-gateway/src/lib.rs
+++ b/crates/citron-gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The gateway: a process that forwards callers' requests to targets, tells callers which gateways
 //! to connect to, and shares its observations with the other gateways.
 
+mod access;
 mod budget;
 mod caller;
 mod connection;
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -169,7 +169,9 @@
         return Duration::ZERO;
     }
     let sent_at = Duration::from_millis(state.sent_ms);
-    shared.gateways.lock().report_delay(host, state.born_ms, sent_at, now)
+    // By this clock a report that waited while this host was suspended is as old as it is.
+    let arrived_at = now + shared.clock.suspended();
+    shared.gateways.lock().report_delay(host, state.born_ms, sent_at, arrived_at)
 }
 
 /// Decodes a report that was made at `made_at` by this gateway's clock.
@@ -186,6 +188,7 @@
         callers: state.callers.parse().ok()?,
         peers: state.peers.parse().ok()?,
         ready: state.ready,
+        accepts_keys: !state.refuses_keys,
         routes_version: state.routes_version,
         targets_position: Position { era: state.targets_era, revision: state.targets_revision },
         fleet_hosts: state.fleet_hosts,
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -226,6 +226,7 @@
         callers: settings.callers.to_string(),
         peers: settings.peers.to_string(),
         ready: shared.is_ready(),
+        refuses_keys: !shared.accepts_keys(),
         routes_version: shared.routes().map_or(0, |routes| routes.version),
         targets_revision: position.revision,
         targets_era: position.era,
@@ -236,7 +237,7 @@
         store_response_age_ms: contact.map(|contact| age_ms(contact.last)),
         store_era: contact.map_or(0, |contact| contact.era),
         sent_ms: now.as_millis() as u64,
-        confirmed_age_ms: shared.freshness.lock().confirmed_at().map(age_ms),
+        confirmed_age_ms: shared.own_confirmed_at().map(age_ms),
         store_silence: shared.link.silence().map(|silence| message::Silence {
             unanswered_age_ms: age_ms(silence.unanswered_at),
             returned_age_ms: silence.returned_at.map(age_ms),
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -163,6 +163,10 @@
     /// The number of hosts that the sender knows, 0 if it has not read the platform's list.
     #[prost(uint32, tag = "17")]
     pub fleet_hosts: u32,
+    /// Whether the sender accepts no requests with keys, as nothing confirms that they are still
+    /// valid.
+    #[prost(bool, tag = "22")]
+    pub refuses_keys: bool,
     /// Whether the sender requests a reply with the gateways that the receiver knows.
     #[prost(bool, tag = "8")]
     pub wants_reply: bool,
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -5,11 +5,13 @@
 use citron::attempt::{Cause, Outcome};
 use hyper::StatusCode;
 
-use crate::{caller::Cut, http1::Response};
+use crate::{access::Denied, caller::Cut, http1::Response};
 
 /// The delay, in seconds, after which a caller may retry a refused request if nothing is known that
 /// takes longer.
 const RETRY_AFTER_S: f64 = 0.25;
+/// The same while nothing confirms the customers' keys: an outage or a cut of this host lasts longer.
+const UNCONFIRMED_RETRY_AFTER_S: f64 = 1.0;
 
 /// Returns the response to a request that ended without one from a target.
 ///
@@ -32,6 +34,16 @@
     Response::error(503, "routes-unknown").retry_after(RETRY_AFTER_S)
 }
 
+/// Returns the response to a request that is not accepted.
+pub fn denied(denied: Denied) -> Response {
+    match denied {
+        Denied::KeyInvalid => Response::error(401, denied.into()),
+        Denied::KeysUnconfirmed => {
+            Response::error(503, denied.into()).retry_after(UNCONFIRMED_RETRY_AFTER_S)
+        }
+    }
+}
+
 /// Returns the response to a request for which there is no memory.
 pub fn memory_full() -> Response {
     Response::error(503, "memory-full").retry_after(RETRY_AFTER_S)
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of a gateway share, each part under its own lock.
 
 mod attempt;
+mod key_lease;
 mod lifecycle;
 mod store;
 mod update;
@@ -20,6 +21,7 @@
 use citron::{
     freshness::Freshness,
     gateways::Gateways,
+    key_lease::KeyLease,
     position::Position,
     route::{Split, Table},
 };
@@ -93,6 +95,8 @@
     pub store_moves: watch::Sender<u64>,
     /// What the store's responses to this gateway confirm.
     pub freshness: Mutex<Freshness>,
+    /// For how long the known keys of the customers may be accepted.
+    key_lease: Mutex<KeyLease>,
     /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
     pub routes_overdue: Notify,
     /// Wakes the follower of the targets when a peer has a newer list than its watch delivered.
@@ -135,6 +139,7 @@
             store_era: watch::Sender::default(),
             store_moves: watch::Sender::default(),
             freshness: Mutex::default(),
+            key_lease: Mutex::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
             routes_behind: Notify::new(),
--- /dev/null
+++ b/crates/citron-gateway/src/shared/key_lease.rs
@@ -0,0 +1,38 @@
+//! The lease on the customers' keys: what confirms that they are still valid.
+
+use std::time::Duration;
+
+use super::Shared;
+
+impl Shared {
+    /// Returns true if a request that arrived at `arrived_at` may be accepted with a key.
+    pub fn key_lease_covers(&self, arrived_at: Duration) -> bool {
+        let Some(bound) = self.settings().revoke_within else { return true };
+        self.notice_suspension();
+        let version = self.routes().map_or(0, |routes| routes.version);
+        let peers = self.gateways.lock().routes_confirmed_at(version);
+        let confirmed_at = self.freshness.lock().routes_confirmed_at().max(peers);
+        self.key_lease.lock().covers(arrived_at, confirmed_at, bound)
+    }
+
+    /// Returns true if this gateway accepts requests with keys now, or if there are no customers.
+    pub fn accepts_keys(&self) -> bool {
+        let has_customers = self.routes().is_some_and(|routes| routes.customers.is_some());
+        !has_customers || self.key_lease_covers(self.clock.now())
+    }
+
+    /// Returns when the store confirmed this gateway's routes and targets to itself, if the host was
+    /// not suspended since.
+    pub fn own_confirmed_at(&self) -> Option<Duration> {
+        self.notice_suspension();
+        let confirmed_at = self.freshness.lock().confirmed_at();
+        self.key_lease.lock().usable(confirmed_at)
+    }
+
+    fn notice_suspension(&self) {
+        let total = self.clock.suspended();
+        if self.key_lease.lock().record_suspended(total, self.clock.now()) {
+            log::warn!("event=resumed suspended_ms={}", total.as_millis());
+        }
+    }
+}
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -12,9 +12,9 @@
 };
 
 use citron::attempt::RetryBound;
-use citron_adapter::settings::Settings;
+pub use citron_adapter::settings::{QuotaBound, Settings};
 use citron_daemon::Clock;
-use citron_gateway::Gateway;
+pub use citron_gateway::Gateway;
 use serde_json::{Value, json};
 use tokio::time;
 
@@ -26,7 +26,8 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// A retry budget that is not spent.
-const BOUND: RetryBound = RetryBound { ratio: 1.0, slack: 800.0, window: Duration::from_secs(10) };
+pub const BOUND: RetryBound =
+    RetryBound { ratio: 1.0, slack: 800.0, window: Duration::from_secs(10) };
 /// For how long the gateway of a test fleet has run.
 const RUN_TIME: Duration = Duration::from_secs(60);
 
@@ -159,8 +160,14 @@
     clock: Clock,
     retry_bound: RetryBound,
 ) -> Gateway {
+    let settings = settings(host, store, retry_bound);
+    Gateway::bind(settings, None, clock).await.expect("a gateway")
+}
+
+/// Returns the settings of a gateway on free ports.
+pub fn settings(host: &str, store: SocketAddr, retry_bound: RetryBound) -> Settings {
     let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let settings = Settings {
+    Settings {
         host: host.to_owned(),
         ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
         domain: "a".to_owned(),
@@ -177,9 +184,12 @@
         retry_bound,
         ttl_max: Duration::from_secs(5),
         grace: Duration::from_secs(6),
+        revoke_within: None,
+        quota_bound: QuotaBound { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 },
+        cpu_share: 1.0,
+        link_mbps: 1000.0,
         is_first_start: false,
-    };
-    Gateway::bind(settings, None, clock).await.expect("a gateway")
+    }
 }
 
 /// Returns the status of a gateway's readiness check.
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -227,6 +227,7 @@
             callers: address,
             peers: address,
             ready: true,
+            accepts_keys: true,
             routes_version: 1,
             targets_position: Position::default(),
             fleet_hosts: 0,
--- a/crates/citron/src/freshness.rs
+++ b/crates/citron/src/freshness.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Returns when the routes were last known to be complete.
+    pub fn routes_confirmed_at(&self) -> Option<Duration> {
+        self.routes.at
+    }
+
     /// Returns when both subjects were last known to be complete.
     pub fn confirmed_at(&self) -> Option<Duration> {
         Some(self.routes.at?.min(self.targets.at?))
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -93,6 +93,8 @@
     pub peers: SocketAddr,
     /// Whether it accepts callers.
     pub ready: bool,
+    /// Whether it accepts requests with keys: if there are customers, its lease on their keys holds.
+    pub accepts_keys: bool,
     /// The version of its routes, 0 if it has none.
     pub routes_version: u64,
     /// The position of its target list, revision 0 if it has none.
@@ -108,6 +110,17 @@
     pub store_silence: Option<Silence>,
 }
 
+/// How callers reach this gateway.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct OwnAddress<'a> {
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// The address that callers connect to.
+    pub callers: SocketAddr,
+    /// Whether it accepts requests with keys.
+    pub accepts_keys: bool,
+}
+
 /// What is known of one gateway.
 #[derive(Debug, Clone)]
 pub struct Gateway {
@@ -211,27 +224,36 @@
         self.by_host.iter().filter(move |(_, g)| g.report.is_some() && lately(g))
     }
 
-    /// Returns the addresses for callers in `domain`; `own` is this gateway's failure domain and
-    /// address if it is ready.
+    /// Returns the addresses for callers in `domain`; `own` is this gateway's if it is ready.
     ///
-    /// Callers stay in their failure domain while it has enough ready gateways.
+    /// Callers stay in their failure domain while it has enough ready gateways. Those that accept no
+    /// keys are named only if there are no others. A gateway that accepts none and hears of no other
+    /// is cut off: it names those that it heard before, which callers may reach.
     pub fn caller_addresses(
         &self,
-        own: Option<(&str, SocketAddr)>,
+        own: Option<OwnAddress<'_>>,
         domain: &str,
         now: Duration,
     ) -> Vec<SocketAddr> {
-        let fresh = |gateway: &Gateway| now.saturating_sub(gateway.last_seen) < ADVERTISE_TIMEOUT;
-        let others = self.by_host.values().filter(|gateway| fresh(gateway));
-        let reports = others.filter_map(|gateway| gateway.report.as_ref()).filter(|r| r.ready);
-        let ready: Vec<(&str, SocketAddr)> =
-            reports.map(|report| (&*report.domain, report.callers)).chain(own).collect();
-        let near: Vec<SocketAddr> =
-            ready.iter().filter(|(d, _)| *d == domain).map(|(_, address)| *address).collect();
-        if near.len() >= DOMAIN_GATEWAYS_MIN {
-            return near;
+        let is_cut_off = own.is_some_and(|own| !own.accepts_keys);
+        for timeout in [ADVERTISE_TIMEOUT, MEMBER_TIMEOUT] {
+            let others = self.by_host.values().filter(|gateway| gateway.age(now) < timeout);
+            let reports = others.filter_map(|gateway| gateway.report.as_ref());
+            let accepting = reports.filter(|report| report.ready && report.accepts_keys);
+            let accepting = accepting.map(|report| (&*report.domain, report.callers));
+            let own = own.filter(|own| own.accepts_keys).map(|own| (own.domain, own.callers));
+            let addresses = near_addresses(accepting.chain(own).collect(), domain);
+            if !addresses.is_empty() {
+                return addresses;
+            }
+            if !is_cut_off {
+                break;
+            }
         }
-        ready.into_iter().map(|(_, address)| address).collect()
+        let others = self.by_host.values().filter(|gateway| gateway.age(now) < ADVERTISE_TIMEOUT);
+        let ready = others.filter_map(|gateway| gateway.report.as_ref()).filter(|r| r.ready);
+        let ready = ready.map(|report| (&*report.domain, report.callers));
+        near_addresses(ready.chain(own.map(|own| (own.domain, own.callers))).collect(), domain)
     }
 
     /// Returns the address of a gateway with routes newer than `version`: one of those that are
@@ -308,6 +330,13 @@
         not_newer.filter_map(|report| report.confirmed_at).max()
     }
 
+    /// Returns when the store last confirmed, to any gateway, routes that are not newer than `version`.
+    pub fn routes_confirmed_at(&self, version: u64) -> Option<Duration> {
+        let reports = self.by_host.values().filter_map(|gateway| gateway.report.as_ref());
+        let not_newer = reports.filter(|report| report.routes_version <= version);
+        not_newer.filter_map(|report| report.confirmed_at).max()
+    }
+
     /// Returns when the store last returned from a silence that this gateway or another noticed.
     pub fn store_returned_at(&self, own: Option<Silence>, now: Duration) -> Option<Duration> {
         let contacts: Vec<Contact> = self.store_contacts(now).collect();
@@ -510,3 +539,12 @@
         nearest.choose(rng).copied()
     }
 }
+
+/// Returns the addresses of the gateways in `domain`, or of all if there are too few of them.
+fn near_addresses(gateways: Vec<(&str, SocketAddr)>, domain: &str) -> Vec<SocketAddr> {
+    let is_near = |(other, _): &&(&str, SocketAddr)| *other == domain;
+    if gateways.iter().filter(is_near).count() >= DOMAIN_GATEWAYS_MIN {
+        return gateways.iter().filter(is_near).map(|(_, address)| *address).collect();
+    }
+    gateways.into_iter().map(|(_, address)| address).collect()
+}
--- a/crates/citron/src/route.rs
+++ b/crates/citron/src/route.rs
@@ -10,10 +10,10 @@
 use smallvec::SmallVec;
 use strum::EnumIter;
 
-use crate::position::Position;
+use crate::{customer::Customers, position::Position};
 
 /// One version of the routes, the services and the limits for callers.
-#[derive(Debug, Clone, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Table {
     /// The version; a table is only replaced by one with a higher version.
     pub version: u64,
@@ -24,6 +24,9 @@
     pub services: BTreeMap<Arc<str>, Service>,
     /// The limits on requests from callers.
     pub limits: Limits,
+    /// The customers, `None` if requests carry no keys.
+    #[serde(default)]
+    pub customers: Option<Customers>,
     hosts: BTreeMap<String, Vec<Arc<Route>>>,
 }
 
@@ -64,6 +67,9 @@
     pub objective: Duration,
     /// The priority; 0 is the highest.
     pub priority: u32,
+    /// Whether its requests need no key where there are customers.
+    #[serde(default)]
+    pub open: bool,
     /// The services with their weights, at least one; serialized as `parts`.
     #[serde(rename = "parts")]
     pub backends: SmallVec<[Backend; 2]>,
@@ -78,6 +84,8 @@
     Download,
     /// Requests that change something, such as orders.
     Order,
+    /// Requests that change something and have large bodies.
+    Upload,
     /// A kind that this version does not know.
     Unknown,
 }
@@ -88,7 +96,7 @@
     pub fn is_idempotent(self) -> bool {
         match self {
             Self::Read | Self::Download => true,
-            Self::Order | Self::Unknown => false,
+            Self::Order | Self::Upload | Self::Unknown => false,
         }
     }
 }
@@ -119,7 +127,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, position: Position::default(), services, limits, hosts }
+        Self { version, position: Position::default(), services, limits, customers: None, hosts }
     }
 
     /// Returns the route with the longest prefix of `path` among those of `host`.
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -5,7 +5,7 @@
 use citron::{
     attempt::Sharer,
     catalog::Target,
-    gateways::{Gateways, LoadIntervals, Report},
+    gateways::{Gateways, LoadIntervals, OwnAddress, Report},
     outage::{Contact, Silence},
     poller::{Member, POLLERS},
     position::Position,
@@ -24,6 +24,7 @@
         callers: address(port),
         peers: address(port + 1),
         ready,
+        accepts_keys: true,
         routes_version: u64::from(port),
         targets_position: Position { era: 1, revision: 5 },
         fleet_hosts: 0,
@@ -53,7 +54,7 @@
 fn callers_stay_in_a_domain_with_enough_gateways() {
     let gateways = fleet();
     assert_eq!(gateways.caller_addresses(None, "a", at(100)), [address(10), address(20)]);
-    let own = Some(("b", address(40)));
+    let own = Some(OwnAddress { domain: "b", callers: address(40), accepts_keys: true });
     assert_eq!(gateways.caller_addresses(own, "b", at(100)), [address(30), address(40)]);
 }
 
--- a/crates/citron/tests/route.rs
+++ b/crates/citron/tests/route.rs
@@ -15,6 +15,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(600),
         priority: 1,
+        open: false,
         backends: backends
             .iter()
             .map(|(service, weight)| Backend { service: Arc::from(*service), weight: *weight })
