Test recovered targets also by requests that cannot be retried

Change: an order is the trial of a target that probably recovered (0.4 at most) and to which nothing was sent for 3 s. Services with reads test such targets each second, so that it is rare there. Result: targets_of_a_service_without_retryable_requests_come_back failed before (one of seven targets used after 16 s), passes now.

--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -257,8 +257,11 @@
 
     /// Chooses a target that has not been tried yet and adds it to `tried`.
     fn dispatch(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
-        let may_be_trial = self.route.idempotent && self.route.attempts > 1 && tried.is_empty();
-        let eligibility = if may_be_trial { Eligibility::Trial } else { Eligibility::Any };
+        let eligibility = match (tried.is_empty(), self.route.idempotent) {
+            (true, true) if self.route.attempts > 1 => Eligibility::Trial,
+            (true, false) => Eligibility::LateTrial,
+            _ => Eligibility::Any,
+        };
         let criteria = Criteria { service: &self.service, tried, eligibility };
         let choice = match self.shared.begin_attempt(criteria) {
             Ok(choice) => choice,
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -59,6 +59,10 @@
     /// Any target, preferably one whose trial is due: only the outcome of a request shows whether
     /// that target has recovered, and this request can be retried elsewhere.
     Trial,
+    /// Any target, preferably one that is probably healthy again and to which nothing was sent for
+    /// long: of a service without requests that can be retried, only the outcome of another one shows
+    /// that a target has recovered.
+    LateTrial,
     /// Only a target that has a free slot and is not suspected.
     FreeSlot,
 }
@@ -66,7 +70,7 @@
 impl Eligibility {
     /// Returns true if the attempt may be a trial request.
     pub fn allows_trial(self) -> bool {
-        self == Self::Trial
+        matches!(self, Self::Trial | Self::LateTrial)
     }
 }
 
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -29,6 +29,12 @@
 /// it have not sent, because they had no suitable request or are gone.
 const TRIAL_STAGGER: Duration = Duration::from_millis(250);
 
+/// How long nothing was sent to a target before a request that cannot be retried may be its trial.
+/// Requests that can be retried test it three times as often.
+const LATE_TRIAL_INTERVAL: Duration = Duration::from_millis(3000);
+/// The failure probability above which such a request is not risked.
+const LATE_TRIAL_PROBABILITY_MAX: f64 = 0.4;
+
 /// A target's identity in load reports, a hash of its id.
 pub type TargetKey = u32;
 
@@ -148,6 +154,7 @@
                 if eligibility.allows_trial()
                     && candidate.needs_trial()
                     && candidate.own_in_flight == 0
+                    && self.may_try(target, eligibility, now)
                 {
                     candidate.trial_due_for = self.trial_due_for(target, &trial_rank, now);
                 }
@@ -292,6 +299,17 @@
             .count()
     }
 
+    /// Returns true if a request of this eligibility may be a trial of a target that needs one.
+    fn may_try(&self, target: &Target, eligibility: Eligibility, now: Duration) -> bool {
+        let Some(state) = self.states.get(&target.id) else { return false };
+        if eligibility != Eligibility::LateTrial {
+            return true;
+        }
+        let is_late = now.saturating_sub(state.last_attempt_at) >= LATE_TRIAL_INTERVAL;
+        (is_late || state.last_succeeded)
+            && state.failure_probability(now) <= LATE_TRIAL_PROBABILITY_MAX
+    }
+
     /// Returns how long this gateway's next trial request to a target has been due, if it is.
     fn trial_due_for(
         &self,
--- a/crates/citron/tests/gray.rs
+++ b/crates/citron/tests/gray.rs
@@ -338,6 +338,46 @@
     assert_eq!(begin(at(3000), false), "t0");
 }
 
+/// Plays a service whose requests cannot be retried and whose targets all recovered from failures at
+/// time zero but one: without trials by such requests the recovered ones would stay idle for good.
+#[test]
+fn targets_of_a_service_without_retryable_requests_come_back() {
+    let mut world = World::near(8);
+    let failing = world.get("t7");
+    for n in 0..6 {
+        let target = world.get(&format!("t{n}"));
+        world.view.apply_peer_outcome(&target, Verdict::Failed, Duration::ZERO, at(0));
+    }
+    world.view.apply_peer_outcome(&failing, Verdict::Failed, Duration::ZERO, at(0));
+    let mut used = BTreeSet::new();
+    let mut lost = 0;
+    for n in 0..1000 {
+        let now = at(n * 20);
+        let Some(target) = world.pick(Eligibility::LateTrial, now) else { continue };
+        let is_failing = target.id == failing.id;
+        lost += u32::from(is_failing);
+        let verdict = if is_failing { Verdict::Failed } else { Verdict::Served };
+        world.view.end_attempt(&target, Some(verdict), now + at(10));
+        if n >= 800 {
+            used.insert(target.id);
+        }
+    }
+    assert_eq!(used.len(), 7, "{used:?}");
+    assert!(lost <= 2, "{lost} requests were lost at the failing target in 20 s");
+}
+
+#[test]
+fn a_request_that_cannot_be_retried_is_no_trial_of_a_target_that_failed_just_now() {
+    let mut world = World::near(2);
+    let suspected = world.get("t0");
+    world.view.apply_peer_outcome(&suspected, Verdict::Failed, Duration::ZERO, at(0));
+    for n in 0..150 {
+        let target = world.pick(Eligibility::LateTrial, at(n * 20)).expect("a target");
+        assert_eq!(&*target.id, "t1", "at {} ms", n * 20);
+        world.view.end_attempt(&target, Some(Verdict::Served), at(n * 20 + 10));
+    }
+}
+
 /// A timeout is reported long after the request was sent; the next trial must not wait a full trial
 /// interval after the report.
 #[test]
