Confirm the routes at once after a start where keys depend on it

The first list may be stale and confirms nothing, and the watch after it waits 25 s while nothing changes, so that keys were refused for that long. Change: the first call after such a list does not wait. The store stand-in takes a PUT that changes nothing as no change, as the platform does; otherwise a gateway's registration hid the fault.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -176,7 +176,8 @@
     ///
     /// After a failure or a silence, a recovery must be noticed at once, not with the next change.
     fn wait(&self) -> Duration {
-        let is_doubtful = self.backoff.failed() || self.has_abandoned;
+        let is_doubtful =
+            self.backoff.failed() || self.has_abandoned || self.must_confirm_at_once();
         match self.cursor {
             Some(_) if !is_doubtful && self.polls() => POLL_TIMEOUT,
             Some(_) if !is_doubtful => WATCH_TIMEOUT,
@@ -184,6 +185,14 @@
         }
     }
 
+    /// Returns true if keys are accepted only with confirmed routes and none were confirmed yet: the
+    /// first list may be stale, and a watch returns nothing while nothing changes.
+    fn must_confirm_at_once(&self) -> bool {
+        self.subject == Subject::Routes
+            && self.shared.settings().revoke_within.is_some()
+            && self.shared.freshness.lock().routes_confirmed_at().is_none()
+    }
+
     /// Returns true if this follower asks at short intervals.
     fn polls(&self) -> bool {
         self.subject == Subject::Targets && self.shared.is_poller()
--- a/crates/citron-gateway/tests/keys.rs
+++ b/crates/citron-gateway/tests/keys.rs
@@ -25,9 +25,14 @@
     config
 }
 
-async fn fleet() -> TestFleet {
+async fn store() -> Store {
     let store = Store::bind().await;
     store.put("config", "main", customers("r1", &["key-1", "key-2"]));
+    store
+}
+
+async fn fleet() -> TestFleet {
+    let store = store().await;
     let target = Target::bind("t0").await;
     store.put("servers", &target.id, target.entry("ready"));
     let settings = support::Settings {
@@ -118,6 +123,34 @@
     assert_eq!(fleet.send(&request).await.status, 200);
 }
 
+/// All gateways start again and nothing changes in the store: its first list may be stale and confirms
+/// nothing, and a watch would return nothing for long.
+#[tokio::test]
+async fn keys_are_accepted_soon_after_a_restart() {
+    let store = store().await;
+    let target = Target::bind("t0").await;
+    store.put("servers", &target.id, target.entry("ready"));
+    let free = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let datagrams = free.local_addr().expect("its address");
+    drop(free);
+    store.put("citron-gateways", "entry-1", json!({ "datagrams": datagrams }));
+    let settings = support::Settings {
+        revoke_within: Some(REVOKE_WITHIN),
+        internal_port: datagrams.port(),
+        ..support::settings("entry-1", store.addr(), support::BOUND)
+    };
+    let gateway = support::Gateway::bind(settings, None, running_clock()).await.expect("a gateway");
+    let targets = vec![target];
+    let fleet = TestFleet { store, targets, gateway };
+    fleet.wait_ready().await;
+    let began = time::Instant::now();
+    eventually("keys are accepted", async || {
+        fleet.send(&Request { extra: "Api-Key: key-1\r\n", ..lookup("probe") }).await.status == 200
+    })
+    .await;
+    assert!(began.elapsed() < Duration::from_secs(1), "after {:?}", began.elapsed());
+}
+
 /// A gateway that has no store may not hear that a key was removed: it stops to accept keys within the
 /// bound, keeps open routes, sends callers elsewhere if it can, and goes on once the store is back.
 #[tokio::test]
--- a/crates/citron-stand/src/gateway/store.rs
+++ b/crates/citron-stand/src/gateway/store.rs
@@ -178,6 +178,15 @@
         object
     }
 
+    /// Writes an object unless it says that already, which is no change.
+    fn replace(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
+        let current = self.objects.get(&(kind.to_owned(), name.to_owned()));
+        match current.filter(|object| object["spec"] == *spec) {
+            Some(object) => object.clone(),
+            None => self.write(kind, name, spec),
+        }
+    }
+
     fn remove(&mut self, kind: &str, name: &str) -> bool {
         let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) else {
             return false;
@@ -317,7 +326,7 @@
 
 #[put("/<kind>/<name>", data = "<body>")]
 async fn replace(shared: &State<Arc<Shared>>, kind: &str, name: &str, body: Json<Value>) -> Answer {
-    write(shared, |state| ok(state.write(kind, name, &body["spec"]))).await
+    write(shared, |state| ok(state.replace(kind, name, &body["spec"]))).await
 }
 
 #[delete("/<kind>/<name>")]
