--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod poller;
 pub mod position;
 pub mod queue;
+pub mod quota;
 pub mod route;
 pub mod shutdown;
 pub mod statement;
