Quotas: the gateway admits requests of customers with a quota by tokens

A request over its customer's quota was served. Right after its key is accepted, a request now takes a token from this host's bucket or asks another owner by datagram; 429 quota-exceeded or 503 quota-unreachable otherwise.

--- a/crates/citron-gateway/src/budget/loan.rs
+++ b/crates/citron-gateway/src/budget/loan.rs
@@ -12,12 +12,13 @@
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
 use tokio::{
-    sync::{Mutex as AsyncMutex, mpsc},
+    sync::mpsc,
     time::{self, Instant},
 };
 
 use super::Retry;
 use crate::{
+    outbox::Outbox,
     peer::message::{LoanMessage, LoanStep},
     shared::Shared,
 };
@@ -26,8 +27,6 @@
 const LENDERS: usize = 2;
 /// How long an answer is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
-/// The maximum number of messages that wait to be sent; further ones are dropped and counted.
-const OUTGOING_LIMIT: usize = 256;
 
 /// The answer of one gateway that was asked: a loan, or `None`.
 type Answer = Option<Lent>;
@@ -90,11 +89,11 @@
 }
 
 /// What this gateway borrows, and the messages that it sends about loans.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Loans {
     state: Mutex<State>,
-    outgoing: mpsc::Sender<(SocketAddr, LoanMessage)>,
-    queue: AsyncMutex<mpsc::Receiver<(SocketAddr, LoanMessage)>>,
+    /// The messages to send.
+    pub outbox: Outbox<LoanMessage>,
 }
 
 #[derive(Debug, Default)]
@@ -104,20 +103,6 @@
     last_ask: u64,
 }
 
-impl Default for Loans {
-    fn default() -> Self {
-        let (outgoing, queue) = mpsc::channel(OUTGOING_LIMIT);
-        Self { state: Mutex::default(), outgoing, queue: AsyncMutex::new(queue) }
-    }
-}
-
-impl Loans {
-    /// Returns the next message to send and its receiver, `None` once there will be none.
-    pub async fn next_outgoing(&self) -> Option<(SocketAddr, LoanMessage)> {
-        self.queue.lock().await.recv().await
-    }
-}
-
 /// Borrows a token for a retry, or returns `None` if none of those that were asked lends one.
 pub async fn borrow(shared: &Arc<Shared>, service: &Arc<str>) -> Option<Retry> {
     let now = shared.clock.now();
@@ -301,7 +286,7 @@
 }
 
 fn send(shared: &Shared, to: SocketAddr, message: LoanMessage) {
-    if shared.loans.outgoing.try_send((to, message)).is_err() {
+    if !shared.loans.outbox.push(to, message) {
         shared.metrics.datagrams_unsent.inc();
         log::debug!("event=loan-message-dropped to={to} reason=queue-full");
     }
--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     peer::{Coding, Export, Transfer},
+    quota::members,
     shared::Shared,
 };
 
@@ -47,7 +48,7 @@
 pub async fn bind_peers(shared: &Arc<Shared>, addr: SocketAddr) -> eyre::Result<Server> {
     serve(shared, addr, |rocket| {
         let rocket = rocket.manage(Export::default());
-        rocket.mount("/", routes![peer_routes, peer_targets, peer_departures])
+        rocket.mount("/", routes![peer_routes, peer_targets, peer_departures, peer_members])
     })
     .await
 }
@@ -132,6 +133,16 @@
     export.value(&departures, coding).await
 }
 
+#[get("/members")]
+async fn peer_members(
+    shared: &State<Arc<Shared>>,
+    export: &State<Export>,
+    coding: Coding,
+) -> Result<Transfer, Status> {
+    let list = members::export(shared).ok_or(Status::ServiceUnavailable)?;
+    export.value(&list, coding).await
+}
+
 #[get("/metrics")]
 fn metrics(shared: &State<Arc<Shared>>) -> Result<(ContentType, Vec<u8>), Status> {
     citron_daemon::encode_metrics(&shared.metrics.registry).map_err(|error| {
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -15,7 +15,7 @@
 };
 use citron_adapter::header::{ATTEMPT_ID, REMAINING_MS};
 use futures::{StreamExt, stream::FuturesUnordered};
-use hyper::header::HOST;
+use hyper::header::{HOST, RETRY_AFTER};
 use log::Level;
 use tokio::time;
 
@@ -24,6 +24,7 @@
     access::{self, Access},
     budget::{Retry, loan},
     http1::{Head, Response, Segments},
+    quota::{self, Pass},
     refusal,
     shared::Shared,
 };
@@ -43,6 +44,7 @@
     shared: &'a Arc<Shared>,
     route: &'a Route,
     access: &'a Access,
+    pass: &'a Pass,
     head: &'a Head,
     body: Segments,
     id: &'a str,
@@ -87,6 +89,26 @@
             return response;
         }
     };
+    let pass = match access.customer() {
+        Some(customer) => quota::admit(&shared, customer).await,
+        None => Ok(Pass::default()),
+    };
+    let pass = match pass {
+        Ok(pass) => pass,
+        Err(denied) => {
+            let response = refusal::over_quota(denied);
+            log::info!(
+                "event=request id={id} outcome=not-run reason={denied} status={} route={} customer={} retry_after={} routes={}",
+                response.status.as_u16(),
+                route.name,
+                access.customer().map_or("-", |customer| &customer.name),
+                text(&response.headers, RETRY_AFTER.as_str()).unwrap_or("-"),
+                routes.version
+            );
+            shared.metrics.record_refusal(denied.into());
+            return response;
+        }
+    };
     let caller_timeout = refusal::caller_timeout(text(&head.headers, REMAINING_MS));
     let deadline = received_at + caller_timeout.min(route.timeout);
     if shared.serve_until().is_some_and(|until| deadline > until) {
@@ -100,6 +122,7 @@
         shared: &shared,
         route: &route,
         access: &access,
+        pass: &pass,
         head: &head,
         body,
         id: &id,
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -159,6 +159,7 @@
         if let Some(retry) = retry {
             retry.set_sent(true);
         }
+        self.pass.record_sent();
         match connection.send(request).await {
             Ok(response) => {
                 if let Some(retry) = retry {
@@ -170,6 +171,7 @@
                 if let Some(retry) = retry {
                     retry.set_sent(false);
                 }
+                self.pass.record_not_run();
                 Attempt::new(AttemptResult::NotConnected, Some(Verdict::Unreachable))
             }
             Err(connection::Error::Broken) => {
@@ -223,6 +225,7 @@
             self.shared.record_notice(target, notice::decode(head.status, &head.headers));
         }
         if is_refusal {
+            self.pass.record_not_run();
             return attempt(AttemptResult::Shed, Verdict::Shed);
         }
         if head.status.is_success() && !is_signed {
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -8,7 +8,9 @@
 use eyre::WrapErr;
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
-use crate::{budget, caller, directory, follow, metrics::Metrics, peer, reload, shared::Shared};
+use crate::{
+    budget, caller, directory, follow, metrics::Metrics, peer, quota, reload, shared::Shared,
+};
 
 /// How long a gateway still accepts connections after it announced its shutdown, so that callers
 /// learn of the shutdown first.
@@ -86,6 +88,7 @@
         tokio::spawn(peer::report_load(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::send_outcomes(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::send_loans(Arc::clone(&shared), Arc::clone(&socket)));
+        tokio::spawn(peer::send_quotas(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
         reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
@@ -162,6 +165,7 @@
         shared.expire_targets();
         shared.update_limits();
         shared.update_retry_share();
+        quota::sweep(&shared);
     }
 }
 
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -31,6 +31,12 @@
     pub retry_loans: IntCounterVec,
     /// Messages about lent retry tokens that were ignored, by reason.
     pub loan_messages_ignored: IntCounterVec,
+    /// Requests of customers with quotas, by customer and by whether they were admitted.
+    pub customer_requests: IntCounterVec,
+    /// Tokens of the customers' quotas, by what happened.
+    pub quota_tokens: IntCounterVec,
+    /// Messages about tokens of quotas that were ignored, by reason.
+    pub quota_messages_ignored: IntCounterVec,
     /// The most retries that this host may make at once, by its share of the slack.
     pub retry_share: Gauge,
     /// The retries that this host may make now, by service.
@@ -178,6 +184,21 @@
                 "Messages about lent retry tokens that were ignored, by reason",
                 &["reason"],
             )?,
+            customer_requests: counters(
+                "citron_customer_requests_total",
+                "Requests of customers with quotas, by customer and outcome",
+                &["customer", "outcome"],
+            )?,
+            quota_tokens: counters(
+                "citron_quota_tokens_total",
+                "Tokens of the customers' quotas, by event",
+                &["event"],
+            )?,
+            quota_messages_ignored: counters(
+                "citron_quota_messages_ignored_total",
+                "Messages about tokens of quotas that were ignored, by reason",
+                &["reason"],
+            )?,
             retry_share: level(
                 "citron_retry_share",
                 "The most repetitions that this host may send at once, 0 if it has no share",
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -8,7 +8,9 @@
 mod pull;
 
 pub use self::{
-    broadcast::{repeat_statements, report_load, report_state, send_loans, send_outcomes},
+    broadcast::{
+        repeat_statements, report_load, report_state, send_loans, send_outcomes, send_quotas,
+    },
     export::{Coding, Export, Transfer},
     join::join,
     pull::{Subject, run as pull},
@@ -35,7 +37,7 @@
     broadcast::{relay, send, state_datagram},
     message::{DATAGRAM_LIMIT_BYTES, Datagram, KnownGateway, Outcome, State},
 };
-use crate::{budget::loan, shared::Shared};
+use crate::{budget::loan, quota::exchange, shared::Shared};
 
 /// The delay before receiving again after a failure.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(5);
@@ -75,6 +77,7 @@
         shared.apply_statement(&decode_statement(statement, now), Origin::Peer);
     }
     loan::handle(shared, &datagram.loans, &datagram.host, from);
+    exchange::handle(shared, &datagram.quotas, &datagram.host, from);
     if let Some(load) = &datagram.load {
         let host = Arc::from(datagram.host.as_str());
         let load = load.keys.iter().copied().zip(load.counts.iter().copied()).collect();
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -104,12 +104,22 @@
 /// Sends the messages about lent retry tokens until the process ends.
 pub async fn send_loans(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let host = shared.settings().host.clone();
-    while let Some((to, message)) = shared.loans.next_outgoing().await {
+    while let Some((to, message)) = shared.loans.outbox.next().await {
         let datagram = Datagram { host: host.clone(), loans: vec![message], ..Datagram::default() };
         send(&shared, &socket, &datagram.encode_to_vec(), to).await;
     }
 }
 
+/// Sends the messages about tokens of the customers' quotas until the process ends.
+pub async fn send_quotas(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let host = shared.settings().host.clone();
+    while let Some((to, message)) = shared.quotas.next_message().await {
+        let datagram =
+            Datagram { host: host.clone(), quotas: vec![message], ..Datagram::default() };
+        send(&shared, &socket, &datagram.encode_to_vec(), to).await;
+    }
+}
+
 /// Reports this gateway's requests in flight at targets to the peers when they change, and again at
 /// intervals while there are any.
 pub async fn report_load(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
--- a/crates/citron-gateway/src/peer/join.rs
+++ b/crates/citron-gateway/src/peer/join.rs
@@ -9,7 +9,7 @@
 use tokio::time;
 
 use super::pull::try_fetch;
-use crate::shared::Shared;
+use crate::{quota::members, shared::Shared};
 
 /// How long a gateway that has routes and targets waits for the report of a peer that is ready.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
@@ -56,4 +56,10 @@
     {
         shared.apply_routes(table, Source::Peer);
     }
+    // Quotas need the list; a store that responds gives it, and a newer one.
+    if members::list_age(shared).is_none()
+        && let Some(list) = try_fetch(shared, http, peer, "members", "members").await
+    {
+        members::import(shared, list);
+    }
 }
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -40,6 +40,57 @@
     /// Messages about lent retry tokens.
     #[prost(message, repeated, tag = "10")]
     pub loans: Vec<LoanMessage>,
+    /// Messages about tokens of the customers' quotas.
+    #[prost(message, repeated, tag = "11")]
+    pub quotas: Vec<QuotaMessage>,
+}
+
+/// A message about a token of a customer's quota.
+#[derive(Clone, PartialEq, Message)]
+pub struct QuotaMessage {
+    /// What it says.
+    #[prost(enumeration = "QuotaStep", tag = "1")]
+    pub step: i32,
+    /// The customer.
+    #[prost(string, tag = "2")]
+    pub customer: String,
+    /// The number of the ask at the host that asks, in an ask and the answer to it.
+    #[prost(uint64, tag = "3")]
+    pub ask: u64,
+    /// When the owner's process started, in milliseconds since the Unix epoch by its own clock.
+    #[prost(uint64, tag = "4")]
+    pub owner_born_ms: u64,
+    /// The owner's number of the token.
+    #[prost(uint64, tag = "5")]
+    pub ticket: u64,
+    /// After how long the owner has a token, in microseconds.
+    #[prost(uint64, tag = "6")]
+    pub wait_us: u64,
+}
+
+/// What a message about a token of a quota says.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Enumeration)]
+#[repr(i32)]
+pub enum QuotaStep {
+    /// Something that this version does not know.
+    Unknown = 0,
+    /// The sender asks for a token.
+    Ask = 1,
+    /// The sender grants one.
+    Grant = 2,
+    /// The sender has none now.
+    Empty = 3,
+    /// The sender may not grant any.
+    Unable = 4,
+    /// The token was not used, and will not be.
+    Returned = 5,
+}
+
+impl QuotaMessage {
+    /// Asks for a token of a customer.
+    pub fn ask(customer: &str, ask: u64) -> Self {
+        Self { step: QuotaStep::Ask.into(), customer: customer.to_owned(), ask, ..Self::default() }
+    }
 }
 
 /// A message about a retry token that one gateway lends another.
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use citron::attempt::{Cause, Outcome};
 use hyper::StatusCode;
 
-use crate::{access::Denied, caller::Cut, http1::Response};
+use crate::{access::Denied, caller::Cut, http1::Response, quota};
 
 /// The delay, in seconds, after which a caller may retry a refused request if nothing is known that
 /// takes longer.
@@ -44,6 +44,20 @@
     }
 }
 
+/// Returns the response to a request that its customer's quota does not allow. The time to retry is
+/// not rounded down, as there would be no token yet.
+pub fn over_quota(denied: quota::Denied) -> Response {
+    match denied {
+        quota::Denied::QuotaExceeded(wait) => {
+            let seconds = (wait.as_secs_f64() * 100.0).ceil() / 100.0;
+            Response::error(429, denied.into()).retry_after(seconds.max(0.01))
+        }
+        quota::Denied::QuotaUnreachable => {
+            Response::error(503, denied.into()).retry_after(RETRY_AFTER_S)
+        }
+    }
+}
+
 /// Returns the response to a request for which there is no memory.
 pub fn memory_full() -> Response {
     Response::error(503, "memory-full").retry_after(RETRY_AFTER_S)
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -36,6 +36,7 @@
     memory::Memory,
     metrics::Metrics,
     peer::message::Outcome,
+    quota::Quotas,
     store_link::StoreLink,
     targets::Targets,
 };
@@ -68,6 +69,8 @@
     pub budgets: RetryBudgets,
     /// The retry tokens that gateways lend each other.
     pub loans: Loans,
+    /// The customers' quotas.
+    pub quotas: Quotas,
     /// Outcomes that have not been sent to the peers yet.
     pub pending_outcomes: Mutex<Vec<Outcome>>,
     /// Wakes the task that sends outcomes.
@@ -125,6 +128,7 @@
             pool: Pool::new(POOL_IDLE_TIMEOUT),
             budgets: RetryBudgets::default(),
             loans: Loans::default(),
+            quotas: Quotas::default(),
             pending_outcomes: Mutex::default(),
             outcomes_added: Notify::new(),
             statements_added: Notify::new(),
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -426,6 +426,12 @@
         self.ever_known.contains(host)
     }
 
+    /// Returns true if a gateway has reported recently enough to be advertised to callers.
+    pub fn has_reported(&self, host: &str, now: Duration) -> bool {
+        let gateway = self.by_host.get(host);
+        gateway.is_some_and(|g| g.report.is_some() && g.age(now) < ADVERTISE_TIMEOUT)
+    }
+
     /// Returns the addresses of up to `count` live gateways to ask for a retry token, drawn from those
     /// of `domain` if `near`, else from all others.
     pub fn lenders(
--- a/crates/citron/src/quota/bucket.rs
+++ b/crates/citron/src/quota/bucket.rs
@@ -135,6 +135,7 @@
     }
 
     fn time_for(&self, tokens: f64) -> Duration {
-        Duration::try_from_secs_f64(tokens / self.share.rate_per_s).unwrap_or(Duration::from_secs(3600))
+        Duration::try_from_secs_f64(tokens / self.share.rate_per_s)
+            .unwrap_or(Duration::from_secs(3600))
     }
 }
--- a/crates/citron/src/quota/owners.rs
+++ b/crates/citron/src/quota/owners.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 use strum::Display;
 
+use super::Share;
 use crate::{
     customer::Quota,
     placement::{self, Host},
@@ -72,6 +73,13 @@
         self.ranked[customer].iter().take(count).map(|index| &self.members[*index]).collect()
     }
 
+    /// Returns the part of a customer's quota that `host` owns, `None` if it owns none.
+    pub fn share_of(&mut self, host: &str, customer: &str, quota: &Quota) -> Option<Share> {
+        let owners = self.of(customer, quota);
+        let is_owner = owners.iter().any(|member| &*member.host == host);
+        is_owner.then(|| Share::new(quota, owners.len()))
+    }
+
     /// Forgets what was computed for customers for which `is_current` returns false.
     pub fn retain(&mut self, is_current: impl Fn(&str) -> bool) {
         self.ranked.retain(|customer, _| is_current(customer));
