Read what waits in the socket of an idle connection before it is closed

Cause: at a planned stop an idle connection was closed although bytes of a request waited in its socket, as the runtime had not polled it yet. The same holds for the idle timeout.

Change: the connection reads from the socket itself without blocking before it is closed as idle, and answers a request that it finds.

Result: the new test blocks a current-thread runtime while requests arrive and the stop begins. It failed before (connection closed without an answer) and passes now, as do the other 5 tests of planned_stop.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -123,6 +123,9 @@
             // this task.
             let shutdown = shared.shutdown_started.notified();
             if self.is_finished() {
+                if self.read_waiting(reader.as_ref())? {
+                    continue;
+                }
                 return Ok(End::Closed);
             }
             let wants_to_read = self.buffer.len() < READ_AHEAD_BYTES;
@@ -156,6 +159,9 @@
                     }
                 }
                 () = time::sleep_until(deadline), if !has_pending => {
+                    if was_between_requests && self.read_waiting(reader.as_ref())? {
+                        continue;
+                    }
                     self.time_out().await?;
                     return Ok(End::Closed);
                 }
--- a/crates/citron-gateway/src/caller/close.rs
+++ b/crates/citron-gateway/src/caller/close.rs
@@ -1,14 +1,19 @@
-//! Closes a caller's connection so that its last response arrives.
+//! Closes a caller's connection so that no request is left unread and its last response arrives.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    io::{self, Read},
+    sync::Arc,
+    time::Duration,
+};
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::tcp::ReadHalf,
+    net::{TcpStream, tcp::ReadHalf},
     time::{self, Instant},
 };
 
-use super::{Connection, READ_BUFFER_BYTES};
+use super::{Connection, READ_BUFFER_BYTES, ReadState};
 
 /// How long a connection that was closed is still read, so that its last response arrives.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -18,6 +23,30 @@
 const LINGER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
 impl Connection<'_> {
+    /// Reads what waits in the socket of an idle connection that would be closed; returns false if
+    /// there is nothing.
+    ///
+    /// The runtime learns of bytes only when it polls the sockets. A process that rarely gets
+    /// processor time may decide to close a connection before that, although a request has arrived.
+    pub(super) fn read_waiting(&mut self, stream: &TcpStream) -> io::Result<bool> {
+        if matches!(self.read_state, ReadState::Closed) {
+            return Ok(false);
+        }
+        let mut bytes = [0; READ_BUFFER_BYTES];
+        // Asks the kernel; the stream's own methods return what the runtime knows.
+        let count = match (&*SockRef::from(stream)).read(&mut bytes) {
+            Ok(count) => count,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(error) => return Err(error),
+        };
+        if count > 0 {
+            log::info!("event=read-before-close bytes={count}");
+            self.buffer.extend_from_slice(&bytes[..count]);
+            self.since = Instant::now();
+        }
+        Ok(count > 0)
+    }
+
     /// Closes the connection so that the caller receives all that was written.
     ///
     /// Closing it with bytes unread would reset it, and a reset discards what the caller has not
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -88,6 +88,33 @@
     shutdown.await.expect("the shutdown task ends without a panic");
 }
 
+/// A process that rarely gets processor time learns of the stop before its runtime has polled the
+/// socket in which a request waits; the test blocks the only thread of the runtime meanwhile.
+#[tokio::test(flavor = "current_thread")]
+async fn a_request_that_waits_unread_at_the_stop_is_answered() {
+    let fleet = TestFleet::start(1).await;
+    let mut callers = Vec::new();
+    for n in 0..4 {
+        let mut caller = fleet.caller().await;
+        caller.send(&lookup(&format!("before-{n}")).text()).await;
+        assert_eq!(caller.answer().await.status, 200);
+        callers.push(caller);
+    }
+    for (n, caller) in callers.iter_mut().enumerate() {
+        caller.send(&lookup(&format!("waits-{n}")).text()).await;
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    let TestFleet { gateway, targets, store: _store } = fleet;
+    let shutdown = tokio::spawn(gateway.shut_down());
+    for (n, caller) in callers.iter_mut().enumerate() {
+        let response = caller.answer().await;
+        assert_eq!((response.status, response.header("connection")), (200, Some("close")));
+        assert_eq!(targets[0].runs(&format!("waits-{n}")), 1);
+    }
+    drop(callers);
+    shutdown.await.expect("the shutdown task ends without a panic");
+}
+
 /// A body that its caller reads slowly, and that is longer than all buffers on the way.
 #[tokio::test]
 async fn a_gateway_that_shuts_down_waits_for_bodies_that_are_being_forwarded() {
