Accept only statuses of 200 to 599 from targets

Cause: the HTTP library accepts statuses of 100 to 999 and takes 101 for a final one, so that 101 and 600 to 999 reached callers and counted as served. A head that could not be parsed, such as one with the status 000, counted as the end of the connection, which says less about the target.

Change: a final response has a status of 200 to 599. Others, and heads that cannot be parsed, end the attempt as broken with the verdict failed. Interim responses are skipped as before.

Statuses 000, 099, 100, 103 and 199 without a final response gave 502 before as well.

--- a/crates/citron-gateway/src/connection.rs
+++ b/crates/citron-gateway/src/connection.rs
@@ -13,6 +13,7 @@
     future::{Future, poll_fn},
     io,
     net::SocketAddr,
+    ops::RangeInclusive,
     pin::Pin,
     task::Poll,
     time::Duration,
@@ -42,6 +43,8 @@
 const HEADERS_LIMIT: usize = HEAD_LIMIT_BYTES / 16;
 /// The most bytes that a target may send before the first part of its response's body.
 const AHEAD_LIMIT_BYTES: u64 = 2 * HEAD_LIMIT_BYTES as u64;
+/// The statuses that a final response may have.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
 
 type Driver = Pin<Box<http1::Connection<TokioIo<Metered>, Sending>>>;
 
@@ -63,8 +66,10 @@
 pub enum Error {
     /// Nothing was written: the connection was already closed.
     NotSent,
-    /// The connection broke, or the bytes received are not a response.
+    /// The connection broke.
     Broken,
+    /// The bytes received are not a response.
+    Malformed,
 }
 
 impl Connection {
@@ -92,10 +97,11 @@
         polled.is_ok() && !self.sender.is_closed() && self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the final response; interim ones are skipped.
     ///
     /// # Errors
-    /// Fails if the connection was closed or breaks.
+    /// Fails if the connection was closed or breaks, or if the response is malformed or its status
+    /// is not in [`FINAL_STATUS`].
     pub async fn send(
         mut self,
         request: Request<Sending>,
@@ -113,11 +119,16 @@
         .await;
         drop(pending);
         match result {
+            // The HTTP library accepts any status from 100 to 999, and 101 as a final one.
+            Ok(response) if !FINAL_STATUS.contains(&response.status().as_u16()) => {
+                Err(Error::Malformed)
+            }
             Ok(response) => {
                 let (head, body) = response.into_parts();
                 Ok(Response::from_parts(head, ResponseBody { connection: self, body }))
             }
             Err(error) if error.is_canceled() => Err(Error::NotSent),
+            Err(error) if error.is_parse() => Err(Error::Malformed),
             Err(_) => Err(Error::Broken),
         }
     }
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -177,6 +177,10 @@
                 let verdict = if is_new { Verdict::Reset } else { Verdict::Silent };
                 Attempt::new(AttemptResult::Broken, Some(verdict))
             }
+            Err(connection::Error::Malformed) => {
+                log::warn!("event=answer-malformed id={} target={}", self.id, target.id);
+                Attempt::new(AttemptResult::Broken, Some(Verdict::Failed))
+            }
         }
     }
 
--- a/crates/citron-gateway/tests/attempt.rs
+++ b/crates/citron-gateway/tests/attempt.rs
@@ -106,6 +106,81 @@
         "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: sig\r\n\r";
 }
 
+/// Defines a test of a status line at the edges of what is a final response; one outside them must
+/// not reach the caller of an order that ran.
+macro_rules! status_line {
+    ($($name:ident: $line:literal => $status:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            const TEXT: &str = concat!(
+                $line,
+                "\r\nAttempt-Id: {id}\r\nUpstream-Signature: s\r\nContent-Length: 4\r\n\r\ntext"
+            );
+            let fleet = TestFleet::start(1).await;
+            fleet.targets[0].set(Act::BreakOff(TEXT));
+            let response = fleet.send(&order("id-1")).await;
+            assert_eq!((response.status, fleet.targets[0].runs("id-1")), ($status, 1), "{response:?}");
+            assert_eq!(response.header("upstream-signature").is_some(), $status != 502);
+        }
+    )*};
+}
+
+status_line! {
+    status_000_is_no_response: "HTTP/1.1 000 X" => 502;
+    status_099_is_no_response: "HTTP/1.1 099 X" => 502;
+    status_100_without_another_is_no_response: "HTTP/1.1 100 Continue" => 502;
+    status_101_is_no_response: "HTTP/1.1 101 Switching Protocols" => 502;
+    status_103_without_another_is_no_response: "HTTP/1.1 103 Early Hints" => 502;
+    status_199_is_no_response: "HTTP/1.1 199 X" => 502;
+    status_200_is_a_response: "HTTP/1.1 200 OK" => 200;
+    status_299_is_a_response: "HTTP/1.1 299 X" => 299;
+    status_499_is_a_response: "HTTP/1.1 499 X" => 499;
+    status_599_is_a_response: "HTTP/1.1 599 X" => 599;
+    status_600_is_no_response: "HTTP/1.1 600 X" => 502;
+    status_999_is_no_response: "HTTP/1.1 999 X" => 502;
+    a_status_of_two_digits_is_no_response: "HTTP/1.1 20 OK" => 502;
+    a_status_of_four_digits_is_no_response: "HTTP/1.1 2000 OK" => 502;
+    a_status_that_is_no_number_is_no_response: "HTTP/1.1 2x0 OK" => 502;
+    a_status_without_a_protocol_is_no_response: "200 OK" => 502;
+    another_protocol_is_no_response: "ICY/1.1 200 OK" => 502;
+    a_later_protocol_is_no_response: "HTTP/2.0 200 OK" => 502;
+    an_interim_100_is_skipped: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK" => 200;
+    an_interim_103_is_skipped:
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\nHTTP/1.1 200 OK" => 200;
+    status_000_after_an_interim_100_is_no_response:
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X" => 502;
+}
+
+/// A malformed response on a connection that was reused must count against its target, unlike the
+/// end of a connection that was idle.
+#[tokio::test]
+async fn orders_avoid_a_target_that_sends_a_status_outside_the_range() {
+    for text in ["HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 600 X\r\nAttempt-Id: {id}\r\n\r\n"] {
+        let fleet = TestFleet::start(3).await;
+        for n in 0..9 {
+            assert_eq!(fleet.send(&order(&format!("before-{n}"))).await.status, 200);
+        }
+        fleet.targets[0].set(Act::BreakOff(text));
+        let mut statuses = Vec::new();
+        for n in 0..30 {
+            statuses.push(fleet.send(&order(&format!("id-{n}"))).await.status);
+        }
+        let failed = statuses.iter().filter(|status| **status != 200).count();
+        assert!(failed <= 1, "{statuses:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_lookup_whose_target_sends_a_status_outside_the_range_is_served_by_another() {
+    for text in ["HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 600 X\r\nAttempt-Id: {id}\r\n\r\n"] {
+        let fleet = TestFleet::start(2).await;
+        fleet.targets[0].set(Act::BreakOff(text));
+        for n in 0..4 {
+            assert_eq!(fleet.send(&lookup(&format!("id-{n}"))).await.status, 200);
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_lookup_is_served_by_the_second_target() {
     for act in [Act::Fail, Act::Reset, Act::Shed, Act::CutBody, Act::Hang, Act::WrongId] {
