Keep a share of the memory for requests with small bodies

Cause: only reservations of 256 KiB or more left room for others. An upload of 60 KB reserves less, so that uploads took the whole budget and small requests were refused.

Change: a reservation of 96 KiB or more, that of a body of 16 KiB or more, may bring the sum to at most 0.85 of the budget.

--- a/crates/citron-gateway/src/memory.rs
+++ b/crates/citron-gateway/src/memory.rs
@@ -11,11 +11,12 @@
 /// The share of the process's memory that may be reserved; the rest is for its state and for
 /// buffers that are not counted.
 const RESERVED_SHARE: f64 = 0.7;
-/// The share of that which bodies longer than [`LONG_BYTES`] may have together, so that they leave
-/// room for the others.
+/// The share of that up to which a reservation of at least [`LONG_BYTES`] may grow, so that large
+/// bodies leave room for small requests.
 const LONG_SHARE: f64 = 0.85;
-/// The size, in bytes, from which a reservation counts as long.
-const LONG_BYTES: usize = 256 * 1024;
+/// The size, in bytes, from which a reservation counts as long: that of a request with a body of
+/// 16 KiB. With a higher one, uploads of 60 KB took the whole budget.
+const LONG_BYTES: usize = 96 * 1024;
 
 /// A budget in bytes.
 #[derive(Debug)]
--- a/crates/citron-gateway/tests/memory.rs
+++ b/crates/citron-gateway/tests/memory.rs
@@ -96,6 +96,30 @@
     )*};
 }
 
+/// Uploads of 60 KB, which each have a small part of the memory, must not have all of it together.
+#[tokio::test]
+async fn uploads_leave_memory_for_small_requests() {
+    let _process = PROCESS.lock().await;
+    let fleet = TestFleet::start(1).await;
+    let mut spec = config("r2", 5.0);
+    spec["limits"]["maxBodyBytes"] = 360_000.into();
+    fleet.store.put("config", "main", spec);
+    time::sleep(Duration::from_millis(800)).await;
+    // The memory of an upload is reserved before its body is sent.
+    let head = "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: id\r\nContent-Length: 60000\r\n\r\n";
+    let mut uploads = Vec::new();
+    for _ in 0..600 {
+        let mut caller = fleet.caller().await;
+        caller.send(head).await;
+        uploads.push(caller);
+    }
+    time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(uploads.last_mut().expect("an upload").answer().await.status, 503);
+    for n in 0..20 {
+        assert_eq!(fleet.send(&lookup(&format!("small-{n}"))).await.status, 200);
+    }
+}
+
 uploads_beyond_the_memory_are_refused! {
     uploads_beyond_the_memory_are_refused_before_they_are_read: chunked false;
     uploads_of_unknown_length_beyond_the_memory_are_refused: chunked true;
