Notice a caller that leaves while its response streams or stalls

Cause: while a response streamed, the connection of the caller was not watched, so that a caller that left was noticed only by a failed write. With a target that stalled, its connection and the memory were held until the deadline.

Change: while a part of a response is awaited, the socket is checked for the end of the caller's side every 100 ms. The response is dropped, which closes the connection to the target and frees the memory. Gateway::reserved_bytes shows the reserved memory.

--- a/crates/citron-gateway/src/caller/respond.rs
+++ b/crates/citron-gateway/src/caller/respond.rs
@@ -4,9 +4,11 @@
 
 use bytes::{Bytes, BytesMut};
 use citron::gray::Verdict;
+use futures::FutureExt;
 use strum::{Display, IntoStaticStr};
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncWriteExt, Interest},
+    net::TcpStream,
     time::{self, Instant},
 };
 
@@ -22,6 +24,8 @@
 const COMPLETE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// How long a write of a response to a caller may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The interval at which a connection whose response is awaited is checked for its end.
+const DISCONNECT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a response is not received to its end.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Display, IntoStaticStr)]
@@ -31,6 +35,8 @@
     Deadline,
     /// The target's connection broke.
     TargetBroken,
+    /// The caller closed its connection.
+    CallerLeft,
 }
 
 impl Connection<'_> {
@@ -113,14 +119,23 @@
     async fn next_part(&mut self, rest: &mut http1::BodyStream) -> Result<Option<Bytes>, Cut> {
         // A response that waited behind others until its deadline says nothing about its target.
         let was_late = Instant::now() >= rest.deadline;
-        let next = time::timeout_at(rest.deadline, rest.body.next_chunk());
-        let (cut, verdict) = match self.pipeline.forward_during(next).await {
-            Ok(Ok(None)) => return Ok(None),
+        let caller = self.writer.as_ref();
+        let next = async {
+            tokio::select! {
+                biased;
+                next = time::timeout_at(rest.deadline, rest.body.next_chunk()) => Some(next),
+                () = disconnected(caller) => None,
+            }
+        };
+        let next = self.pipeline.forward_during(next).await;
+        let (cut, verdict) = match next {
+            None => (Cut::CallerLeft, None),
+            Some(Ok(Ok(None))) => return Ok(None),
             // A timeout does not end a future that is always ready.
-            Ok(Ok(part)) if Instant::now() < rest.deadline => return Ok(part),
-            Ok(Ok(_)) | Err(_) if was_late => (Cut::Deadline, None),
-            Ok(Ok(_)) | Err(_) => (Cut::Deadline, Some(Verdict::Silent)),
-            Ok(Err(_)) => (Cut::TargetBroken, Some(Verdict::Failed)),
+            Some(Ok(Ok(part))) if Instant::now() < rest.deadline => return Ok(part),
+            Some(Ok(Ok(_)) | Err(_)) if was_late => (Cut::Deadline, None),
+            Some(Ok(Ok(_)) | Err(_)) => (Cut::Deadline, Some(Verdict::Silent)),
+            Some(Ok(Err(_))) => (Cut::TargetBroken, Some(Verdict::Failed)),
         };
         let target = &rest.attempt.choice().target.id;
         log::info!("event=answer-broken target={target} reason={cut}");
@@ -137,6 +152,18 @@
     }
 }
 
+/// Waits until the caller has closed its side of the connection, even if bytes of it are unread.
+async fn disconnected(stream: &TcpStream) {
+    loop {
+        match stream.ready(Interest::READABLE).now_or_never() {
+            Some(Ok(ready)) if !ready.is_read_closed() => {}
+            Some(_) => return,
+            None => {}
+        }
+        time::sleep(DISCONNECT_INTERVAL).await;
+    }
+}
+
 /// Appends a part of a body, as a chunk if the body is chunked.
 fn write_part(out: &mut BytesMut, part: &[u8], chunked: bool) {
     if !chunked {
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -109,6 +109,11 @@
         self.shared.settings().ready
     }
 
+    /// Returns how many bytes are reserved for what callers and targets send.
+    pub fn reserved_bytes(&self) -> usize {
+        self.shared.memory.reserved()
+    }
+
     /// Applies new settings, as the process does when their file changes.
     pub fn reload(&self, settings: Settings) {
         reload::apply(&self.shared, &self.store, settings, true);
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -81,7 +81,7 @@
 pub fn cut(cut: Cut) -> Response {
     match cut {
         Cut::Deadline => Response::error(504, cut.into()),
-        Cut::TargetBroken => Response::error(502, cut.into()),
+        Cut::TargetBroken | Cut::CallerLeft => Response::error(502, cut.into()),
     }
 }
 
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -54,6 +54,8 @@
     BreakOff(&'static str),
     /// Runs the request and answers nothing.
     Hang,
+    /// Sends the start of a longer body than callers hold in memory, and nothing more.
+    StallLong,
     /// Runs the request and resets the connection.
     Reset,
     /// Runs the request and breaks off in the middle of the body.
@@ -317,6 +319,15 @@
             let _ = stream.write_all(text.as_bytes()).await;
             return false;
         }
+        Act::StallLong => {
+            let rest = format!("Content-Length: {LONG_BYTES}\r\n");
+            let text = head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES / 2);
+            let mut byte = [0];
+            let _ = stream.write_all(text.as_bytes()).await;
+            let _ = stream.read(&mut byte).await;
+            shared.left.lock().push((id, Instant::now()));
+            return false;
+        }
         Act::RefuseAnother { status, id_header } => {
             format!("HTTP/1.1 {status}\r\n{id_header}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         }
