--- a/crates/citron-proxy/src/send.rs
+++ b/crates/citron-proxy/src/send.rs
@@ -1,6 +1,6 @@
 //! Makes one attempt at one target.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use bytes::Bytes;
 use citron::{attempt::AttemptResult, choice};
@@ -28,6 +28,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The most idle connections kept per target.
 const IDLE_LIMIT_PER_TARGET: usize = 8;
+/// The statuses that a final response may have.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
 
 /// A response whose head and first part of the body have arrived, so that a body that is broken
 /// from its start is noticed before the response is forwarded.
@@ -115,6 +117,11 @@
         Ok(Err(error)) => return Err(failed_result(&error)),
         Ok(Ok(response)) => response,
     };
+    // The HTTP library accepts any status from 100 to 999, and 101 as a final one.
+    if !FINAL_STATUS.contains(&response.status().as_u16()) {
+        log::debug!("dropped a target's response with the status {}", response.status());
+        return Err(AttemptResult::Broken);
+    }
     if response.headers().get(REQUEST_ID).map(HeaderValue::as_bytes) != Some(attempt.id.as_bytes())
     {
         return Err(AttemptResult::Foreign);
--- a/crates/citron-proxy/tests/attempt.rs
+++ b/crates/citron-proxy/tests/attempt.rs
@@ -174,6 +174,51 @@
         "HTTP/1.1 200 OK\r\ncitron-request-id: {id}\r\n\r";
 }
 
+/// Sends an order to a target that responds with a status line at the edges of what is a final
+/// response; one outside them must not reach the caller.
+macro_rules! status_line {
+    ($($name:ident: $line:literal => $expected:expr;)*) => {$(
+        fault!(
+            $name,
+            "POST",
+            "/lots/1",
+            "",
+            [vec![
+                Action::Write(
+                    concat!($line, "\r\ncitron-request-id: {id}\r\ncontent-length: 4\r\n\r\ntext")
+                        .to_owned()
+                ),
+                Action::Close
+            ]],
+            $expected,
+            1
+        );
+    )*};
+}
+
+const BROKEN: (u16, &str, &str) = (502, "unknown", "target-broken");
+
+status_line! {
+    status_000_is_no_response: "HTTP/1.1 000 X" => BROKEN;
+    status_099_is_no_response: "HTTP/1.1 099 X" => BROKEN;
+    status_100_without_another_is_no_response: "HTTP/1.1 100 Continue" => BROKEN;
+    status_101_is_no_response: "HTTP/1.1 101 Switching Protocols" => BROKEN;
+    status_103_without_another_is_no_response: "HTTP/1.1 103 Early Hints" => BROKEN;
+    status_199_is_no_response: "HTTP/1.1 199 X" => BROKEN;
+    status_200_is_a_response: "HTTP/1.1 200 OK" => FINE;
+    status_499_is_a_response: "HTTP/1.1 499 X" => (499, "answered", "none");
+    status_599_is_a_response: "HTTP/1.1 599 X" => (599, "answered", "none");
+    status_600_is_no_response: "HTTP/1.1 600 X" => BROKEN;
+    status_999_is_no_response: "HTTP/1.1 999 X" => BROKEN;
+    a_status_of_two_digits_is_no_response: "HTTP/1.1 20 OK" => BROKEN;
+    a_status_of_four_digits_is_no_response: "HTTP/1.1 2000 OK" => BROKEN;
+    a_status_without_a_protocol_is_no_response: "200 OK" => BROKEN;
+    another_protocol_is_no_response: "ICY/1.1 200 OK" => BROKEN;
+    an_interim_100_is_skipped: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK" => FINE;
+    an_interim_103_is_skipped:
+        "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK" => FINE;
+}
+
 fault!(
     order_shed_by_a_foreign_response,
     "POST",
