Let a few gateways of a large failure domain follow the store

Each gateway watches targets and routes by itself, which makes the calls to the store the largest cost of a large fleet.

--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -5,6 +5,9 @@
 //! confirmed. The store counts all changes with one revision, which tells whether the routes may have
 //! changed too. A gateway whose state was not confirmed for long checks it itself, beside its
 //! watches, and one that learns that the store has returned begins them anew.
+//!
+//! In a large failure domain only a few gateways follow the store. The others stand by: they take
+//! changes from peers, and make no call but a check when nothing has confirmed their state for long.
 
 mod backoff;
 mod call;
@@ -13,9 +16,12 @@
 
 pub use self::registry::run as registry;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use citron::{freshness::CheckTimer, position::Position};
+use citron::{follower::Role, freshness::CheckTimer, position::Position};
 use citron_adapter::{
     pages::Pages,
     store::{Error, Recency, Store},
@@ -26,7 +32,7 @@
 
 use self::{
     backoff::Backoff,
-    call::{Call, Query, Response, Subject},
+    call::{Call, CallKind, Query, Response, Subject},
     calls::Calls,
 };
 use crate::shared::Shared;
@@ -49,6 +55,16 @@
 /// The minimum interval between two watch calls of one follower, so that changes arrive in batches.
 const WATCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
+/// How long a gateway that starts waits after its first list until it knows which gateways follow the
+/// store.
+const SELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+/// The interval between two looks at whether they are known.
+const SELECTION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The minimum interval after which a follower that stands by repeats a call that failed, although
+/// peers confirm its state: until then it is selected after those that the store responds to. It is
+/// lengthened by up to as much again.
+const STANDBY_RETRY_INTERVAL: Duration = Duration::from_secs(10);
+
 /// How many times as long as the latest list changes may be, so that they are not listed instead.
 const HISTORY_LIMIT_LISTS: usize = 2;
 /// Changes up to this size are never listed instead, in bytes.
@@ -86,6 +102,18 @@
     is_confirmed: bool,
     /// Whether it asked at short intervals before its last call.
     is_polling: bool,
+    /// Whether its gateway has to follow the store.
+    role: Role,
+    /// Whether it stood by before its last call.
+    stands_by: bool,
+    /// Whether it followed the store with its last call, after its first list.
+    is_following: bool,
+    /// Whether its gateway knew which gateways follow the store, or waited for that long enough.
+    is_settled: bool,
+    /// When it repeats a failed call although it stands by.
+    retry_at: Duration,
+    /// The kind of its last call that ended.
+    last_call: CallKind,
     /// Its turn, from 0 to 1, when all gateways call the store for the same reason.
     turn: f64,
 }
@@ -104,6 +132,8 @@
     StoreRestored,
     /// The settings name another address of the store.
     StoreMoved,
+    /// Other gateways of the failure domain follow the store in place of this one.
+    StandingBy,
 }
 
 impl Follower {
@@ -121,6 +151,12 @@
             has_abandoned: false,
             is_confirmed: false,
             is_polling: false,
+            role: Role::default(),
+            stands_by: false,
+            is_following: false,
+            is_settled: false,
+            retry_at: Duration::ZERO,
+            last_call: CallKind::List,
             turn: rand::rng().random_range(0.0..1.0),
         }
     }
@@ -128,6 +164,8 @@
     async fn run(mut self) {
         let kind = self.subject.kind();
         loop {
+            self.settle().await;
+            self.stand_by().await;
             self.log_polling();
             self.skip_known();
             let wait = self.wait();
@@ -143,13 +181,86 @@
                 // may be stale must be delayed.
                 Ok(true) if self.cursor.is_none() || !self.is_confirmed => {}
                 Ok(true) => time::sleep(WATCH_INTERVAL_MIN).await,
-                Ok(false) => self.backoff.wait(&self.shared, kind).await,
+                Ok(false) if self.stands_by && self.cursor.is_some() => {}
+                Ok(false) => self.backoff.wait(&self.shared, kind, self.last_call).await,
                 Err(Abandoned::StoreRestored | Abandoned::StoreMoved) => self.cursor = None,
                 Err(_) => {}
             }
         }
     }
 
+    /// Waits after the first list until it is known which gateways follow the store.
+    async fn settle(&mut self) {
+        if self.is_settled || self.cursor.is_none() {
+            return;
+        }
+        let until = self.shared.clock.now() + SELECTION_TIMEOUT;
+        let follow_all_max = self.shared.settings().follow_all_max;
+        while !self.shared.gateways.lock().knows_fleet(follow_all_max)
+            && self.shared.clock.now() < until
+        {
+            time::sleep(SELECTION_POLL_INTERVAL).await;
+        }
+        self.is_settled = true;
+    }
+
+    /// Waits without a call while other gateways of the failure domain follow the store, until a
+    /// check is due.
+    async fn stand_by(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        let begun_at = shared.clock.now();
+        let mut moves = shared.store_moves.subscribe();
+        loop {
+            let now = shared.clock.now();
+            let stands_by = !self.role.update(shared.is_follower(), self.is_following, now);
+            if stands_by {
+                self.adopt_known();
+            }
+            let stands_by = stands_by && self.cursor.is_some();
+            self.is_following = !stands_by && self.cursor.is_some();
+            if std::mem::replace(&mut self.stands_by, stands_by) != stands_by {
+                let event = if stands_by { "standby-begun" } else { "standby-ended" };
+                log::info!("event={event} call={}", self.subject.kind());
+                self.checks.draw_standby_spread(&mut rand::rng());
+            }
+            if !stands_by {
+                return;
+            }
+            // Without calls nothing shows whether the store responded meanwhile.
+            shared.link.record_abandoned();
+            let check_at = self.standby_check_at(begun_at);
+            if check_at <= now {
+                self.checks.restart(now, &mut rand::rng());
+                self.checks.draw_standby_spread(&mut rand::rng());
+                return;
+            }
+            let pause = (check_at - now).clamp(CHECK_PAUSE_MIN, WATCH_CHECK_INTERVAL);
+            tokio::select! {
+                Ok(()) = moves.changed() => self.cursor = None,
+                () = time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Returns when a follower that has stood by since `begun_at` makes its next call.
+    fn standby_check_at(&self, begun_at: Duration) -> Duration {
+        let retry_at = if self.backoff.failed() { self.retry_at } else { Duration::MAX };
+        retry_at.min(self.check_at(begun_at).unwrap_or(Duration::MAX))
+    }
+
+    /// Continues after what peers gave, in place of what the store sent at the start or before it
+    /// came back from an older copy.
+    fn adopt_known(&mut self) {
+        let known = match self.subject {
+            Subject::Routes => self.shared.routes().map_or(Position::default(), |r| r.position),
+            Subject::Targets => self.shared.targets.lock().catalog.position(),
+        };
+        let may_adopt = self.cursor.is_some() || self.recency == Recency::MaybeStale;
+        if may_adopt && known.revision > 0 {
+            self.cursor = self.cursor.max(Some(known));
+        }
+    }
+
     /// Continues after the routes that a peer gave, so that the store does not send them once more.
     fn skip_known(&mut self) {
         if self.subject != Subject::Routes {
@@ -178,6 +289,7 @@
     fn wait(&self) -> Duration {
         let is_doubtful = self.backoff.failed() || self.has_abandoned;
         match self.cursor {
+            Some(_) if self.stands_by => Duration::ZERO,
             Some(_) if !is_doubtful && self.polls() => POLL_TIMEOUT,
             Some(_) if !is_doubtful => WATCH_TIMEOUT,
             _ => Duration::ZERO,
@@ -252,6 +364,9 @@
             self.end_copies(&mut calls);
             let is_receiving = calls.is_receiving();
             if !is_receiving {
+                if !self.role.update(shared.is_follower(), true, now) {
+                    return Err(self.abandon(&calls, begun_at, Abandoned::StandingBy));
+                }
                 self.check_watch(begun_at, now)
                     .map_err(|reason| self.abandon(&calls, begun_at, reason))?;
             }
@@ -344,7 +459,13 @@
         let history_limit = (self.list_bytes * HISTORY_LIMIT_LISTS).max(HISTORY_LIMIT_MIN_BYTES);
         let (subject, cursor, pages) = (self.subject, self.cursor, self.pages.clone());
         let recency = self.recency;
-        let query = Query { subject, cursor, wait, history_limit, recency, pages };
+        let kind = match cursor {
+            None => CallKind::List,
+            Some(_) if wait > POLL_TIMEOUT => CallKind::Watch,
+            Some(_) if !wait.is_zero() => CallKind::Poll,
+            Some(_) => CallKind::Check,
+        };
+        let query = Query { kind, subject, cursor, wait, history_limit, recency, pages };
         let progress = Progress::default();
         let counted = progress.clone();
         calls.push(progress, async move { call::make(&shared, &store, query, counted).await });
@@ -352,13 +473,14 @@
 
     /// Records how a call ended, and returns its response if there was one.
     fn record(&mut self, call: Call) -> Option<Response> {
-        let Call { result, begun_at, wait, is_list, progress } = call;
+        let Call { result, begun_at, wait, kind: call, progress } = call;
+        self.last_call = call;
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         let (kind, received) = (self.subject.kind(), progress.received());
         self.shared.metrics.record_state_bytes("store", kind, outcome, received);
         match result {
             Ok(response) => {
-                if is_list {
+                if call == CallKind::List {
                     self.list_bytes = received;
                 }
                 self.record_response(&response, begun_at, wait);
@@ -380,7 +502,11 @@
         self.shared.link.record_answered(begun_at);
         self.shared.record_store_response(kind, had_failed);
         self.backoff = Backoff::default();
-        self.shared.metrics.store_calls.with_label_values(&[kind, "ok"]).inc();
+        self.shared
+            .metrics
+            .store_calls
+            .with_label_values(&[kind, self.last_call.into(), "ok"])
+            .inc();
         self.cursor = response.cursor;
         self.recency = Recency::Current;
         self.is_confirmed = response.is_current;
@@ -400,6 +526,7 @@
         });
         if wait <= POLL_TIMEOUT {
             // What the store confirmed spares the other gateways their own checks.
+            self.shared.report_reaches_all.store(true, Ordering::Relaxed);
             self.shared.state_changed.notify_one();
         }
     }
@@ -414,7 +541,11 @@
         received: usize,
     ) {
         let kind = self.subject.kind();
-        self.shared.metrics.store_calls.with_label_values(&[kind, "failed"]).inc();
+        self.shared
+            .metrics
+            .store_calls
+            .with_label_values(&[kind, self.last_call.into(), "failed"])
+            .inc();
         let now = self.shared.clock.now();
         let waited_ms = now.saturating_sub(begun_at).as_millis();
         log::info!(
@@ -427,5 +558,6 @@
         let due = (begun_at + wait).min(now);
         self.shared.record_store_failure(!self.backoff.failed(), due);
         self.backoff.record_failure(kind, error);
+        self.retry_at = now + STANDBY_RETRY_INTERVAL.mul_f64(rand::rng().random_range(1.0..2.0));
     }
 }
--- a/crates/citron-gateway/src/follow/backoff.rs
+++ b/crates/citron-gateway/src/follow/backoff.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use tokio::time;
 
+use super::call::CallKind;
 use crate::shared::Shared;
 
 /// The minimum delay after the first failed call; the delay doubles with each further failure.
@@ -41,11 +42,11 @@
     }
 
     /// Waits before the next call.
-    pub async fn wait(&self, shared: &Shared, call: &str) {
+    pub async fn wait(&self, shared: &Shared, subject: &str, call: CallKind) {
         let longest = if shared.is_poller() { POLL_RETRY_DELAY_MAX } else { RETRY_DELAY_MAX };
         let delay = (RETRY_DELAY_MIN * 2_u32.pow(self.failures.min(8))).min(longest);
         let delay = delay.mul_f64(rand::rng().random_range(0.5..1.0));
-        shared.metrics.store_calls.with_label_values(&[call, "retried"]).inc();
+        shared.metrics.store_calls.with_label_values(&[subject, call.into(), "retried"]).inc();
         time::sleep(delay).await;
     }
 }
--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -14,6 +14,7 @@
     targets,
 };
 use citron_daemon::transfer::Progress;
+use strum::IntoStaticStr;
 use tokio::sync::Notify;
 
 use crate::shared::Shared;
@@ -50,14 +51,30 @@
     }
 }
 
+/// What a call asks of the store.
+#[derive(Debug, Copy, Clone, Eq, PartialEq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CallKind {
+    /// All objects.
+    List,
+    /// Changes, as soon as there are any.
+    Watch,
+    /// Changes within a short time.
+    Poll,
+    /// Changes up to now.
+    Check,
+    /// To store this gateway's own entry.
+    Register,
+}
+
 /// A call that ended.
 pub struct Call {
     pub result: Result<Response, Error>,
     pub begun_at: Duration,
     /// How long it was to wait for changes.
     pub wait: Duration,
-    /// Whether it asked for all objects.
-    pub is_list: bool,
+    /// What it asked for.
+    pub kind: CallKind,
     /// What arrived of the response.
     pub progress: Progress,
 }
@@ -76,6 +93,8 @@
 /// What a call asks for.
 #[derive(Debug, Clone)]
 pub struct Query {
+    /// What kind of call it is.
+    pub kind: CallKind,
     /// The objects that it reads.
     pub subject: Subject,
     /// The position after which changes are wanted, `None` for a list of all objects.
@@ -97,8 +116,7 @@
         None => list(shared, store, &query, &progress).await,
         Some(position) => watch(shared, store, &query, position, &progress).await,
     };
-    let is_list = query.cursor.is_none();
-    Call { result, begun_at, wait: query.wait, is_list, progress }
+    Call { result, begun_at, wait: query.wait, kind: query.kind, progress }
 }
 
 async fn list(
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use tokio::time;
 
-use super::backoff::Backoff;
+use super::{backoff::Backoff, call::CallKind};
 use crate::shared::Shared;
 
 /// Registers this gateway's datagram address in the store and reads those of the others, and again
@@ -49,13 +49,15 @@
     loop {
         match store.put(gateways::KIND, &host, &gateways::encode(own)).await {
             Ok(written) => {
+                record_call(shared, CallKind::Register, "ok");
                 let Written { era, existed } = written;
                 log::info!("event=registered era={era} existed={existed}");
                 return written;
             }
             Err(error) => {
+                record_call(shared, CallKind::Register, "failed");
                 backoff.record_failure("register", &error);
-                backoff.wait(shared, "register").await;
+                backoff.wait(shared, gateways::KIND, CallKind::Register).await;
             }
         }
     }
@@ -66,15 +68,24 @@
     let mut backoff = Backoff::default();
     loop {
         match store.list(gateways::KIND, &pages, &Progress::default()).await {
-            Ok(list) => return list,
+            Ok(list) => {
+                record_call(shared, CallKind::List, "ok");
+                return list;
+            }
             Err(error) => {
+                record_call(shared, CallKind::List, "failed");
                 backoff.record_failure("list-gateways", &error);
-                backoff.wait(shared, "list-gateways").await;
+                backoff.wait(shared, gateways::KIND, CallKind::List).await;
             }
         }
     }
 }
 
+fn record_call(shared: &Shared, call: CallKind, outcome: &str) {
+    let labels = [gateways::KIND, call.into(), outcome];
+    shared.metrics.store_calls.with_label_values(&labels).inc();
+}
+
 fn learn(shared: &Shared, list: &List) {
     let now = shared.clock.now();
     let host = shared.settings().host.clone();
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -176,6 +176,7 @@
     metrics.idle_connections.set(shared.pool.len() as i64);
     metrics.memory_reserved_bytes.set(shared.memory.reserved() as i64);
     metrics.memory_limit_bytes.set(shared.memory.limit() as i64);
+    metrics.follows_store.set(i64::from(shared.is_follower()));
     metrics.store_lost.set(i64::from(shared.link.is_down()));
     metrics.store_silent_seconds.set(shared.link.silent_for(now).as_secs_f64());
     if let Some(age) = shared.confirmation_age(now) {
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -19,8 +19,10 @@
 pub struct Metrics {
     /// The registry of all metrics.
     pub registry: Registry,
-    /// Calls to the store, by subject and outcome.
+    /// Calls to the store, by subject, kind of call and outcome.
     pub store_calls: IntCounterVec,
+    /// 1 while this gateway follows the store, 0 while it takes changes from peers.
+    pub follows_store: IntGauge,
     /// Pulls from peers, by subject and outcome.
     pub pulls: IntCounterVec,
     /// Bytes of state that arrived, by where they came from, subject and whether they were used.
@@ -150,8 +152,8 @@
             )?,
             store_calls: counters(
                 "citron_store_calls_total",
-                "Calls to the store, by subject and outcome",
-                &["subject", "outcome"],
+                "Calls to the store, by subject, kind of call and outcome",
+                &["subject", "call", "outcome"],
             )?,
             pulls: counters(
                 "citron_peer_pulls_total",
@@ -247,6 +249,10 @@
                 "citron_memory_limit_bytes",
                 "How much memory may be reserved for what callers and targets send",
             )?,
+            follows_store: gauge(
+                "citron_follows_store",
+                "1 while this gateway follows the store, 0 while it takes changes from peers",
+            )?,
             store_lost: gauge(
                 "citron_store_lost",
                 "1 while the last call to the store failed, else 0",
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -96,6 +96,7 @@
     };
     let address = state.datagrams.parse().unwrap_or(from);
     let subjects = subjects_ahead(shared, &report);
+    shared.record_confirmation(&datagram.host, &report);
     if shared.gateways.lock().apply_report(&datagram.host, address, report, now) {
         log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
@@ -198,6 +199,7 @@
             unanswered_at: ago(silence.unanswered_age_ms),
             returned_at: silence.returned_age_ms.map(ago),
         }),
+        cpu_permille: state.cpu_permille,
     })
 }
 
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -1,6 +1,10 @@
 //! What a gateway sends to its peers, and which peers receive it.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use citron::{gateways::Receiver, gray, statement::Statement};
 use prost::Message;
@@ -15,6 +19,8 @@
 
 /// The interval between reports of a state that does not change.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+/// The same at a gateway that others follow, which is replaced if its reports fail to arrive.
+const FOLLOWER_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long outcomes wait to be sent in one datagram with later ones.
 const OUTCOME_BATCH_DELAY: Duration = Duration::from_millis(5);
 /// The interval between looks at whether the load has changed.
@@ -32,11 +38,14 @@
 pub async fn report_state(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let port = shared.settings().internal_port;
     let mut wants_reply = true;
+    let mut near_only = false;
     loop {
         let now = shared.clock.now();
         let mut datagram = state_datagram(&shared, &socket, wants_reply);
-        datagram.reaches_all = shared.is_poller();
-        broadcast(&shared, &socket, datagram.clone(), |_| true).await;
+        let follows = shared.is_poller() || shared.is_domain_large() && shared.is_follower();
+        let must_reach_all = shared.report_reaches_all.swap(false, Ordering::Relaxed);
+        datagram.reaches_all = follows || must_reach_all;
+        broadcast(&shared, &socket, datagram.clone(), |to| !(near_only && to.relays)).await;
         let bytes = datagram.encode_to_vec();
         for address in silent_gateways(&shared, now) {
             send(&shared, &socket, &bytes, address).await;
@@ -51,7 +60,13 @@
         for host in shared.gateways.lock().expire(now) {
             log::info!("event=gateway-forgotten host={host}");
         }
-        let _ = time::timeout(REPORT_INTERVAL, shared.state_changed.notified()).await;
+        let interval = if follows { FOLLOWER_REPORT_INTERVAL } else { REPORT_INTERVAL };
+        near_only = tokio::select! {
+            biased;
+            () = shared.state_changed.notified() => false,
+            () = shared.state_changed_near.notified() => true,
+            () = time::sleep(interval) => false,
+        };
     }
 }
 
@@ -166,10 +181,16 @@
     let domain = shared.settings().domain.clone();
     let now = shared.clock.now();
     let receivers = shared.gateways.lock().broadcast_receivers(&domain, now, &mut rand::rng());
+    let mut bytes = Vec::new();
     for receiver in receivers.into_iter().filter(wanted) {
-        datagram.wants_relay = receiver.relays;
-        datagram.relay_part = receiver.part.filter(|_| datagram.reaches_all);
-        send(shared, socket, &datagram.encode_to_vec(), receiver.address).await;
+        let part = receiver.part.filter(|_| datagram.reaches_all);
+        if bytes.is_empty()
+            || (datagram.wants_relay, datagram.relay_part) != (receiver.relays, part)
+        {
+            (datagram.wants_relay, datagram.relay_part) = (receiver.relays, part);
+            bytes = datagram.encode_to_vec();
+        }
+        send(shared, socket, &bytes, receiver.address).await;
     }
 }
 
@@ -242,6 +263,7 @@
             unanswered_age_ms: age_ms(silence.unanswered_at),
             returned_age_ms: silence.returned_at.map(age_ms),
         }),
+        cpu_permille: settings.cpu_permille(),
     };
     Datagram { host: settings.host.clone(), state: Some(state), ..Datagram::default() }
 }
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -167,6 +167,9 @@
     /// valid.
     #[prost(bool, tag = "22")]
     pub refuses_keys: bool,
+    /// How much of a processor core the sender may use, in thousandths.
+    #[prost(uint32, tag = "23")]
+    pub cpu_permille: u32,
     /// Whether the sender requests a reply with the gateways that the receiver knows.
     #[prost(bool, tag = "8")]
     pub wants_reply: bool,
--- a/crates/citron-gateway/src/peer/pull.rs
+++ b/crates/citron-gateway/src/peer/pull.rs
@@ -27,6 +27,11 @@
 const PULL_DELAY: Duration = Duration::from_millis(400);
 /// The delay while the store does not respond, or has not confirmed this gateway's state for long.
 const PULL_DELAY_UNCONFIRMED: Duration = Duration::from_millis(50);
+/// The maximum delay at a gateway that does not follow the store. It is drawn, so that the pulls of a
+/// large failure domain are spread over time and over the peers that are ahead by then.
+const STANDBY_PULL_DELAY_MAX: Duration = Duration::from_millis(100);
+/// The minimum interval between two pulls of such a gateway, so that changes arrive in batches.
+const STANDBY_PULL_INTERVAL_MIN: Duration = Duration::from_millis(200);
 /// The delay after the first failed pull; it doubles with each further failure.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 /// The maximum delay after a failed pull.
@@ -121,6 +126,7 @@
 /// that went silent, and its follower is woken.
 pub async fn run(shared: Arc<Shared>, http: reqwest::Client, subject: Subject) {
     let mut failures = 0;
+    let mut pulled_at = Duration::ZERO;
     loop {
         if subject.peer_ahead(&shared, failures).is_none() {
             failures = 0;
@@ -128,12 +134,13 @@
             continue;
         }
         let was_down = shared.link.is_down();
-        time::sleep(delay(&shared, was_down, failures)).await;
+        time::sleep(delay(&shared, was_down, failures, pulled_at)).await;
         let is_overdue = !was_down && !shared.link.is_down();
         let Some(peer) = subject.peer_ahead(&shared, failures) else { continue };
         match pull(&shared, &http, subject, peer).await {
             Ok(()) => {
                 failures = 0;
+                pulled_at = shared.clock.now();
                 if is_overdue {
                     subject.wake_follower(&shared);
                 }
@@ -151,13 +158,19 @@
     }
 }
 
-/// Returns how long to wait before the next pull, after so many failures in a row.
-fn delay(shared: &Shared, is_down: bool, failures: u32) -> Duration {
+/// Returns how long to wait before the next pull, after so many failures in a row, if the latest one
+/// that brought something ended at `pulled_at`.
+fn delay(shared: &Shared, is_down: bool, failures: u32, pulled_at: Duration) -> Duration {
     if failures > 0 {
         let delay = RETRY_DELAY_MIN * 2_u32.pow(failures.min(8) - 1);
         return delay.min(RETRY_DELAY_MAX).mul_f64(rand::rng().random_range(0.5..1.0));
     }
-    let age = shared.confirmation_age(shared.clock.now());
+    let now = shared.clock.now();
+    if !shared.is_follower() {
+        let drawn = STANDBY_PULL_DELAY_MAX.mul_f64(rand::rng().random_range(0.0..1.0));
+        return drawn.max((pulled_at + STANDBY_PULL_INTERVAL_MIN).saturating_sub(now));
+    }
+    let age = shared.confirmation_age(now);
     let is_confirmed = age.is_some_and(|age| age < CONFIRMATION_MAX_AGE);
     if is_confirmed && !is_down { PULL_DELAY } else { PULL_DELAY_UNCONFIRMED }
 }
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -19,6 +19,7 @@
 };
 
 use citron::{
+    follower::PeerConfirmations,
     freshness::Freshness,
     gateways::Gateways,
     key_lease::KeyLease,
@@ -76,6 +77,11 @@
     pub statements_added: Notify,
     /// Wakes the task that reports this gateway's state.
     pub state_changed: Notify,
+    /// Wakes the same task if only the gateways of this failure domain have to learn of a change.
+    pub state_changed_near: Notify,
+    /// Whether the next report must reach all gateways, also if this gateway does not follow the
+    /// store.
+    pub report_reaches_all: AtomicBool,
     /// Wakes all connections of callers when the shutdown begins.
     pub shutdown_started: Notify,
     splits: Mutex<HashMap<Arc<str>, Split>>,
@@ -95,6 +101,8 @@
     pub store_moves: watch::Sender<u64>,
     /// What the store's responses to this gateway confirm.
     pub freshness: Mutex<Freshness>,
+    /// What the store's responses to peers confirm.
+    peer_confirmations: Mutex<PeerConfirmations>,
     /// For how long the known keys of the customers may be accepted.
     key_lease: Mutex<KeyLease>,
     /// Wakes the follower of the routes when a peer has newer ones than its watch delivered.
@@ -129,6 +137,8 @@
             outcomes_added: Notify::new(),
             statements_added: Notify::new(),
             state_changed: Notify::new(),
+            state_changed_near: Notify::new(),
+            report_reaches_all: AtomicBool::new(false),
             shutdown_started: Notify::new(),
             splits: Mutex::default(),
             serve_until: watch::Sender::default(),
@@ -139,6 +149,7 @@
             store_era: watch::Sender::default(),
             store_moves: watch::Sender::default(),
             freshness: Mutex::default(),
+            peer_confirmations: Mutex::default(),
             key_lease: Mutex::default(),
             routes_overdue: Notify::new(),
             targets_overdue: Notify::new(),
--- a/crates/citron-gateway/src/shared/key_lease.rs
+++ b/crates/citron-gateway/src/shared/key_lease.rs
@@ -9,9 +9,7 @@
     pub fn key_lease_covers(&self, arrived_at: Duration) -> bool {
         let Some(bound) = self.settings().revoke_within else { return true };
         self.notice_suspension();
-        let version = self.routes().map_or(0, |routes| routes.version);
-        let peers = self.gateways.lock().routes_confirmed_at(version);
-        let confirmed_at = self.freshness.lock().routes_confirmed_at().max(peers);
+        let confirmed_at = self.routes_confirmed_at();
         self.key_lease.lock().covers(arrived_at, confirmed_at, bound)
     }
 
--- a/crates/citron-gateway/src/shared/store.rs
+++ b/crates/citron-gateway/src/shared/store.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use citron::poller::Member;
+use citron::{
+    follower::{self, Confirmed},
+    gateways::Report,
+    poller::Member,
+};
 
 use super::Shared;
 
@@ -65,13 +69,57 @@
         self.gateways.lock().is_poller(own, now)
     }
 
+    /// Returns true if this gateway is selected to follow the store, as all are in a small failure
+    /// domain.
+    pub fn is_follower(&self) -> bool {
+        let now = self.clock.now();
+        let settings = self.settings();
+        let in_contact = self.link.contact(now).is_some();
+        let host = settings.host.as_str();
+        let own = follower::Member { host, in_contact, cpu_permille: settings.cpu_permille() };
+        let gateways = self.gateways.lock();
+        gateways.is_follower(own, &settings.domain, settings.follow_all_max, now)
+            || gateways.is_poller(Member { host, in_contact }, now)
+    }
+
+    /// Returns true if not all gateways of this failure domain follow the store.
+    pub fn is_domain_large(&self) -> bool {
+        let settings = self.settings();
+        let size = self.gateways.lock().domain_size(&settings.domain, self.clock.now());
+        size > settings.follow_all_max
+    }
+
+    /// Records what the report of the gateway on `host`, and the one that it replaces, confirm.
+    pub fn record_confirmation(&self, host: &str, report: &Report) {
+        let version = self.routes().map_or(0, |routes| routes.version);
+        let position = self.targets.lock().catalog.position();
+        let gateways = self.gateways.lock();
+        let mut confirmations = self.peer_confirmations.lock();
+        for report in gateways.report(host).into_iter().chain([report]) {
+            let Some(at) = report.confirmed_at else { continue };
+            let (routes_version, targets_position) =
+                (report.routes_version, report.targets_position);
+            let confirmed = Confirmed { routes_version, targets_position, at };
+            confirmations.record(confirmed, version, position);
+        }
+    }
+
+    /// Returns when this gateway's routes were last known to be current.
+    pub fn routes_confirmed_at(&self) -> Option<Duration> {
+        let version = self.routes().map_or(0, |routes| routes.version);
+        let peers = self.gateways.lock().routes_confirmed_at(version);
+        let earlier = self.peer_confirmations.lock().routes();
+        self.freshness.lock().routes_confirmed_at().max(peers).max(earlier)
+    }
+
     /// Returns when this gateway's routes and targets were last known to be current: by a response
     /// of the store to it, or to a peer whose state is not newer.
     pub fn confirmed_at(&self) -> Option<Duration> {
         let version = self.routes().map_or(0, |routes| routes.version);
         let position = self.targets.lock().catalog.position();
         let peers = self.gateways.lock().confirmed_at(version, position);
-        self.freshness.lock().confirmed_at().max(peers)
+        let earlier = self.peer_confirmations.lock().state();
+        self.freshness.lock().confirmed_at().max(peers).max(earlier)
     }
 
     /// Returns how long ago this gateway's routes and targets were last known to be current, `None`
--- a/crates/citron-gateway/src/shared/update.rs
+++ b/crates/citron-gateway/src/shared/update.rs
@@ -105,16 +105,22 @@
     }
 
     /// Reports this gateway's state to the peers at once, unless it already announced that it is
-    /// ready and another gateway has reported routes and targets at least this new.
+    /// ready and another gateway has reported routes and targets at least this new. A follower in a
+    /// large failure domain reports each change to that domain, whose other gateways pull it.
     pub(super) fn announce_if_first(&self) {
         let version = self.routes().map_or(0, |routes| routes.version);
         let position = self.targets.lock().catalog.position();
         let now = self.clock.now();
+        let settings = self.settings();
+        let is_large = self.is_domain_large();
+        let domain = is_large.then_some(settings.domain.as_str());
         if !self.announced_ready.load(Ordering::Relaxed)
-            || self.gateways.lock().is_first_with(version, position, now)
+            || self.gateways.lock().is_first_with(version, position, domain, now)
         {
             self.announced_ready.store(self.is_ready(), Ordering::Relaxed);
             self.state_changed.notify_one();
+        } else if is_large && self.is_follower() {
+            self.state_changed_near.notify_one();
         }
     }
 }
--- a/crates/citron-gateway/tests/support/mod.rs
+++ b/crates/citron-gateway/tests/support/mod.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use citron::attempt::RetryBound;
+use citron::{attempt::RetryBound, follower::FOLLOW_ALL_MAX};
 pub use citron_adapter::settings::{QuotaBound, Settings};
 use citron_daemon::Clock;
 pub use citron_gateway::Gateway;
@@ -189,6 +189,7 @@
         cpu_share: 1.0,
         link_mbps: 1000.0,
         is_first_start: false,
+        follow_all_max: FOLLOW_ALL_MAX,
     }
 }
 
--- a/crates/citron/src/freshness.rs
+++ b/crates/citron/src/freshness.rs
@@ -5,7 +5,7 @@
 //! of a peer that had such a response and whose state is not newer. A gateway whose confirmation is
 //! old asks the store itself.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use rand::Rng;
 
@@ -21,6 +21,10 @@
 /// How much later than due a check is made at most, so that the response to the first one at any
 /// gateway spares the others theirs.
 const CHECK_SPREAD: Duration = Duration::from_millis(100);
+/// The same at a gateway that does not follow the store, so that a report that is a little late
+/// causes no check, and the first check in a large failure domain spares the others theirs.
+const STANDBY_CHECK_SPREAD: Range<Duration> =
+    Duration::from_millis(300)..Duration::from_millis(1000);
 /// The same while the store takes long to respond.
 const CHECK_SPREAD_MAX: Duration = Duration::from_secs(1);
 
@@ -103,6 +107,12 @@
         timer
     }
 
+    /// Draws anew how much later than due the next check of a gateway that does not follow the store
+    /// is made.
+    pub fn draw_standby_spread(&mut self, rng: &mut impl Rng) {
+        self.spread = rng.random_range(STANDBY_CHECK_SPREAD);
+    }
+
     /// Returns when the next check of a state that was confirmed at `confirmed_at` is due.
     pub fn due_at(&self, confirmed_at: Duration) -> Duration {
         (confirmed_at + CONFIRMATION_MAX_AGE + self.spread).max(self.not_before)
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -17,6 +17,7 @@
     attempt::Sharer,
     catalog::Target,
     delay::Delay,
+    follower,
     outage::{self, Contact, Silence},
     placement,
     poller::{self, Member},
@@ -108,6 +109,8 @@
     pub confirmed_at: Option<Duration>,
     /// The last silence of the store that it noticed, by the receiver's clock.
     pub store_silence: Option<Silence>,
+    /// How much of a processor core it may use, in thousandths; 0 if it does not say.
+    pub cpu_permille: u32,
 }
 
 /// How callers reach this gateway.
@@ -294,10 +297,18 @@
         Some((best.routes_version, best.peers))
     }
 
-    /// Returns true if no live gateway has reported routes and targets at least this new.
-    pub fn is_first_with(&self, version: u64, position: Position, now: Duration) -> bool {
-        let mut reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
-        !reports.any(|r| r.routes_version >= version && r.targets_position >= position)
+    /// Returns true if no live gateway, of `domain` if one is named, has reported routes and targets
+    /// at least this new.
+    pub fn is_first_with(
+        &self,
+        version: u64,
+        position: Position,
+        domain: Option<&str>,
+        now: Duration,
+    ) -> bool {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        let mut near = reports.filter(|r| domain.is_none_or(|domain| domain == &*r.domain));
+        !near.any(|r| r.routes_version >= version && r.targets_position >= position)
     }
 
     /// Returns how many live gateways come before `host`, a gateway of `domain`, in sending trial
@@ -368,6 +379,48 @@
         poller::is_poller(own, members)
     }
 
+    /// Returns the number of live gateways of `domain`, to which this gateway belongs.
+    pub fn domain_size(&self, domain: &str, now: Duration) -> usize {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        1 + reports.filter(|report| &*report.domain == domain).count()
+    }
+
+    /// Returns true if this gateway, `own` of `domain`, is one of those that follow the store. All do
+    /// in a domain of at most `follow_all_max` live gateways.
+    pub fn is_follower(
+        &self,
+        own: follower::Member<'_>,
+        domain: &str,
+        follow_all_max: usize,
+        now: Duration,
+    ) -> bool {
+        let size = self.domain_size(domain, now);
+        let others = self.by_host.iter().filter(|(_, gateway)| gateway.age(now) < POLLER_TIMEOUT);
+        let members = others.filter_map(|(host, gateway)| {
+            let report = gateway.report.as_ref().filter(|report| &*report.domain == domain)?;
+            Some(follower::Member {
+                host,
+                in_contact: report.store_contact.is_some(),
+                cpu_permille: report.cpu_permille,
+            })
+        });
+        size <= follow_all_max
+            || follower::is_follower(own, members, follower::follower_count(size, follow_all_max))
+    }
+
+    /// Returns true if enough is known of the fleet to decide which gateways follow the store: the
+    /// platform's list was read, and names at most `follow_all_max` gateways, or at least half of
+    /// them have reported.
+    pub fn knows_fleet(&self, follow_all_max: usize) -> bool {
+        let reported = self.by_host.values().filter(|gateway| gateway.report.is_some()).count();
+        self.has_list && (self.by_host.len() < follow_all_max || reported * 2 >= self.by_host.len())
+    }
+
+    /// Returns the last report of a gateway.
+    pub fn report(&self, host: &str) -> Option<&Report> {
+        self.by_host.get(host)?.report.as_ref()
+    }
+
     /// Returns the fleet among which targets' limits are divided, as seen by the gateway on `own`,
     /// which `is_ready` to accept callers and whose process started at time zero.
     pub fn limit_fleet<'a>(
@@ -518,7 +571,8 @@
     /// `domain`, or of any that is ahead without one; `ahead` returns where a gateway is if it is
     /// ahead.
     ///
-    /// It is drawn, so that those that fall behind together spread over all that can help them.
+    /// It is drawn, so that those that fall behind together spread over all that can help them, and
+    /// those with more of a processor core are drawn more often.
     fn peer_ahead<T: Ord + Copy>(
         &self,
         domain: Option<&str>,
@@ -531,12 +585,15 @@
             let at = ahead(report)?;
             Some(domain.map(|domain| (domain == &*report.domain, at)))
         };
-        let ranked: Vec<_> =
-            reports.filter_map(|report| Some((rank(report)?, report.peers))).collect();
+        let ranked: Vec<_> = reports.filter_map(|report| Some((rank(report)?, report))).collect();
         let best = ranked.iter().map(|(rank, _)| *rank).max()?;
-        let nearest: SmallVec<[SocketAddr; 32]> =
-            ranked.into_iter().filter(|(rank, _)| *rank == best).map(|(_, peer)| peer).collect();
-        nearest.choose(rng).copied()
+        let nearest: SmallVec<[&Report; 32]> = ranked
+            .into_iter()
+            .filter(|(rank, _)| *rank == best)
+            .map(|(_, report)| report)
+            .collect();
+        let chosen = nearest.choose_weighted(rng, |report| report.cpu_permille.max(1));
+        chosen.ok().map(|report| report.peers)
     }
 }
 
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod delay;
 pub mod dissemination;
 pub mod event;
+pub mod follower;
 pub mod freshness;
 pub mod gateways;
 pub mod gray;
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -31,6 +31,7 @@
         store_contact: None,
         confirmed_at: None,
         store_silence: None,
+        cpu_permille: 1000,
     }
 }
 
@@ -113,9 +114,9 @@
 #[test]
 fn a_gateway_is_first_with_state_that_no_peer_has_reported() {
     let gateways = fleet();
-    assert!(gateways.is_first_with(31, at_revision(5), at(100)));
-    assert!(gateways.is_first_with(10, at_revision(6), at(100)));
-    assert!(!gateways.is_first_with(30, at_revision(5), at(100)));
+    assert!(gateways.is_first_with(31, at_revision(5), None, at(100)));
+    assert!(gateways.is_first_with(10, at_revision(6), None, at(100)));
+    assert!(!gateways.is_first_with(30, at_revision(5), None, at(100)));
 }
 
 #[test]
