--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -109,6 +109,11 @@
         self.shared.settings().ready
     }
 
+    /// Returns true if this gateway follows the store, false if it takes changes from peers.
+    pub fn follows_store(&self) -> bool {
+        self.shared.is_follower()
+    }
+
     /// Applies new settings, as the process does when their file changes.
     pub fn reload(&self, settings: Settings) {
         reload::apply(&self.shared, &self.store, settings, true);
