--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use tokio::time;
 
-use super::backoff::Backoff;
+use super::{backoff::Backoff, call::CallKind};
 use crate::{
     quota::{self, members},
     shared::Shared,
@@ -77,7 +77,9 @@
         let host = shared.settings().host.clone();
         let mut backoff = Backoff::default();
         loop {
-            match self.store.get(gateways::KIND, &host).await {
+            let found = self.store.get(gateways::KIND, &host).await;
+            record_call(shared, CallKind::Register, &found);
+            match found {
                 Ok(object) => {
                     let known = object.as_ref().and_then(gateways::decode);
                     let standing = known.map_or(Standing::Joining, |member| member.standing);
@@ -85,7 +87,7 @@
                 }
                 Err(error) => {
                     backoff.record_failure("get-gateway", &error);
-                    backoff.wait(shared, "get-gateway").await;
+                    backoff.wait(shared, gateways::KIND, CallKind::Register).await;
                 }
             }
         }
@@ -106,7 +108,7 @@
                 }
                 Err(error) => {
                     backoff.record_failure("register", &error);
-                    backoff.wait(&self.shared, "register").await;
+                    backoff.wait(&self.shared, gateways::KIND, CallKind::Register).await;
                 }
             }
         }
@@ -119,7 +121,10 @@
 
     async fn put_entry_as(&self, standing: Standing) -> Result<Written, Error> {
         let member = members::own(&self.shared, self.own, standing);
-        self.store.put(gateways::KIND, &member.host, &gateways::encode(&member)).await
+        let spec = gateways::encode(&member);
+        let written = self.store.put(gateways::KIND, &member.host, &spec).await;
+        record_call(&self.shared, CallKind::Register, &written);
+        written
     }
 
     /// Reads the list of the others, however often it takes.
@@ -127,7 +132,7 @@
         let mut backoff = Backoff::default();
         while let Err(error) = self.learn(Recency::Current).await {
             backoff.record_failure("list-gateways", &error);
-            backoff.wait(&self.shared, "list-gateways").await;
+            backoff.wait(&self.shared, gateways::KIND, CallKind::List).await;
         }
     }
 
@@ -159,7 +164,7 @@
                 Ok(()) => list_due = None,
                 Err(error) => {
                     backoff.record_failure("list-gateways", &error);
-                    backoff.wait(&shared, "list-gateways").await;
+                    backoff.wait(&shared, gateways::KIND, CallKind::List).await;
                 }
             }
         }
@@ -169,8 +174,9 @@
         let shared = &self.shared;
         let begun_at = shared.clock.now() + shared.clock.suspended();
         let (pages, progress) = (Pages::default(), Progress::default());
-        let list = self.store.list_at(gateways::KIND, recency, &pages, &progress).await?;
-        self.apply(&list, begun_at);
+        let list = self.store.list_at(gateways::KIND, recency, &pages, &progress).await;
+        record_call(shared, CallKind::List, &list);
+        self.apply(&list?, begun_at);
         Ok(())
     }
 
@@ -201,3 +207,10 @@
         }
     }
 }
+
+/// Counts a call that ended.
+fn record_call<T>(shared: &Shared, call: CallKind, result: &Result<T, Error>) {
+    let outcome = if result.is_ok() { "ok" } else { "failed" };
+    let labels = [gateways::KIND, call.into(), outcome];
+    shared.metrics.store_calls.with_label_values(&labels).inc();
+}
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -117,6 +117,11 @@
         self.shared.memory.reserved()
     }
 
+    /// Returns true if this gateway follows the store, false if it takes changes from peers.
+    pub fn follows_store(&self) -> bool {
+        self.shared.is_follower()
+    }
+
     /// Applies new settings, as the process does when their file changes.
     pub fn reload(&self, settings: Settings) {
         reload::apply(&self.shared, &self.store, settings, true);
@@ -185,6 +190,7 @@
     metrics.idle_connections.set(shared.pool.len() as i64);
     metrics.memory_reserved_bytes.set(shared.memory.reserved() as i64);
     metrics.memory_limit_bytes.set(shared.memory.limit() as i64);
+    metrics.follows_store.set(i64::from(shared.is_follower()));
     metrics.store_lost.set(i64::from(shared.link.is_down()));
     metrics.store_silent_seconds.set(shared.link.silent_for(now).as_secs_f64());
     if let Some(age) = shared.confirmation_age(now) {
