Send callers of an uneven domain to a subset of its gateways

Cause: all ready gateways of a failure domain were named with equal shares, also where a host has a seventh of the processor of another. Change: gateways report their power and load; where the weakest has at most a quarter of the processor of the strongest, answers name the strong gateways and a draw of others. Lateness and a full link or memory exclude a gateway. Domains without such hosts are not affected.

--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -147,6 +147,7 @@
                 }
                 count = reader.read_buf(&mut self.buffer), if can_read => {
                     let count = count?;
+                    shared.own_load.count_bytes(count);
                     if was_between_requests {
                         self.since = Instant::now();
                     }
@@ -242,6 +243,7 @@
         let shared = Arc::clone(&self.shared);
         let received_at = shared.clock.now();
         let in_flight = Some(shared.track_request());
+        shared.own_load.count_request();
         self.pipeline.push(async move {
             let response = forward::forward(shared, *head, body, received_at).await;
             Reply { response, keep_alive, in_flight, memory: Some(memory) }
--- a/crates/citron-gateway/src/caller/respond.rs
+++ b/crates/citron-gateway/src/caller/respond.rs
@@ -129,6 +129,7 @@
     }
 
     async fn write(&mut self, bytes: &[u8], until: Instant) -> io::Result<()> {
+        self.shared.own_load.count_bytes(bytes.len());
         let written = time::timeout_at(until, self.writer.write_all(bytes));
         match self.pipeline.forward_during(written).await {
             Ok(written) => written,
--- a/crates/citron-gateway/src/directory.rs
+++ b/crates/citron-gateway/src/directory.rs
@@ -79,7 +79,9 @@
         accepts_keys: shared.accepts_keys(),
     });
     let now = shared.clock.now();
-    let mut addresses = shared.gateways.lock().caller_addresses(own, zone.unwrap_or_default(), now);
+    shared.update_spreads();
+    let domain = zone.unwrap_or_default();
+    let mut addresses = shared.gateways.lock().answer(own, domain, now, &mut rand::rng());
     addresses.truncate(ADDRESSES_LIMIT);
     if addresses.is_empty() {
         return Err(Status::ServiceUnavailable);
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -8,7 +8,9 @@
 use eyre::WrapErr;
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
-use crate::{budget, caller, directory, follow, metrics::Metrics, peer, reload, shared::Shared};
+use crate::{
+    budget, caller, directory, follow, load, metrics::Metrics, peer, reload, shared::Shared,
+};
 
 /// How long a gateway still accepts connections after it announced its shutdown, so that callers
 /// learn of the shutdown first.
@@ -90,6 +92,7 @@
         reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
         tokio::spawn(budget::watch_standstill(Arc::clone(&shared)));
+        tokio::spawn(load::watch(Arc::clone(&shared)));
         servers.extend([directory, ready]);
         Ok(Self { shared, store, accept, servers })
     }
--- a/crates/citron-gateway/src/lib.rs
+++ b/crates/citron-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod gateway;
 mod http1;
+mod load;
 mod memory;
 mod metrics;
 mod peer;
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -81,6 +81,18 @@
     pub targets_revision: IntGauge,
     /// The latest era of the store.
     pub store_era: IntGauge,
+    /// The processor cores, or the part of one, that this gateway may use.
+    pub own_cpu_share: Gauge,
+    /// How many requests a second this gateway receives.
+    pub own_requests_per_s: Gauge,
+    /// How late this gateway's process runs, in seconds.
+    pub own_lateness_seconds: Gauge,
+    /// The share of this gateway's link or memory that is in use.
+    pub own_fullness: Gauge,
+    /// The gateways that callers of the own failure domain are sent to, 0 if these are all.
+    pub named_gateways: IntGauge,
+    /// 1 if callers are sent to this gateway, else 0.
+    pub is_named: IntGauge,
     refused: IntCounterVec,
     attempts: IntCounterVec,
     requests: IntCounterVec,
@@ -260,6 +272,27 @@
                 "citron_store_era",
                 "How often the store came back from an older copy, as it counts itself",
             )?,
+            own_cpu_share: level(
+                "citron_own_cpu_share",
+                "Processor cores, or the part of one, that this gateway may use",
+            )?,
+            own_requests_per_s: level(
+                "citron_own_requests_per_second",
+                "Requests received per second, as a moving mean",
+            )?,
+            own_lateness_seconds: level(
+                "citron_own_lateness_seconds",
+                "How late a timer of this process fired at most within the last second",
+            )?,
+            own_fullness: level(
+                "citron_own_fullness",
+                "Share of the link or of the memory in use, whichever is greater",
+            )?,
+            named_gateways: gauge(
+                "citron_named_gateways",
+                "Gateways that callers of this failure domain are sent to, 0 if these are all",
+            )?,
+            is_named: gauge("citron_named", "1 if callers are sent to this gateway, else 0")?,
             latency,
             added,
             store_silent_seconds: level(
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -25,6 +25,7 @@
     gray::Verdict,
     outage::{Contact, Silence},
     position::Position,
+    spread::{Load, Power},
     statement::{Origin, Statement},
 };
 use prost::Message;
@@ -198,6 +199,28 @@
             unanswered_at: ago(silence.unanswered_age_ms),
             returned_at: silence.returned_age_ms.map(ago),
         }),
+        load: decode_load(state),
+    })
+}
+
+/// Decodes the power and load in a report, `None` if it has none or they are not valid.
+fn decode_load(state: &State) -> Option<Load> {
+    let power = state.power?;
+    let is_positive = |value: f64| value.is_finite() && value > 0.0;
+    let is_amount = |value: f64| value.is_finite() && value >= 0.0;
+    let is_valid = is_positive(power.cpu_share)
+        && is_amount(power.link_mbps)
+        && is_amount(state.requests_per_s)
+        && is_amount(state.fullness);
+    is_valid.then(|| Load {
+        power: Power {
+            cpu_share: power.cpu_share,
+            link_mbps: power.link_mbps,
+            memory_bytes: power.memory_bytes,
+        },
+        requests_per_s: state.requests_per_s,
+        lateness: Duration::from_millis(state.lateness_ms.into()),
+        fullness: state.fullness,
     })
 }
 
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -35,7 +35,7 @@
     loop {
         let now = shared.clock.now();
         let mut datagram = state_datagram(&shared, &socket, wants_reply);
-        datagram.reaches_all = shared.is_poller();
+        datagram.reaches_all = shared.is_poller() || may_be_named(&shared);
         broadcast(&shared, &socket, datagram.clone(), |_| true).await;
         let bytes = datagram.encode_to_vec();
         for address in silent_gateways(&shared, now) {
@@ -80,6 +80,12 @@
     }
 }
 
+/// Returns true if callers may be sent to this gateway, among those of an uneven domain.
+fn may_be_named(shared: &Shared) -> bool {
+    let settings = shared.settings();
+    shared.gateways.lock().is_watched(&settings.host, &settings.domain)
+}
+
 /// Returns the addresses of a few live gateways.
 fn some_gateways(shared: &Shared, now: Duration) -> Vec<SocketAddr> {
     let gateways = shared.gateways.lock();
@@ -219,6 +225,7 @@
     let now = shared.clock.now();
     let contact = shared.link.contact(now);
     let position = shared.targets.lock().catalog.position();
+    let load = shared.load();
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
     let state = State {
         born_ms: shared.born_ms,
@@ -231,6 +238,14 @@
         targets_revision: position.revision,
         targets_era: position.era,
         fleet_hosts: shared.gateways.lock().fleet_hosts(),
+        power: Some(message::Power {
+            cpu_share: load.power.cpu_share,
+            link_mbps: load.power.link_mbps,
+            memory_bytes: load.power.memory_bytes,
+        }),
+        requests_per_s: load.requests_per_s,
+        lateness_ms: u32::try_from(load.lateness.as_millis()).unwrap_or(u32::MAX),
+        fullness: load.fullness,
         wants_reply,
         datagrams: socket.local_addr().map_or_else(|_| String::new(), |own| own.to_string()),
         store_answers_for_ms: contact.map_or(0, |contact| age_ms(contact.since)),
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -163,6 +163,18 @@
     /// The number of hosts that the sender knows, 0 if it has not read the platform's list.
     #[prost(uint32, tag = "17")]
     pub fleet_hosts: u32,
+    /// What the sender's host offers, absent in reports of earlier builds.
+    #[prost(message, optional, tag = "18")]
+    pub power: Option<Power>,
+    /// How many requests a second the sender receives.
+    #[prost(double, tag = "19")]
+    pub requests_per_s: f64,
+    /// How late the sender's process runs, in milliseconds.
+    #[prost(uint32, tag = "20")]
+    pub lateness_ms: u32,
+    /// The share of the sender's link or memory that is in use, whichever is greater.
+    #[prost(double, tag = "21")]
+    pub fullness: f64,
     /// Whether the sender accepts no requests with keys, as nothing confirms that they are still
     /// valid.
     #[prost(bool, tag = "22")]
@@ -172,6 +184,20 @@
     pub wants_reply: bool,
 }
 
+/// What a host offers to its gateway.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Power {
+    /// The processor cores, or the part of one.
+    #[prost(double, tag = "1")]
+    pub cpu_share: f64,
+    /// The bandwidth of the link, in Mbit/s.
+    #[prost(double, tag = "2")]
+    pub link_mbps: f64,
+    /// The memory, in bytes.
+    #[prost(uint64, tag = "3")]
+    pub memory_bytes: u64,
+}
+
 /// A silence of the store.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
 pub struct Silence {
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -33,6 +33,7 @@
 use crate::{
     budget::{RetryBudgets, loan::Loans},
     connection::Pool,
+    load::OwnLoad,
     memory::Memory,
     metrics::Metrics,
     peer::message::Outcome,
@@ -106,6 +107,8 @@
     /// Wakes the task that pulls targets when a peer has a newer list.
     pub targets_behind: Notify,
     in_flight: AtomicUsize,
+    /// What this gateway measures of itself.
+    pub own_load: OwnLoad,
 }
 
 impl Shared {
@@ -145,6 +148,7 @@
             routes_behind: Notify::new(),
             targets_behind: Notify::new(),
             in_flight: AtomicUsize::new(0),
+            own_load: OwnLoad::default(),
         }
     }
 
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -234,6 +234,7 @@
             store_contact: None,
             confirmed_at: None,
             store_silence: None,
+            load: None,
         }
     }
 
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -21,6 +21,7 @@
     placement,
     poller::{self, Member},
     position::Position,
+    spread::{Candidate, Load, Reason, Spread, Subset},
     target_limit,
 };
 
@@ -42,6 +43,8 @@
 const FORGET_TIMEOUT: Duration = Duration::from_secs(120);
 /// The number of ready gateways from which a failure domain serves its callers on its own.
 const DOMAIN_GATEWAYS_MIN: usize = 2;
+/// The least interval between two decisions on which gateways callers are sent to.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The maximum number of gateways of its own failure domain that a gateway sends a broadcast to, and
 /// the number of parts of a larger domain to which these pass on what must reach all.
@@ -81,7 +84,7 @@
 }
 
 /// What a gateway reports about itself.
-#[derive(Debug, Clone, Eq, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Report {
     /// When its process started, in milliseconds since the Unix epoch.
     pub born_ms: u64,
@@ -108,6 +111,8 @@
     pub confirmed_at: Option<Duration>,
     /// The last silence of the store that it noticed, by the receiver's clock.
     pub store_silence: Option<Silence>,
+    /// Its power and load, `None` if it does not report them.
+    pub load: Option<Load>,
 }
 
 /// How callers reach this gateway.
@@ -149,6 +154,10 @@
     has_list: bool,
     /// How reports are delayed, by host, with the start of the process that sent them.
     delays: BTreeMap<Arc<str>, (u64, Delay)>,
+    /// Which gateways callers are sent to, by failure domain.
+    spreads: BTreeMap<Arc<str>, Spread>,
+    /// When these were last decided.
+    spreads_at: Option<Duration>,
 }
 
 impl Gateways {
@@ -244,7 +253,7 @@
             let own = own.filter(|own| own.accepts_keys).map(|own| (own.domain, own.callers));
             let addresses = near_addresses(accepting.chain(own).collect(), domain);
             if !addresses.is_empty() {
-                return addresses;
+                return self.spread_addresses(addresses, domain);
             }
             if !is_cut_off {
                 break;
@@ -256,6 +265,84 @@
         near_addresses(ready.chain(own.map(|own| (own.domain, own.callers))).collect(), domain)
     }
 
+    /// Returns the addresses of one answer to a caller in `domain`: those of
+    /// [`Self::caller_addresses`], or if the domain is uneven a draw of them.
+    pub fn answer(
+        &self,
+        own: Option<OwnAddress<'_>>,
+        domain: &str,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let addresses = self.caller_addresses(own, domain, now);
+        let Some(subset) = self.subset(domain) else { return addresses };
+        let drawn = subset.draw(|address| addresses.contains(address), rng);
+        if drawn.len() < DOMAIN_GATEWAYS_MIN { addresses } else { drawn }
+    }
+
+    /// Decides again to which gateways callers are sent, by failure domain; returns why this has
+    /// changed for the domain of `own`, if it has.
+    pub fn update_spreads(
+        &mut self,
+        own_domain: &str,
+        own: Candidate<'_>,
+        now: Duration,
+    ) -> Option<Reason> {
+        if self.spreads_at.is_some_and(|at| now < at + SPREAD_INTERVAL) {
+            return None;
+        }
+        self.spreads_at = Some(now);
+        let mut domains: BTreeMap<&str, Vec<Candidate<'_>>> = BTreeMap::new();
+        domains.entry(own_domain).or_default().push(own);
+        for (host, gateway) in self.by_host.iter().filter(|(_, g)| g.age(now) < MEMBER_TIMEOUT) {
+            let Some(report) = &gateway.report else { continue };
+            let is_heard = gateway.age(now) < ADVERTISE_TIMEOUT;
+            domains.entry(&report.domain).or_default().push(Candidate {
+                host,
+                born_ms: report.born_ms,
+                callers: report.callers,
+                is_ready: is_heard && report.ready && report.accepts_keys,
+                load: report.load,
+            });
+        }
+        self.spreads.retain(|domain, _| domains.contains_key(&**domain));
+        let mut reason = None;
+        for (domain, candidates) in domains {
+            let spread = self.spreads.entry(Arc::from(domain)).or_default();
+            let changed = spread.update(&candidates, domain, now);
+            if domain == own_domain {
+                reason = changed;
+            }
+        }
+        reason
+    }
+
+    /// Returns the gateways that callers of an uneven `domain` are sent to, `None` if these are all
+    /// ready ones.
+    pub fn subset(&self, domain: &str) -> Option<&Subset> {
+        self.spreads.get(domain)?.subset()
+    }
+
+    /// Returns true if the hosts of `domain` have unlike power.
+    pub fn is_uneven(&self, domain: &str) -> bool {
+        self.spreads.get(domain).is_some_and(Spread::is_uneven)
+    }
+
+    /// Returns true if the reports of `host` should reach all gateways of its domain, as callers may
+    /// be sent to it.
+    pub fn is_watched(&self, host: &str, domain: &str) -> bool {
+        self.spreads.get(domain).is_some_and(|spread| spread.is_watched(host))
+    }
+
+    /// Returns those of `addresses` that belong to the subset of `domain`, or all if these are too
+    /// few.
+    fn spread_addresses(&self, addresses: Vec<SocketAddr>, domain: &str) -> Vec<SocketAddr> {
+        let Some(subset) = self.subset(domain) else { return addresses };
+        let named: Vec<SocketAddr> =
+            subset.iter().copied().filter(|callers| addresses.contains(callers)).collect();
+        if named.len() < DOMAIN_GATEWAYS_MIN { addresses } else { named }
+    }
+
     /// Returns the address of a gateway with routes newer than `version`: one of those that are
     /// furthest ahead, if possible in `domain`, or any without one.
     pub fn peer_with_newer_routes(
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod queue;
 pub mod route;
 pub mod shutdown;
+pub mod spread;
 pub mod statement;
 pub mod target_limit;
 pub mod watcher;
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -31,6 +31,7 @@
         store_contact: None,
         confirmed_at: None,
         store_silence: None,
+        load: None,
     }
 }
 
