--- a/crates/citron/src/spread.rs
+++ b/crates/citron/src/spread.rs
@@ -247,8 +247,9 @@
         let ranked = rank(candidates, domain);
         self.readmit(&ranked, now);
         let usable = self.usable(&ranked, now);
-        self.demand.record(self.effective_demand(candidates), now);
-        let subset = self.choose(&usable, strongest, now);
+        let demand = self.effective_demand(candidates);
+        self.demand.record(demand, now);
+        let subset = self.choose(&usable, demand, strongest, now);
         let first = ranked.iter().take(WATCHED_MIN.max(subset.len() * 2));
         self.first = first.map(|(candidate, _)| Arc::from(candidate.host)).collect();
         // Before it has seen the demand for a while, a gateway does not know how few would do.
@@ -330,14 +331,21 @@
     }
 
     /// Chooses the subset from the usable gateways, in order.
-    fn choose(&mut self, usable: &[Ranked<'_>], strongest: f64, now: Duration) -> Subset {
-        let demand = self.demand.value();
+    fn choose(
+        &mut self,
+        usable: &[Ranked<'_>],
+        demand: f64,
+        strongest: f64,
+        now: Duration,
+    ) -> Subset {
         let is_strong = |(_, load): &&Ranked<'_>| load.power.cpu_share >= strongest * STRONG_SHARE;
         let (mut strong, mut others): (Vec<&Ranked<'_>>, Vec<_>) =
             usable.iter().partition(is_strong);
         let first = strong.first().or(others.first());
-        let needed = first.map_or(0.0, |(_, load)| demand / load.target_per_s()).ceil() as usize;
+        let peak = self.demand.value();
+        let needed = first.map_or(0.0, |(_, load)| peak / load.target_per_s()).ceil() as usize;
         strong.truncate(needed.clamp(STRONG_MIN, ANSWER_MAX - OTHERS_MIN));
+        // The count is held by itself, so that others stay for a while when a strong one returns.
         let (drawn, count) = draw_size(demand, needed, &strong, &others);
         self.others.record(count as f64, now);
         others.truncate(self.others.value() as usize);
