--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
 use crate::{
-    budget, caller, directory, follow, metrics::Metrics, peer, quota, reload, shared::Shared,
+    budget, caller, directory, follow, load, metrics::Metrics, peer, quota, reload, shared::Shared,
 };
 
 /// How long a gateway still accepts connections after it announced its shutdown, so that callers
@@ -93,6 +93,7 @@
         reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
         tokio::spawn(sweep(Arc::clone(&shared)));
         tokio::spawn(budget::watch_standstill(Arc::clone(&shared)));
+        tokio::spawn(load::watch(Arc::clone(&shared)));
         servers.extend([directory, ready]);
         Ok(Self { shared, store, accept, servers })
     }
--- a/crates/citron/src/lib.rs
+++ b/crates/citron/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod quota;
 pub mod route;
 pub mod shutdown;
+pub mod spread;
 pub mod statement;
 pub mod target_limit;
 pub mod watcher;
--- a/crates/citron/tests/follower.rs
+++ b/crates/citron/tests/follower.rs
@@ -8,6 +8,7 @@
     outage::Contact,
     poller,
     position::Position,
+    spread::{Load, Power},
 };
 
 /// After this long without a report a follower is replaced.
@@ -27,6 +28,12 @@
     if n.is_multiple_of(29) { 500 } else { 70 }
 }
 
+fn load(cpu_permille: u32) -> Load {
+    let cpu_share = f64::from(cpu_permille) / 1000.0;
+    let power = Power { cpu_share, link_mbps: 10.0, memory_bytes: 1 << 27 };
+    Load { power, requests_per_s: 0.0, lateness: Duration::ZERO, fullness: 0.0 }
+}
+
 fn report(domain: &str, in_contact: bool, cpu_permille: u32) -> Report {
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
     Report {
@@ -42,7 +49,7 @@
         store_contact: in_contact.then_some(CONTACT),
         confirmed_at: None,
         store_silence: None,
-        cpu_permille,
+        load: Some(load(cpu_permille)),
     }
 }
 
