Order requests that wait for a token or for room

Cause: a request that a target rejected is refused when the retry budget is spent. Change: queue::wait holds such requests by priority, objective, the customer's turn, work and deadline; AttemptSeries may count rejected attempts apart from those that ran. Not used yet.

--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -153,6 +153,7 @@
     in_flight: u32,
     stop_cause: Option<Cause>,
     body_replayable: bool,
+    max_rejections: Option<u32>,
 }
 
 impl AttemptSeries {
@@ -166,9 +167,25 @@
             in_flight: 0,
             stop_cause: None,
             body_replayable: true,
+            max_rejections: None,
         }
     }
 
+    /// Counts attempts that were shed apart from the others: `max_attempts` limits those that ran or
+    /// may have run the request, and up to `max_rejections` attempts may be shed.
+    pub fn with_max_rejections(self, max_rejections: u32) -> Self {
+        Self { max_rejections: Some(max_rejections), ..self }
+    }
+
+    /// Returns true if the request may wait and be sent later: no attempt ran it or may have run it,
+    /// and another one is allowed.
+    pub fn may_wait(&self) -> bool {
+        self.in_flight == 0
+            && self.stop_cause.is_none()
+            && self.no_attempt_ran()
+            && self.may_retry()
+    }
+
     /// Returns the step to take at `now`; a retry is made only if `charge_retry` charged a budget.
     ///
     /// A retry after a failure to connect is not charged, up to the limit of the policy.
@@ -243,6 +260,13 @@
             Some(self.results.last().map_or(Cause::NoCapacity, |&last| cause_of(last)));
     }
 
+    /// Records that the attempt that [`Step::Send`] asked for is not made now; another step may ask
+    /// for it later.
+    pub fn record_postponed(&mut self) {
+        assert!(self.in_flight > 0, "an attempt must start before it is postponed");
+        self.in_flight -= 1;
+    }
+
     /// Records that part of the request body was consumed, so that it cannot be sent again.
     pub fn record_body_consumed(&mut self) {
         self.body_replayable = false;
@@ -268,6 +292,18 @@
             - self.connect_failures().min(self.policy.max_connect_failures)
     }
 
+    /// Returns the number of attempts that count against `max_attempts`.
+    fn counted_attempts(&self) -> u32 {
+        match self.max_rejections {
+            Some(_) => self.attempts() - self.rejections(),
+            None => self.attempts(),
+        }
+    }
+
+    fn rejections(&self) -> u32 {
+        self.results.iter().filter(|&&result| result == AttemptResult::Shed).count() as u32
+    }
+
     fn connect_failures(&self) -> u32 {
         self.results.iter().filter(|&&result| result == AttemptResult::NotConnected).count() as u32
     }
@@ -290,7 +326,11 @@
 
     fn may_retry(&self) -> bool {
         let safe = self.policy.idempotent || self.no_attempt_ran();
-        safe && self.body_replayable && self.attempts() < self.policy.max_attempts
+        let may_be_shed = self.max_rejections.is_none_or(|max| self.rejections() < max);
+        safe
+            && self.body_replayable
+            && may_be_shed
+            && self.counted_attempts() < self.policy.max_attempts
     }
 
     fn no_attempt_ran(&self) -> bool {
@@ -308,7 +348,7 @@
             "a request that requires a claim must own its key before it is sent"
         );
         assert!(
-            self.attempts() < self.policy.max_attempts,
+            self.counted_attempts() < self.policy.max_attempts,
             "the number of attempts must stay within the limit"
         );
         self.in_flight += 1;
@@ -318,7 +358,7 @@
     /// Returns when an attempt that starts at `now` times out, which leaves an idempotent request
     /// time for another attempt if this one's connection stays silent.
     fn attempt_deadline(&self, now: Duration) -> Duration {
-        let is_last = self.attempts() >= self.policy.max_attempts;
+        let is_last = self.counted_attempts() >= self.policy.max_attempts;
         if !self.policy.idempotent || !self.body_replayable || is_last {
             return self.policy.deadline;
         }
--- a/crates/citron/src/queue/mod.rs
+++ b/crates/citron/src/queue/mod.rs
@@ -7,5 +7,6 @@
 
 mod departure;
 mod fair;
+pub mod wait;
 
 pub use self::fair::{Limits, PendingRequest, Queue, Refusal, Ticket};
