Let requests wait for a retry token or for room where there are customers

Cause: 1,709 of 13,100 orders were refused while targets rejected 55 in 100, as the retry budget was spent, although their time was not over. Change: such a request waits in a queue of its service at its host and is released in the queue's order. Rejected attempts do not count against maxAttempts, up to 6. Result: not built yet; no test has run.

--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -3,14 +3,16 @@
 mod attempt;
 mod guard;
 mod header;
+mod wait;
 
 pub use self::guard::AttemptGuard;
 
 use std::{sync::Arc, time::Duration};
 
 use citron::{
-    attempt::{AttemptSeries, Denial, RetryPolicy, Step},
+    attempt::{AttemptResult, AttemptSeries, Denial, RetryPolicy, Step},
     gray::{Choice, Criteria, Eligibility, NoCapacity},
+    queue::wait::Need,
     route::Route,
 };
 use citron_adapter::header::{ATTEMPT_ID, REMAINING_MS};
@@ -31,6 +33,9 @@
 /// The maximum number of further attempts of one request that may fail to connect.
 const MAX_CONNECT_FAILURES: u32 = 4;
 
+/// The maximum number of attempts of one request that targets may shed, if it may wait.
+const MAX_REJECTIONS: u32 = 6;
+
 /// The share of the latency objective after which an attempt is overdue and a request without a
 /// response is sent to a second target.
 const HEDGE_DELAY_SHARE: f64 = 0.6;
@@ -47,7 +52,10 @@
     body: Segments,
     id: &'a str,
     service: Arc<str>,
+    received_at: Duration,
     deadline: Duration,
+    /// Whether it may wait for a retry token or for room.
+    may_wait: bool,
 }
 
 /// Forwards a request that was fully received at `received_at` and returns the response.
@@ -104,7 +112,9 @@
         body,
         id: &id,
         service,
+        received_at,
         deadline,
+        may_wait: routes.customers.is_some(),
     };
     let (response, attempts) = tokio::select! {
         done = forwarder.run() => done,
@@ -140,6 +150,9 @@
             max_attempts: self.route.attempts,
             max_connect_failures: MAX_CONNECT_FAILURES,
         });
+        if self.may_wait {
+            series = series.with_max_rejections(MAX_REJECTIONS);
+        }
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut attempts = FuturesUnordered::new();
         let mut response = None;
@@ -149,33 +162,61 @@
         let mut hedged = false;
         // Whether others were asked for a token.
         let mut asked = false;
-        let hedge_at = started_at + self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
+        // Whether the queue has released it once.
+        let mut released = false;
+        let hedge_delay = self.route.objective.mul_f64(HEDGE_DELAY_SHARE);
+        let mut hedge_at = started_at + hedge_delay;
+        // Whether it waits before its next step.
+        let mut waits = false;
         loop {
+            if waits {
+                waits = false;
+                match self.wait(&series).await {
+                    Ok(charged) => retry = charged,
+                    Err(refusal) => return (refusal, series.attempts()),
+                }
+                released = true;
+                tried.clear();
+                hedge_at = self.shared.clock.now() + hedge_delay;
+            }
             let now = self.shared.clock.now();
             let mut denial = None;
             let step = series.next_step(now, || self.charge(&mut retry, &mut denial));
             if let Some(denial) = denial {
-                if !asked {
+                let may_wait = self.may_wait && series.may_wait();
+                if !asked && !(may_wait && self.must_queue(Need::Token)) {
                     asked = true;
                     retry = self.borrow(denial).await;
                     continue;
                 }
                 self.record_denial(denial);
+                if may_wait {
+                    waits = true;
+                    continue;
+                }
             }
             match step {
                 Step::Claim => unreachable!("the gateway claims no idempotency keys"),
-                Step::Send { .. } => match self.dispatch(&mut tried) {
+                Step::Send { .. } => match self.dispatch_in_turn(&mut tried, released) {
                     Some(choice) => {
                         if let Some(reason) = series.last_result() {
                             self.record_retry(&choice, reason.into());
                         }
                         attempts.push(self.attempt(choice, retry.take()));
                     }
+                    None if self.may_wait && series.postpone() => {
+                        // The token is for others while this request waits.
+                        drop(retry.take());
+                        waits = true;
+                    }
                     None => series.record_no_target(),
                 },
                 Step::Wait => tokio::select! {
                     Some(attempt) = attempts.next() => {
                         series.record_result(attempt.result);
+                        if attempt.result == AttemptResult::Answered {
+                            self.record_work(attempt.took);
+                        }
                         response = attempt.response.map(|r| (r, attempt.took)).or(response);
                         retry = attempt.unsent_retry.or(retry);
                     }
@@ -217,6 +258,10 @@
         if retry.is_some() {
             return true;
         }
+        if self.must_queue(Need::Token) {
+            *denial = Some(Denial::Spent);
+            return false;
+        }
         match Retry::withdraw(self.shared, &self.service) {
             Ok(charged) => *retry = Some(charged),
             Err(reason) => *denial = Some(reason),
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -188,5 +188,8 @@
         metrics.retry_tokens.with_label_values(&[&*service]).set(tokens);
         metrics.retries_in_flight.with_label_values(&[&*service]).set(in_flight as f64);
     }
+    for (service, length) in shared.waiting.lengths() {
+        metrics.waiting.with_label_values(&[&*service]).set(length as f64);
+    }
     metrics.log_lines_dropped.set(citron_daemon::dropped_log_lines() as i64);
 }
--- a/crates/citron-gateway/src/lib.rs
+++ b/crates/citron-gateway/src/lib.rs
@@ -18,5 +18,6 @@
 mod shared;
 mod store_link;
 mod targets;
+mod waiting;
 
 pub use self::{gateway::Gateway, peer::message};
--- a/crates/citron-gateway/src/metrics.rs
+++ b/crates/citron-gateway/src/metrics.rs
@@ -81,6 +81,12 @@
     pub targets_revision: IntGauge,
     /// The latest era of the store.
     pub store_era: IntGauge,
+    /// Requests that wait for a token or for room, by service.
+    pub waiting: GaugeVec,
+    /// Waits that ended, by outcome and the route's priority.
+    pub waits: IntCounterVec,
+    /// The duration of waits, by the route's priority.
+    pub wait_seconds: HistogramVec,
     refused: IntCounterVec,
     attempts: IntCounterVec,
     requests: IntCounterVec,
@@ -137,7 +143,27 @@
             .buckets(ADDED_BOUNDS_S.to_vec()),
         )?;
         registry.register(Box::new(added.clone()))?;
+        let wait_seconds = HistogramVec::new(
+            HistogramOpts::new(
+                "citron_wait_seconds",
+                "Time that requests waited for a token or for room, by the route's priority",
+            )
+            .buckets(LATENCY_BOUNDS_S.to_vec()),
+            &["priority"],
+        )?;
+        registry.register(Box::new(wait_seconds.clone()))?;
         Ok(Self {
+            waiting: levels(
+                "citron_waiting_requests",
+                "Requests that wait for a token or for room, by service",
+                &["service"],
+            )?,
+            waits: counters(
+                "citron_waits_total",
+                "Waits that ended, by outcome and the route's priority",
+                &["outcome", "priority"],
+            )?,
+            wait_seconds,
             refused: counters(
                 "citron_refusals_total",
                 "Requests that the gateway ended itself, by reason",
--- a/crates/citron-gateway/src/refusal.rs
+++ b/crates/citron-gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use citron::attempt::{Cause, Outcome};
 use hyper::StatusCode;
 
-use crate::{access::Denied, caller::Cut, http1::Response};
+use crate::{access::Denied, caller::Cut, http1::Response, waiting::Refused};
 
 /// The delay, in seconds, after which a caller may retry a refused request if nothing is known that
 /// takes longer.
@@ -29,6 +29,12 @@
     }
 }
 
+/// Returns the response to a request that waited in vain and that no target ran.
+pub fn waited(refused: Refused, unavailable_for: Duration) -> Response {
+    let seconds = refused.retry_after.max(unavailable_for).as_secs_f64();
+    Response::error(503, refused.reason.into()).retry_after(seconds.max(RETRY_AFTER_S))
+}
+
 /// Returns the response while the gateway does not know the routes yet.
 pub fn routes_unknown() -> Response {
     Response::error(503, "routes-unknown").retry_after(RETRY_AFTER_S)
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -38,6 +38,7 @@
     peer::message::Outcome,
     store_link::StoreLink,
     targets::Targets,
+    waiting::Waiting,
 };
 
 /// How long an idle connection to a target stays in the pool.
@@ -68,6 +69,8 @@
     pub budgets: RetryBudgets,
     /// The retry tokens that gateways lend each other.
     pub loans: Loans,
+    /// The requests that wait for a token or for room.
+    pub waiting: Waiting,
     /// Outcomes that have not been sent to the peers yet.
     pub pending_outcomes: Mutex<Vec<Outcome>>,
     /// Wakes the task that sends outcomes.
@@ -125,6 +128,7 @@
             pool: Pool::new(POOL_IDLE_TIMEOUT),
             budgets: RetryBudgets::default(),
             loans: Loans::default(),
+            waiting: Waiting::default(),
             pending_outcomes: Mutex::default(),
             outcomes_added: Notify::new(),
             statements_added: Notify::new(),
--- a/crates/citron-gateway/src/shared/attempt.rs
+++ b/crates/citron-gateway/src/shared/attempt.rs
@@ -5,7 +5,7 @@
 use citron::{
     attempt::RetryShare,
     catalog::Target,
-    gray::{Choice, Criteria, NoCapacity, Verdict},
+    gray::{Choice, Criteria, NoCapacity, Places, Verdict},
     placement::Host,
     route::Route,
     statement::{Notice, Origin, Statement},
@@ -47,6 +47,12 @@
         self.targets.lock().begin_attempt(criteria, trial_rank, now)
     }
 
+    /// Returns how many further requests the targets of a service have room for.
+    pub fn places(&self, service: &str) -> Places {
+        let targets = self.targets.lock();
+        targets.view.places(&targets.catalog, service, self.clock.now())
+    }
+
     /// Returns how long no target of a service may receive requests, zero if one may now.
     pub fn unavailable_for(&self, service: &str) -> Duration {
         let now = self.clock.now();
@@ -119,6 +125,7 @@
             let notify_peers = targets.view.end_attempt(target, verdict, now);
             (notify_peers, targets.view.failure_probability(&target.id, now))
         };
+        self.waiting.notify();
         if let Some(verdict) = verdict {
             self.metrics.record_verdict(verdict.into(), "own");
         }
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -260,11 +260,14 @@
             Some(self.results.last().map_or(Cause::NoCapacity, |&last| cause_of(last)));
     }
 
-    /// Records that the attempt that [`Step::Send`] asked for is not made now; another step may ask
-    /// for it later.
-    pub fn record_postponed(&mut self) {
+    /// Postpones the attempt that [`Step::Send`] asked for, if the request may wait; returns false
+    /// without a change if it may not.
+    pub fn postpone(&mut self) -> bool {
         assert!(self.in_flight > 0, "an attempt must start before it is postponed");
         self.in_flight -= 1;
+        let may_wait = self.may_wait();
+        self.in_flight += u32::from(!may_wait);
+        may_wait
     }
 
     /// Records that part of the request body was consumed, so that it cannot be sent again.
@@ -327,8 +330,7 @@
     fn may_retry(&self) -> bool {
         let safe = self.policy.idempotent || self.no_attempt_ran();
         let may_be_shed = self.max_rejections.is_none_or(|max| self.rejections() < max);
-        safe
-            && self.body_replayable
+        safe && self.body_replayable
             && may_be_shed
             && self.counted_attempts() < self.policy.max_attempts
     }
--- a/crates/citron/src/gray.rs
+++ b/crates/citron/src/gray.rs
@@ -10,7 +10,7 @@
 mod view;
 
 pub use self::{
-    choice::{Candidate, Eligibility, NoCapacity, choose, no_capacity},
+    choice::{Candidate, Eligibility, NoCapacity, Places, choose, no_capacity, places},
     peer_load::PeerLoad,
     view::{Choice, Criteria, Load, TargetKey, View, target_key},
 };
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -115,6 +115,31 @@
         .then_some(NoCapacity { candidates: candidates.len(), healthy })
 }
 
+/// How many further requests targets have room for.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+pub struct Places {
+    /// At any target.
+    pub any: usize,
+    /// At targets that have not shed a request recently.
+    pub calm: usize,
+}
+
+/// Returns how many new requests [`no_capacity`] would not refuse.
+pub fn places(candidates: &[Candidate]) -> Places {
+    let is_healthy = |candidate: &Candidate| candidate.failure_probability < SUSPECT_THRESHOLD;
+    let healthy = candidates.iter().filter(|candidate| is_healthy(candidate)).count();
+    let enough_healthy = healthy as f64 >= candidates.len() as f64 * HEALTHY_SHARE_MIN;
+    let mut places = Places { any: 0, calm: 0 };
+    for candidate in candidates.iter().filter(|c| !enough_healthy || is_healthy(c)) {
+        let (in_flight, slots) = candidate.load;
+        let limit = (f64::from(slots) * SATURATION_RATIO).ceil() as usize;
+        let free = limit.saturating_sub(in_flight as usize);
+        places.any += free;
+        places.calm += if candidate.recently_shed { 0 } else { free };
+    }
+    places
+}
+
 /// Returns the index of the candidate to send to, or `None` if none is eligible.
 pub fn choose(
     candidates: &[Candidate],
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    Candidate, Eligibility, FailureEstimate, NoCapacity, PeerLoad, REPORT_THRESHOLD,
-    SUSPECT_THRESHOLD, Verdict, choose, no_capacity,
+    Candidate, Eligibility, FailureEstimate, NoCapacity, PeerLoad, Places, REPORT_THRESHOLD,
+    SUSPECT_THRESHOLD, Verdict, choose, no_capacity, places,
 };
 use crate::{
     catalog::{Catalog, Target},
@@ -135,12 +135,9 @@
     ) -> Result<Choice, NoCapacity> {
         let Criteria { service, tried, eligibility } = criteria;
         self.peer_load.expire(now);
-        let targets: Vec<&Target> = catalog
-            .serving(service, now)
-            .filter(|target| !tried.contains(&target.id))
-            .filter(|target| !self.states.get(&target.id).is_some_and(|s| s.is_misdirected(target)))
-            .filter(|target| self.available_at(target, now) <= now)
-            .collect();
+        let available = self.available(catalog, service, now);
+        let targets: Vec<&Target> =
+            available.filter(|target| !tried.contains(&target.id)).collect();
         let candidates: Vec<Candidate> = targets
             .iter()
             .map(|target| {
@@ -180,6 +177,25 @@
         })
     }
 
+    /// Returns how many further requests the targets of a service have room for.
+    pub fn places(&self, catalog: &Catalog, service: &str, now: Duration) -> Places {
+        let available = self.available(catalog, service, now);
+        places(&available.map(|target| self.candidate(catalog, target, now)).collect::<Vec<_>>())
+    }
+
+    /// Returns the targets of a service that may receive requests now.
+    fn available<'c>(
+        &self,
+        catalog: &'c Catalog,
+        service: &'c str,
+        now: Duration,
+    ) -> impl Iterator<Item = &'c Target> {
+        catalog
+            .serving(service, now)
+            .filter(|target| !self.states.get(&target.id).is_some_and(|s| s.is_misdirected(target)))
+            .filter(move |target| self.available_at(target, now) <= now)
+    }
+
     /// Records how an attempt ended, `None` if its end says nothing about the target; returns true
     /// if the outcome should be reported to the peers.
     pub fn end_attempt(
--- a/crates/citron/src/queue/wait/work.rs
+++ b/crates/citron/src/queue/wait/work.rs
@@ -19,9 +19,9 @@
 impl Work {
     /// Records a served attempt.
     pub fn record(&mut self, took: Duration) {
-        self.mean = Some(self.mean.map_or(took, |mean| {
-            mean.mul_f64(1.0 - MEAN_GAIN) + took.mul_f64(MEAN_GAIN)
-        }));
+        self.mean = Some(
+            self.mean.map_or(took, |mean| mean.mul_f64(1.0 - MEAN_GAIN) + took.mul_f64(MEAN_GAIN)),
+        );
     }
 
     /// Returns the time that a target is expected to take for a request with this objective, of which
