--- a/crates/citron/tests/wait_world/mod.rs
+++ b/crates/citron/tests/wait_world/mod.rs
@@ -321,9 +321,9 @@
         } else {
             let count = &mut self.results[call.kind];
             if took <= kind.objective_ms {
-                count.good += 1
+                count.good += 1;
             } else {
-                count.late += 1
+                count.late += 1;
             }
             let work = self.hosts[host].work.entry(call.kind).or_default();
             work.record(ms(now - started));
