--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -184,7 +184,8 @@
             let step = series.next_step(now, || self.charge(&mut retry, &mut denial));
             if let Some(denial) = denial {
                 let may_wait = self.may_wait && series.may_wait();
-                if !asked && !(may_wait && self.must_queue(Need::Token)) {
+                let is_held = may_wait && self.must_queue(Need::Token);
+                if !asked && !is_held {
                     asked = true;
                     retry = self.borrow(denial).await;
                     continue;
