--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -41,6 +41,7 @@
     quota::Quotas,
     store_link::StoreLink,
     targets::Targets,
+    waiting::Waiting,
 };
 
 /// How long an idle connection to a target stays in the pool.
@@ -73,6 +74,8 @@
     pub loans: Loans,
     /// The customers' quotas.
     pub quotas: Quotas,
+    /// The requests that wait for a token or for room.
+    pub waiting: Waiting,
     /// Outcomes that have not been sent to the peers yet.
     pub pending_outcomes: Mutex<Vec<Outcome>>,
     /// Wakes the task that sends outcomes.
@@ -140,6 +143,7 @@
             budgets: RetryBudgets::default(),
             loans: Loans::default(),
             quotas: Quotas::default(),
+            waiting: Waiting::default(),
             pending_outcomes: Mutex::default(),
             outcomes_added: Notify::new(),
             statements_added: Notify::new(),
