--- a/crates/citron-gateway/tests/quota.rs
+++ b/crates/citron-gateway/tests/quota.rs
@@ -49,8 +49,7 @@
     store.put("servers", &target.id, target.entry("ready"));
     let mut started = Vec::new();
     for host in hosts {
-        let settings =
-            support::Settings { is_first_start: true, ..settings(host, store.addr(), BOUND) };
+        let settings = first_start(host, &store);
         let gateway = Gateway::bind(settings, None, running_clock()).await.expect("a gateway");
         eventually("a gateway is ready", async || ready(&gateway).await == 200).await;
         started.push(gateway);
