Quotas: a silent owner is not asked while this host itself is empty

A host that is an owner waited 30 ms for a silent owner with each request over the quota: 36 ms were measured by the contract test. Its own bucket now counts as an owner that is known to be empty.

--- a/crates/citron-gateway/src/quota/exchange.rs
+++ b/crates/citron-gateway/src/quota/exchange.rs
@@ -152,20 +152,21 @@
     }
 }
 
-/// Asks the other owners for a token, one after the other; `some_empty` is whether this host is an
+/// Asks the other owners for a token, one after the other; `own_empty` is whether this host is an
 /// owner without a token. What they answer is remembered.
 pub(super) async fn ask(
     shared: &Arc<Shared>,
     customer: &Arc<str>,
     choice: &Choice,
-    mut some_empty: bool,
+    own_empty: bool,
 ) -> Option<Token> {
+    let mut some_empty = own_empty;
     let order = {
         let state = &mut *shared.quotas.state.lock();
         let candidates = choice.candidates();
         let asks = state.asks(customer);
         some_empty |= asks.next_token_at(&candidates, shared.clock.now()).is_some();
-        asks.order(&candidates, shared.clock.now(), &mut rand::rng())
+        asks.order(&candidates, own_empty, shared.clock.now(), &mut rand::rng())
     };
     if order.is_empty() {
         return None;
--- a/crates/citron/src/quota/asks.rs
+++ b/crates/citron/src/quota/asks.rs
@@ -39,16 +39,17 @@
 impl Asks {
     /// Returns the indices of the candidates to ask, in order: those that answer, the live and the
     /// near ones first, in random order otherwise. Those that are empty are not asked, and silent
-    /// ones only if no candidate is known to be empty.
+    /// ones only if no owner is known to be empty; `own_empty` is whether this host is one that is.
     pub fn order(
         &self,
         candidates: &[Candidate<'_>],
+        own_empty: bool,
         now: Duration,
         rng: &mut impl Rng,
     ) -> SmallVec<[usize; OWNERS_MAX]> {
         let is_empty = |host: &str| self.get(host).is_some_and(|known| known.empty_until > now);
         let is_silent = |host: &str| self.get(host).is_some_and(|known| known.silent_until > now);
-        let some_empty = candidates.iter().any(|candidate| is_empty(candidate.host));
+        let some_empty = own_empty || candidates.iter().any(|candidate| is_empty(candidate.host));
         let mut order: SmallVec<[_; OWNERS_MAX]> = candidates
             .iter()
             .enumerate()
--- a/crates/citron/tests/quota.rs
+++ b/crates/citron/tests/quota.rs
@@ -149,7 +149,7 @@
             .map(|host| Candidate { host, is_near: false, is_live: true })
             .collect();
         let now = self.age(at);
-        for index in self.hosts[at].asks.order(&candidates, now, &mut self.rng) {
+        for index in self.hosts[at].asks.order(&candidates, own.is_some(), now, &mut self.rng) {
             let name = candidates[index].host;
             let owner = self.hosts.iter().position(|h| h.name == name).expect("a host");
             self.asked += 1;
@@ -351,15 +351,16 @@
     let at = Duration::from_millis;
     let candidate = |host| Candidate { host, is_near: host == "b", is_live: host != "c" };
     let candidates = ["a", "b", "c"].map(candidate);
-    assert_eq!(asks.order(&candidates, at(0), &mut rng).as_slice(), [1, 0, 2]);
+    assert_eq!(asks.order(&candidates, false, at(0), &mut rng).as_slice(), [1, 0, 2]);
     asks.record_empty("b", at(50));
     asks.record_silence("c", at(0));
-    assert_eq!(asks.order(&candidates, at(10), &mut rng).as_slice(), [0]);
+    assert_eq!(asks.order(&candidates, false, at(10), &mut rng).as_slice(), [0]);
     assert_eq!(asks.next_token_at(&candidates, at(10)), Some(at(50)));
+    assert!(asks.order(&candidates[2..], true, at(10), &mut rng).is_empty(), "this host is empty");
     asks.record_empty("a", at(40));
-    assert!(asks.order(&candidates, at(39), &mut rng).is_empty());
+    assert!(asks.order(&candidates, false, at(39), &mut rng).is_empty());
     assert_eq!(asks.next_token_at(&candidates, at(39)), Some(at(40)));
-    assert_eq!(asks.order(&candidates, at(60), &mut rng).as_slice(), [1, 0, 2]);
+    assert_eq!(asks.order(&candidates, false, at(60), &mut rng).as_slice(), [1, 0, 2]);
 }
 
 /// Two hosts whose lists differ must not grant the same part.
