--- a/crates/citron-gateway/tests/quota.rs
+++ b/crates/citron-gateway/tests/quota.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -19,7 +19,7 @@
     BOUND, Request, TestFleet,
     caller::{Answer, Caller},
     config, eventually, lookup, ready, running_clock, settings,
-    store::Store,
+    store::{Mood, Store},
     target::{Act, Target},
 };
 use tokio::{net::UdpSocket, runtime, time};
@@ -168,17 +168,30 @@
     assert_eq!(answer.step(), QuotaStep::Unable);
 }
 
-/// A host that restarts while the store is unavailable has no list of its own.
+/// A host that restarts while the store is unavailable cannot read who the owners are.
 #[tokio::test]
-async fn a_host_that_starts_without_the_store_takes_the_members_from_a_peer() {
-    let (fleet, _others) = gateways(&["entry-1"], 1.0, 4.0).await;
-    let list: Value = {
-        let peers = fleet.gateway.settings().peers;
-        let response = reqwest::get(format!("http://{peers}/members")).await.expect("a response");
-        response.json().await.expect("a list")
+async fn a_host_that_restarts_without_the_store_takes_the_members_from_a_peer() {
+    let (fleet, _others) = gateways(&["entry-1"], 20.0, 4.0).await;
+    let entry = fleet.store.get("citron-gateways", "entry-1").expect("an entry");
+    let address = entry["datagrams"].as_str().expect("an address");
+    let address: SocketAddr = address.parse().expect("an address");
+    let ip = IpAddr::from([127, 0, 0, 2]);
+    let own = SocketAddr::new(ip, address.port());
+    fleet.store.put("citron-gateways", "entry-2", json!({"datagrams": own, "domain": "a"}));
+    // Until the first host has listed the entry.
+    time::sleep(Duration::from_secs(9)).await;
+    fleet.store.set(Mood::Silent);
+    let settings = support::Settings {
+        ip,
+        internal_port: address.port(),
+        seeds: vec![address],
+        ..settings("entry-2", fleet.store.addr(), BOUND)
     };
-    assert_eq!(list["members"][0]["host"], "entry-1");
-    assert_eq!(list["members"][0]["standing"], "active");
+    let restarted = Gateway::bind(settings, None, running_clock()).await.expect("a gateway");
+    eventually("it is ready", async || ready(&restarted).await == 200).await;
+    let spent = spend(&restarted, "first").await;
+    assert!(spent.0 >= 2, "{} served", spent.0);
+    assert_eq!(spent.1.status, 429);
 }
 
 /// A peer that a test plays, registered as a host of the fleet.
--- a/crates/citron/src/quota/asks.rs
+++ b/crates/citron/src/quota/asks.rs
@@ -53,7 +53,7 @@
         let mut order: SmallVec<[_; OWNERS_MAX]> = candidates
             .iter()
             .enumerate()
-            .filter(|(_, c)| !is_empty(c.host) && !(some_empty && is_silent(c.host)))
+            .filter(|(_, c)| !(is_empty(c.host) || some_empty && is_silent(c.host)))
             .map(|(index, c)| {
                 (is_silent(c.host), !c.is_live, !c.is_near, rng.random::<u32>(), index)
             })
