--- a/crates/citron/tests/quota.rs
+++ b/crates/citron/tests/quota.rs
@@ -38,9 +38,9 @@
     added: u64,
 }
 
-#[derive(Debug, Clone, Eq, PartialEq, Ord, PartialOrd)]
+#[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd)]
 enum Mail {
-    Grant { to: usize, owner: usize, born_ms: u64, ticket: u64 },
+    Grant { owner: usize, born_ms: u64, ticket: u64 },
     Return { to: usize, born_ms: u64, ticket: u64 },
 }
 
@@ -128,7 +128,7 @@
             let delay = if self.rng.random_bool(self.faults / 2.0 + 0.01) { 900 } else { 2 };
             let at = self.now_ms + self.rng.random_range(0..=delay);
             self.sent += 1;
-            self.mail.push(Reverse((at, self.sent, mail.clone())));
+            self.mail.push(Reverse((at, self.sent, mail)));
         }
     }
 
@@ -161,7 +161,7 @@
                 // Late or lost: the next owner is asked, and the grant is returned.
                 Ok(ticket) if self.rng.random_bool(self.faults) => {
                     let born_ms = self.hosts[owner].born_ms;
-                    self.post(Mail::Grant { to: at, owner, born_ms, ticket });
+                    self.post(Mail::Grant { owner, born_ms, ticket });
                 }
                 Ok(ticket) => {
                     self.hosts[at].asks.record_grant(name);
@@ -189,7 +189,7 @@
 
     fn deliver(&mut self, mail: Mail) {
         match mail {
-            Mail::Grant { owner, born_ms, ticket, .. } => {
+            Mail::Grant { owner, born_ms, ticket } => {
                 self.post(Mail::Return { to: owner, born_ms, ticket });
             }
             Mail::Return { to, .. } if self.variant == Variant::ReturnsRepeat => {
