--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::header::{HOST, RETRY_AFTER};
 use log::Level;
+use smallvec::SmallVec;
 use tokio::time;
 
 use self::header::text;
@@ -44,6 +45,41 @@
 /// The reason of a retry beside an attempt that is overdue.
 const HEDGE: &str = "hedge";
 
+/// The targets that a request was sent to.
+#[derive(Debug, Default)]
+struct Tried {
+    /// All of them, each once.
+    all: SmallVec<[Arc<str>; 2]>,
+    /// Those since it waited last; they are not chosen again before it waits once more.
+    since_wait: SmallVec<[Arc<str>; 2]>,
+}
+
+impl Tried {
+    fn add(&mut self, target: &Arc<str>) {
+        self.since_wait.push(Arc::clone(target));
+        if !self.all.contains(target) {
+            self.all.push(Arc::clone(target));
+        }
+    }
+
+    /// Records that nothing was sent to a target.
+    fn remove_unreached(&mut self, target: &str) {
+        self.all.retain(|other| **other != *target);
+    }
+
+    /// Returns the criteria for the next target: after `targets_max` targets only one of these.
+    fn criteria<'a>(
+        &'a self,
+        service: &'a str,
+        targets_max: usize,
+        eligibility: Eligibility,
+    ) -> Criteria<'a> {
+        let is_spent = self.all.len() >= targets_max;
+        let only: &[Arc<str>] = if is_spent { &self.all } else { &[] };
+        Criteria { service, tried: &self.since_wait, only, eligibility }
+    }
+}
+
 /// A request being forwarded.
 struct Forwarder<'a> {
     shared: &'a Arc<Shared>,
@@ -176,7 +212,7 @@
         if self.may_wait {
             series = series.with_max_rejections(MAX_REJECTIONS);
         }
-        let mut tried: Vec<Arc<str>> = Vec::new();
+        let mut tried = Tried::default();
         let mut attempts = FuturesUnordered::new();
         let mut response = None;
         // The retry that is sent next, or one that could not be sent and may be sent elsewhere.
@@ -199,7 +235,7 @@
                     Err(refusal) => return (refusal, series.attempts()),
                 }
                 released = true;
-                tried.clear();
+                tried.since_wait.clear();
                 hedge_at = self.shared.clock.now() + hedge_delay;
             }
             let now = self.shared.clock.now();
@@ -238,6 +274,9 @@
                 Step::Wait => tokio::select! {
                     Some(attempt) = attempts.next() => {
                         series.record_result(attempt.result);
+                        if let Some(target) = &attempt.unreached {
+                            tried.remove_unreached(target);
+                        }
                         if attempt.result == AttemptResult::Answered {
                             self.record_work(attempt.took);
                         }
@@ -324,14 +363,20 @@
         self.shared.metrics.retries.with_label_values(&[&*self.service, reason]).inc();
     }
 
+    /// Returns to how many targets the request may be sent. Without waits the number of its attempts
+    /// is bounded instead.
+    fn targets_max(&self) -> usize {
+        if self.may_wait { self.route.attempts as usize } else { usize::MAX }
+    }
+
     /// Chooses a target that has not been tried yet and adds it to `tried`.
-    fn dispatch(&self, tried: &mut Vec<Arc<str>>) -> Option<Choice> {
-        let eligibility = match (tried.is_empty(), self.route.idempotent) {
+    fn dispatch(&self, tried: &mut Tried) -> Option<Choice> {
+        let eligibility = match (tried.since_wait.is_empty(), self.route.idempotent) {
             (true, true) if self.route.attempts > 1 => Eligibility::Trial,
             (true, false) => Eligibility::LateTrial,
             _ => Eligibility::Any,
         };
-        let criteria = Criteria { service: &self.service, tried, eligibility };
+        let criteria = tried.criteria(&self.service, self.targets_max(), eligibility);
         let choice = match self.shared.begin_attempt(criteria) {
             Ok(choice) => choice,
             Err(NoCapacity { candidates, healthy }) => {
@@ -339,12 +384,12 @@
                     "event=no-room id={} service={} tried={} candidates={candidates} sound={healthy}",
                     self.id,
                     self.service,
-                    tried.len()
+                    tried.all.len()
                 );
                 return None;
             }
         };
-        tried.push(Arc::clone(&choice.target.id));
+        tried.add(&choice.target.id);
         Some(choice)
     }
 
@@ -352,11 +397,10 @@
     fn hedge(
         &self,
         series: &mut AttemptSeries,
-        tried: &mut Vec<Arc<str>>,
+        tried: &mut Tried,
         retry: &mut Option<Retry>,
     ) -> Option<Choice> {
-        let criteria =
-            Criteria { service: &self.service, tried, eligibility: Eligibility::FreeSlot };
+        let criteria = tried.criteria(&self.service, self.targets_max(), Eligibility::FreeSlot);
         let choice = self.shared.begin_attempt(criteria).ok()?;
         let now = self.shared.clock.now();
         let mut denial = None;
@@ -366,7 +410,7 @@
             return None;
         }
         self.record_retry(&choice, HEDGE);
-        tried.push(Arc::clone(&choice.target.id));
+        tried.add(&choice.target.id);
         Some(choice)
     }
 }
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a target: connects, sends the request and receives the response.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::BytesMut;
 use citron::{
@@ -48,6 +48,8 @@
     pub took: Duration,
     /// The retry that was charged for it, if nothing was sent.
     pub unsent_retry: Option<Retry>,
+    /// The target, if nothing was sent to it.
+    pub unreached: Option<Arc<str>>,
     verdict: Option<Verdict>,
     /// The rest of a body that is too long to be buffered.
     rest: Option<PartialBody>,
@@ -60,6 +62,7 @@
             response: None,
             took: Duration::ZERO,
             unsent_retry: None,
+            unreached: None,
             verdict,
             rest: None,
         }
@@ -83,7 +86,9 @@
         let mut attempt =
             sent.unwrap_or(Attempt::new(AttemptResult::TimedOut, Some(Verdict::Silent)));
         attempt.took = guard.elapsed();
-        attempt.unsent_retry = retry.filter(|_| attempt.result == AttemptResult::NotConnected);
+        let is_unreached = attempt.result == AttemptResult::NotConnected;
+        attempt.unsent_retry = retry.filter(|_| is_unreached);
+        attempt.unreached = is_unreached.then(|| Arc::clone(&guard.choice().target.id));
         if attempt.verdict == Some(Verdict::Served) && attempt.took > self.route.objective {
             attempt.verdict = Some(Verdict::Late);
         }
--- a/crates/citron-gateway/src/forward/wait.rs
+++ b/crates/citron-gateway/src/forward/wait.rs
@@ -1,6 +1,6 @@
 //! When a request waits for a retry token or for room, where there are customers.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use citron::{
     attempt::{AttemptSeries, Outcome},
@@ -8,7 +8,7 @@
     queue::wait::Need,
 };
 
-use super::Forwarder;
+use super::{Forwarder, Tried};
 use crate::{
     budget::Retry,
     http1::Response,
@@ -36,12 +36,8 @@
     }
 
     /// Chooses a target, unless it is a first attempt that others go ahead of.
-    pub(super) fn dispatch_in_turn(
-        &self,
-        tried: &mut Vec<Arc<str>>,
-        released: bool,
-    ) -> Option<Choice> {
-        let is_held = tried.is_empty() && !released && self.must_queue(Need::Room);
+    pub(super) fn dispatch_in_turn(&self, tried: &mut Tried, released: bool) -> Option<Choice> {
+        let is_held = tried.since_wait.is_empty() && !released && self.must_queue(Need::Room);
         if is_held { None } else { self.dispatch(tried) }
     }
 
--- a/crates/citron-stand/src/bench/decision.rs
+++ b/crates/citron-stand/src/bench/decision.rs
@@ -92,7 +92,8 @@
     let start = Instant::now();
     for round in 0..GATEWAY_ROUNDS {
         let now = Duration::from_micros(round as u64);
-        let criteria = Criteria { service: SERVICE, tried: &[], eligibility: Eligibility::Any };
+        let criteria =
+            Criteria { service: SERVICE, tried: &[], only: &[], eligibility: Eligibility::Any };
         let choice = view.begin_attempt(&catalog, criteria, |_| 0, &mut rng, now);
         if let Ok(choice) = hint::black_box(choice) {
             view.end_attempt(&choice.target, Some(Verdict::Served), now);
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -77,6 +77,8 @@
     pub service: &'a str,
     /// The targets that the request was already sent to; they are excluded.
     pub tried: &'a [Arc<str>],
+    /// The only targets that it may be sent to, all if empty.
+    pub only: &'a [Arc<str>],
     /// Which of the remaining targets are eligible.
     pub eligibility: Eligibility,
 }
@@ -139,11 +141,12 @@
         rng: &mut impl Rng,
         now: Duration,
     ) -> Result<Choice, NoCapacity> {
-        let Criteria { service, tried, eligibility } = criteria;
+        let Criteria { service, tried, only, eligibility } = criteria;
         self.peer_load.expire(now);
         let available = self.available(catalog, service, now);
+        let may_serve = |target: &Target| only.is_empty() || only.contains(&target.id);
         let targets: Vec<&Target> =
-            available.filter(|target| !tried.contains(&target.id)).collect();
+            available.filter(|target| !tried.contains(&target.id) && may_serve(target)).collect();
         let candidates: Vec<Candidate> = targets
             .iter()
             .map(|target| {
