Test recovered targets earlier by requests that cannot be retried

After several failures an estimate needs 8 s until 0.4. Change: an order may be a trial from 0.65 on, some 3.6 s after the last failure.

--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -33,7 +33,7 @@
 /// Requests that can be retried test it three times as often.
 const LATE_TRIAL_INTERVAL: Duration = Duration::from_millis(3000);
 /// The failure probability above which such a request is not risked.
-const LATE_TRIAL_PROBABILITY_MAX: f64 = 0.4;
+const LATE_TRIAL_PROBABILITY_MAX: f64 = 0.65;
 
 /// A target's identity in load reports, a hash of its id.
 pub type TargetKey = u32;
