Wait for room only as long as the objective can be met; risk orders as trials where few targets are in use

Cause: the wait queue's simulation showed that late requests that wait for room take the place of others (burst: urgent 3,557 in the objective, refused at once 3,990). Change: a request that waits for room expires with its objective. An order may be a trial from 0.65 on only while less than three quarters of the service's targets are in use, else from 0.4 on. The gateways' test of the order has an objective that allows to wait.

--- a/crates/citron-gateway/tests/waiting.rs
+++ b/crates/citron-gateway/tests/waiting.rs
@@ -28,6 +28,10 @@
         {"name": "north", "apiKeys": ["key-1"], "priority": 0},
         {"name": "south", "apiKeys": ["key-2"]},
     ]);
+    // Long enough for some requests to wait and still meet it.
+    for path in config["hosts"][0]["paths"].as_array_mut().expect("routes") {
+        path["targetLatencyS"] = json!(1.4);
+    }
     store.put("config", "main", config);
     let target = Target::bind("t0").await;
     let mut entry = target.entry("ready");
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -33,7 +33,12 @@
 /// Requests that can be retried test it three times as often.
 const LATE_TRIAL_INTERVAL: Duration = Duration::from_millis(3000);
 /// The failure probability above which such a request is not risked.
-const LATE_TRIAL_PROBABILITY_MAX: f64 = 0.65;
+const LATE_TRIAL_PROBABILITY_MAX: f64 = 0.4;
+/// The same while fewer targets than [`IN_USE_SHARE_MIN`] of the service are in use.
+const LATE_TRIAL_PROBABILITY_MAX_SHORT: f64 = 0.65;
+/// The share of a service's targets that should be in use, a little above the floor that the platform
+/// asks for.
+const IN_USE_SHARE_MIN: f64 = 0.75;
 
 /// A target's identity in load reports, a hash of its id.
 pub type TargetKey = u32;
@@ -147,20 +152,19 @@
         let may_serve = |target: &Target| only.is_empty() || only.contains(&target.id);
         let targets: Vec<&Target> =
             available.filter(|target| !tried.contains(&target.id) && may_serve(target)).collect();
-        let candidates: Vec<Candidate> = targets
-            .iter()
-            .map(|target| {
-                let mut candidate = self.candidate(catalog, target, now);
-                if eligibility.allows_trial()
-                    && candidate.needs_trial()
-                    && candidate.own_in_flight == 0
-                    && self.may_try(target, eligibility, now)
-                {
-                    candidate.trial_due_for = self.trial_due_for(target, &trial_rank, now);
-                }
-                candidate
-            })
-            .collect();
+        let mut candidates: Vec<Candidate> =
+            targets.iter().map(|target| self.candidate(catalog, target, now)).collect();
+        let in_use = candidates.iter().filter(|candidate| !candidate.needs_trial()).count();
+        let is_short = (in_use as f64) < candidates.len() as f64 * IN_USE_SHARE_MIN;
+        for (candidate, target) in candidates.iter_mut().zip(&targets) {
+            if eligibility.allows_trial()
+                && candidate.needs_trial()
+                && candidate.own_in_flight == 0
+                && self.may_try(target, eligibility, is_short, now)
+            {
+                candidate.trial_due_for = self.trial_due_for(target, &trial_rank, now);
+            }
+        }
         let nothing = NoCapacity { candidates: candidates.len(), healthy: 0 };
         let index = choose(&candidates, eligibility, rng).ok_or(nothing)?;
         // A retry or hedge is not refused: it may still finish in time, while a refusal now would
@@ -319,14 +323,24 @@
     }
 
     /// Returns true if a request of this eligibility may be a trial of a target that needs one.
-    fn may_try(&self, target: &Target, eligibility: Eligibility, now: Duration) -> bool {
+    /// `is_short` tells whether few targets of the service are in use.
+    fn may_try(
+        &self,
+        target: &Target,
+        eligibility: Eligibility,
+        is_short: bool,
+        now: Duration,
+    ) -> bool {
         let Some(state) = self.states.get(&target.id) else { return false };
         if eligibility != Eligibility::LateTrial {
             return true;
         }
         let is_late = now.saturating_sub(state.last_attempt_at) >= LATE_TRIAL_INTERVAL;
-        (is_late || state.last_succeeded)
-            && state.failure_probability(now) <= LATE_TRIAL_PROBABILITY_MAX
+        let probability_max = match is_short {
+            true => LATE_TRIAL_PROBABILITY_MAX_SHORT,
+            false => LATE_TRIAL_PROBABILITY_MAX,
+        };
+        (is_late || state.last_succeeded) && state.failure_probability(now) <= probability_max
     }
 
     /// Returns how long this gateway's next trial request to a target has been due, if it is.
--- a/crates/citron/src/queue/wait.rs
+++ b/crates/citron/src/queue/wait.rs
@@ -66,6 +66,19 @@
     pub bytes: usize,
 }
 
+impl Request<'_> {
+    /// Returns the latest time of its response for which it waits.
+    ///
+    /// Where room is short, a request that is late would take the place of one that is not: it waits
+    /// for room only as long as it can meet its objective.
+    fn expires_at(&self) -> Duration {
+        match self.need {
+            Need::Room => self.deadline.min(self.objective_at),
+            Need::Token => self.deadline,
+        }
+    }
+}
+
 /// Why a request does not wait any longer without being released.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Hash, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -155,7 +168,7 @@
             work: request.work,
             aged_at: request.received_at + time.mul_f64(AGEING_SHARE),
             objective_at: request.objective_at,
-            deadline: request.deadline,
+            deadline: request.expires_at(),
             bytes: request.bytes,
         };
         if now > entry.latest_start(Duration::MAX) {
--- a/crates/citron/tests/wait.rs
+++ b/crates/citron/tests/wait.rs
@@ -119,6 +119,14 @@
     assert_eq!(queue.len(), 1);
 }
 
+/// Guards against late requests that take the room of those that are not.
+#[test]
+fn a_request_that_waits_for_room_expires_with_its_objective() {
+    let (mut queue, tickets) = queue(&[Request { need: Need::Room, ..PLAIN }, PLAIN]);
+    assert!(queue.expire(Duration::MAX, ms(850)).is_empty());
+    assert_eq!(queue.expire(Duration::MAX, ms(870)).as_slice(), &tickets[..1]);
+}
+
 #[test]
 fn a_request_expires_before_the_end_of_service() {
     let (mut queue, tickets) = queue(&[PLAIN]);
