--- a/crates/citron-gateway/src/access.rs
+++ b/crates/citron-gateway/src/access.rs
@@ -1,4 +1,4 @@
-//! Whose request it is, and whether it is accepted: the customer by its key.
+//! Authenticates requests by the customers' keys.
 
 use std::{sync::Arc, time::Duration};
 
@@ -15,7 +15,7 @@
 /// After this long without a confirmation of the configuration an unknown key may be a new one.
 const UNKNOWN_KEY_MAX_AGE: Duration = Duration::from_secs(2);
 
-/// As whose a request is accepted.
+/// On which grounds a request is accepted.
 #[derive(Debug, Clone)]
 pub enum Access {
     /// There are no customers: requests carry no keys.
@@ -74,8 +74,9 @@
     if let Some(customer) = customers.find(key.as_bytes()) {
         return Ok(Access::Customer(Arc::clone(customer)));
     }
-    let age = shared.confirmation_age(shared.clock.now());
-    match age.is_some_and(|age| age < UNKNOWN_KEY_MAX_AGE) {
+    let confirmed_at = shared.routes_confirmed_at();
+    let now = shared.clock.now();
+    match confirmed_at.is_some_and(|at| now.saturating_sub(at) < UNKNOWN_KEY_MAX_AGE) {
         true => Err(Denied::KeyInvalid),
         false => Err(Denied::KeysUnconfirmed),
     }
--- a/crates/citron-gateway/src/follow.rs
+++ b/crates/citron-gateway/src/follow.rs
@@ -523,9 +523,11 @@
             self.checks.record_response(begun_at, self.shared.clock.now());
         }
         let Some(position) = response.cursor.filter(|_| response.is_current) else { return };
-        // A response without news was made after the whole wait, unless it was cut short.
+        // A response without news to a poll was made after its wait. A long wait may have been cut
+        // short, and its response handled late.
         let waited_until = begun_at + wait;
-        let has_waited = !response.has_news && self.shared.clock.now() >= waited_until;
+        let has_waited =
+            !response.has_news && wait <= POLL_TIMEOUT && self.shared.clock.now() >= waited_until;
         let confirmed_at = if has_waited { waited_until } else { begun_at };
         self.shared.freshness.lock().record(self.subject.confirmed(), position, confirmed_at);
         self.shared.store_position.send_if_modified(|latest| {
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -148,6 +148,7 @@
                 match self.put_entry_as(Standing::Active).await {
                     Ok(_) => {
                         self.active_at = None;
+                        backoff = Backoff::default();
                         members::set_standing(&shared, Standing::Active);
                     }
                     Err(error) => backoff.record_failure("register", &error),
@@ -161,9 +162,11 @@
                 continue;
             }
             match self.learn(Recency::MaybeStale).await {
-                Ok(true) => list_due = None,
-                // It was older than the current one; a later call brings a newer one.
-                Ok(false) => {}
+                Ok(is_applied) => {
+                    backoff = Backoff::default();
+                    // One that is older than the current list is read again.
+                    list_due = list_due.filter(|_| !is_applied);
+                }
                 Err(error) => {
                     backoff.record_failure("list-gateways", &error);
                     backoff.wait(&shared, gateways::KIND, CallKind::List).await;
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -48,7 +48,7 @@
 /// The targets that a request was sent to.
 #[derive(Debug, Default)]
 struct Tried {
-    /// All of them, each once.
+    /// The target of each attempt that may have been sent.
     all: SmallVec<[Arc<str>; 2]>,
     /// Those since it waited last; they are not chosen again before it waits once more.
     since_wait: SmallVec<[Arc<str>; 2]>,
@@ -57,14 +57,20 @@
 impl Tried {
     fn add(&mut self, target: &Arc<str>) {
         self.since_wait.push(Arc::clone(target));
-        if !self.all.contains(target) {
-            self.all.push(Arc::clone(target));
-        }
+        self.all.push(Arc::clone(target));
     }
 
-    /// Records that nothing was sent to a target.
+    /// Records that nothing was sent in an attempt at a target.
     fn remove_unreached(&mut self, target: &str) {
-        self.all.retain(|other| **other != *target);
+        if let Some(index) = self.all.iter().rposition(|other| **other == *target) {
+            self.all.remove(index);
+        }
+    }
+
+    /// Returns the number of different targets.
+    fn count(&self) -> usize {
+        let is_first = |(index, target): &(usize, &Arc<str>)| !self.all[..*index].contains(target);
+        self.all.iter().enumerate().filter(is_first).count()
     }
 
     /// Returns the criteria for the next target: after `targets_max` targets only one of these.
@@ -74,7 +80,7 @@
         targets_max: usize,
         eligibility: Eligibility,
     ) -> Criteria<'a> {
-        let is_spent = self.all.len() >= targets_max;
+        let is_spent = self.count() >= targets_max;
         let only: &[Arc<str>] = if is_spent { &self.all } else { &[] };
         Criteria { service, tried: &self.since_wait, only, eligibility }
     }
--- a/crates/citron-gateway/src/forward/wait.rs
+++ b/crates/citron-gateway/src/forward/wait.rs
@@ -13,7 +13,7 @@
     budget::Retry,
     http1::Response,
     refusal,
-    waiting::{Applicant, Refused},
+    waiting::{Refused, WaitRequest},
 };
 
 impl Forwarder<'_> {
@@ -23,8 +23,8 @@
     /// # Errors
     /// Fails with the refusal if it cannot be served.
     pub(super) async fn wait(&self, series: &AttemptSeries) -> Result<Option<Retry>, Response> {
-        let need = if series.last_result().is_none() { Need::Room } else { Need::Token };
-        let charged = self.applicant().wait(need).await;
+        let need = if series.needs_charge() { Need::Token } else { Need::Room };
+        let charged = self.wait_request().wait(need).await;
         charged.map_err(|refused| self.refuse(refused, series.attempts()))
     }
 
@@ -53,8 +53,8 @@
         customer.unwrap_or(self.route.priority)
     }
 
-    fn applicant(&self) -> Applicant<'_> {
-        Applicant {
+    fn wait_request(&self) -> WaitRequest<'_> {
+        WaitRequest {
             shared: self.shared,
             id: self.id,
             route: self.route,
--- a/crates/citron-gateway/src/load.rs
+++ b/crates/citron-gateway/src/load.rs
@@ -26,7 +26,6 @@
 const RATE_CHANGE: f64 = 1.5;
 /// Rates below this are not reported at once.
 const RATE_MIN_PER_S: f64 = 20.0;
-/// How many bytes a megabit has.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
 /// What this gateway measures of itself.
@@ -141,7 +140,7 @@
 fn has_changed(reported: &Load, load: &Load) -> bool {
     let is_above = |a: f64, b: f64| a > RATE_MIN_PER_S && a > b * RATE_CHANGE;
     reported.overload() != load.overload()
-        || reported.is_stretched() != load.is_stretched()
+        || reported.is_near_limit() != load.is_near_limit()
         || is_above(load.requests_per_s, reported.requests_per_s)
         || is_above(reported.requests_per_s, load.requests_per_s)
 }
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -45,7 +45,8 @@
         let follows = shared.is_poller() || shared.is_domain_large() && shared.is_follower();
         let must_reach_all = shared.report_reaches_all.swap(false, Ordering::Relaxed);
         datagram.reaches_all = follows || must_reach_all || may_be_named(&shared);
-        broadcast(&shared, &socket, datagram.clone(), |to| !(near_only && to.relays)).await;
+        let skips_relays = near_only && !must_reach_all;
+        broadcast(&shared, &socket, datagram.clone(), |to| !(skips_relays && to.relays)).await;
         let bytes = datagram.encode_to_vec();
         for address in silent_gateways(&shared, now) {
             send(&shared, &socket, &bytes, address).await;
--- a/crates/citron-gateway/src/quota.rs
+++ b/crates/citron-gateway/src/quota.rs
@@ -14,7 +14,10 @@
 use citron::{
     customer::{Customer, Quota},
     position::Position,
-    quota::{Asks, Barred, Bucket, Candidate, Member, OWNERS_MAX, Owners, Share, Standing, Tenure},
+    quota::{
+        Asks, Bucket, Candidate, GrantEligibility, Ineligible, Member, OWNERS_MAX, Owners, Share,
+        Standing,
+    },
     route::Table,
 };
 use parking_lot::Mutex;
@@ -54,7 +57,7 @@
     /// This host had no token for another.
     Denied,
     /// This host may not grant.
-    Barred,
+    Ineligible,
     /// This host returned a token that was not used.
     Returned,
     /// This host took back a token that it had granted.
@@ -95,7 +98,7 @@
 #[derive(Debug, Default)]
 struct State {
     owners: Owners,
-    tenure: Tenure,
+    eligibility: GrantEligibility,
     /// Where the list of members is in the store.
     position: Option<Position>,
     /// Whether no process of this host can have granted tokens before.
@@ -205,7 +208,7 @@
     customer: &Arc<str>,
     share: &Share,
 ) -> Result<Token, Option<Duration>> {
-    check_tenure(shared).map_err(|_| None)?;
+    check_eligibility(shared).map_err(|_| None)?;
     let now = shared.clock.now();
     let ticket = shared.quotas.state.lock().bucket(customer, *share).take(share, now);
     let ticket = ticket.map_err(Some)?;
@@ -214,10 +217,10 @@
 }
 
 /// Decides whether this host may grant tokens.
-fn check_tenure(shared: &Shared) -> Result<(), Barred> {
+fn check_eligibility(shared: &Shared) -> Result<(), Ineligible> {
     let now = shared.clock.now();
     let others_in_contact = shared.gateways.lock().store_contacts(now).next().is_some();
-    shared.quotas.state.lock().tenure.check(others_in_contact, time_with_suspension(shared))
+    shared.quotas.state.lock().eligibility.check(others_in_contact, time_with_suspension(shared))
 }
 
 /// Returns the time since the process's start, that in which the host was suspended included.
@@ -234,7 +237,7 @@
 pub fn sweep(shared: &Shared) {
     let now = time_with_suspension(shared);
     let state = &mut *shared.quotas.state.lock();
-    state.tenure.tick(now);
+    state.eligibility.tick(now);
     let Some(table) =
         shared.routes().filter(|_| !state.asks.is_empty() || !state.buckets.is_empty())
     else {
--- a/crates/citron-gateway/src/quota/exchange.rs
+++ b/crates/citron-gateway/src/quota/exchange.rs
@@ -22,7 +22,7 @@
     time::{self, Instant},
 };
 
-use super::{Choice, Event, check_tenure, count, quota_of};
+use super::{Choice, Event, check_eligibility, count, quota_of};
 use crate::{
     outbox::Outbox,
     peer::message::{QuotaMessage, QuotaStep},
@@ -52,8 +52,10 @@
 }
 
 /// A grant of another host.
-#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+#[derive(Debug, Clone, Eq, PartialEq)]
 struct Grant {
+    /// The customer; the tickets of each have numbers of their own.
+    customer: Arc<str>,
     owner: SocketAddr,
     /// When the owner's process started; an earlier one numbered its tickets alike.
     owner_born_ms: u64,
@@ -282,17 +284,17 @@
     let answer = |step: QuotaStep| QuotaMessage { step: step.into(), ..message.clone() };
     let table = shared.routes();
     let known = table.as_ref().and_then(|table| quota_of(table, &message.customer));
-    let tenure = check_tenure(shared);
-    let (Some((customer, quota)), Ok(())) = (known, tenure) else {
-        count(shared, Event::Barred);
-        log::debug!("event=quota-barred customer={} tenure={tenure:?}", message.customer);
+    let eligibility = check_eligibility(shared);
+    let (Some((customer, quota)), Ok(())) = (known, eligibility) else {
+        count(shared, Event::Ineligible);
+        log::debug!("event=quota-barred customer={} eligibility={eligibility:?}", message.customer);
         return answer(QuotaStep::Unable);
     };
     let now = shared.clock.now();
     let host = shared.settings().host.clone();
     let state = &mut *shared.quotas.state.lock();
     let Some(share) = state.owners.share_of(&host, &customer.name, quota) else {
-        count(shared, Event::Barred);
+        count(shared, Event::Ineligible);
         return answer(QuotaStep::Unable);
     };
     match state.bucket(&customer.name, share).grant(&share, now) {
@@ -317,11 +319,16 @@
     from: SocketAddr,
 ) -> Result<(), Ignored> {
     let ticket = Ticket(message.ticket);
-    let grant = Grant { owner: from, owner_born_ms: message.owner_born_ms, ticket };
-    if !is_first(shared, grant) {
+    let customer: Arc<str> = Arc::from(message.customer.as_str());
+    let grant = Grant {
+        customer: Arc::clone(&customer),
+        owner: from,
+        owner_born_ms: message.owner_born_ms,
+        ticket,
+    };
+    if !is_first(shared, &grant) {
         return Err(Ignored::Repeated);
     }
-    let customer: Arc<str> = Arc::from(message.customer.as_str());
     let mut token = Token::own(shared, &customer, ticket);
     token.grant = Some(grant);
     // A token that cannot be delivered is dropped, which returns it.
@@ -331,16 +338,16 @@
 }
 
 /// Returns true if a grant arrives for the first time.
-fn is_first(shared: &Shared, grant: Grant) -> bool {
+fn is_first(shared: &Shared, grant: &Grant) -> bool {
     let now = shared.clock.now();
     let seen = &mut shared.quotas.exchange.state.lock().seen;
     while seen.front().is_some_and(|(_, at)| now >= *at + SEEN_TERM) {
         seen.pop_front();
     }
-    if seen.iter().any(|(other, _)| *other == grant) {
+    if seen.iter().any(|(other, _)| other == grant) {
         return false;
     }
-    seen.push_back((grant, now));
+    seen.push_back((grant.clone(), now));
     true
 }
 
@@ -377,6 +384,9 @@
 
 /// Takes back a token that this host granted; returns false if that is not possible any more.
 fn take_back(shared: &Shared, customer: &str, ticket: Ticket) -> bool {
+    if !shared.settings().quota_bound.allows_returns_within(RETURN_TERM) {
+        return false;
+    }
     let now = shared.clock.now();
     let state = &mut *shared.quotas.state.lock();
     let bucket = state.buckets.get_mut(customer);
@@ -388,7 +398,7 @@
 }
 
 fn return_grant(shared: &Shared, customer: &str, grant: &Grant) {
-    let Grant { owner, owner_born_ms, ticket } = *grant;
+    let Grant { owner, owner_born_ms, ticket, .. } = *grant;
     let message = QuotaMessage {
         step: QuotaStep::Returned.into(),
         customer: customer.to_owned(),
--- a/crates/citron-gateway/src/quota/members.rs
+++ b/crates/citron-gateway/src/quota/members.rs
@@ -27,18 +27,18 @@
 
 /// Returns this host's standing, `None` if it is not known.
 pub fn standing(shared: &Shared) -> Option<Standing> {
-    shared.quotas.state.lock().tenure.standing()
+    shared.quotas.state.lock().eligibility.standing()
 }
 
 /// Sets this host's standing, which the store has confirmed.
 pub fn set_standing(shared: &Shared, standing: Standing) {
-    shared.quotas.state.lock().tenure.set_standing(standing);
+    shared.quotas.state.lock().eligibility.set_standing(standing);
     log::info!("event=quota-standing standing={standing}");
 }
 
 /// Returns the age of the list, `None` if there is none.
 pub fn list_age(shared: &Shared) -> Option<Duration> {
-    let listed_at = shared.quotas.state.lock().tenure.listed_at()?;
+    let listed_at = shared.quotas.state.lock().eligibility.listed_at()?;
     Some(time_with_suspension(shared).saturating_sub(listed_at))
 }
 
@@ -56,7 +56,7 @@
         return false;
     }
     state.position = Some(position);
-    state.tenure.record_list(begun_at);
+    state.eligibility.record_list(begun_at);
     state.owners.set_members(members);
     true
 }
@@ -80,8 +80,8 @@
     if state.position.is_some() {
         return;
     }
-    if state.tenure.standing().is_none() {
-        state.tenure.set_standing(standing);
+    if state.eligibility.standing().is_none() {
+        state.eligibility.set_standing(standing);
     }
     drop(state);
     log::info!("event=members-taken count={} standing={standing} source=peer", list.members.len());
--- a/crates/citron-gateway/src/waiting.rs
+++ b/crates/citron-gateway/src/waiting.rs
@@ -47,17 +47,17 @@
 
 #[derive(Debug, Default)]
 struct State {
-    lines: HashMap<Arc<str>, Line>,
+    queues: HashMap<Arc<str>, ServiceQueue>,
     work: HashMap<Arc<str>, Work>,
 }
 
 /// The requests that wait for one service.
 #[derive(Debug)]
-struct Line {
+struct ServiceQueue {
     queue: Queue,
     waiters: HashMap<Ticket, oneshot::Sender<Event>>,
     /// Whether a task releases them.
-    is_driven: bool,
+    has_task: bool,
 }
 
 /// What happens to a waiting request.
@@ -82,7 +82,7 @@
 
 /// A request that may wait.
 #[derive(Debug, Copy, Clone)]
-pub struct Applicant<'a> {
+pub struct WaitRequest<'a> {
     /// The state of the gateway.
     pub shared: &'a Arc<Shared>,
     /// Its id.
@@ -127,13 +127,13 @@
     /// at least as urgent waits for the same.
     pub fn precedes(&self, service: &str, priority: u32, need: Need, now: Duration) -> bool {
         let state = self.state.lock();
-        state.lines.get(service).is_some_and(|line| line.queue.precedes(priority, need, now))
+        state.queues.get(service).is_some_and(|entry| entry.queue.precedes(priority, need, now))
     }
 
     /// Returns the number of requests that wait, by service.
     pub fn lengths(&self) -> Vec<(Arc<str>, usize)> {
         let state = self.state.lock();
-        state.lines.iter().map(|(name, line)| (Arc::clone(name), line.queue.len())).collect()
+        state.queues.iter().map(|(name, entry)| (Arc::clone(name), entry.queue.len())).collect()
     }
 
     /// Releases and refuses what can be decided now; `lent` is a retry that others lent.
@@ -143,12 +143,12 @@
         lent.take_if(|retry| !retry.is_usable());
         let mut places = shared.places(service);
         let mut state = self.state.lock();
-        let Some(line) = state.lines.get_mut(service) else { return Next::End };
-        for ticket in line.queue.expire(until, now) {
-            line.tell(ticket, Event::Refused(Refusal::Expired));
+        let Some(entry) = state.queues.get_mut(service) else { return Next::End };
+        for ticket in entry.queue.expire(until, now) {
+            entry.notify(ticket, Event::Refused(Refusal::Expired));
         }
         let (mut only, mut is_denied) = (None, false);
-        while let Some((ticket, need)) = line.queue.peek(only, now) {
+        while let Some((ticket, need)) = entry.queue.peek(only, now) {
             if places.any == 0 {
                 break;
             }
@@ -165,13 +165,13 @@
                     retry
                 }
             };
-            line.queue.release(ticket, now);
-            line.tell(ticket, Event::Released(retry));
+            entry.queue.release(ticket, now);
+            entry.notify(ticket, Event::Released(retry));
             places.any -= 1;
             places.calm = places.calm.saturating_sub(1);
         }
-        line.is_driven = !line.queue.is_empty();
-        match (line.is_driven, is_denied) {
+        entry.has_task = !entry.queue.is_empty();
+        match (entry.has_task, is_denied) {
             (false, _) => Next::End,
             (true, true) => Next::Borrow,
             (true, false) => Next::Sleep,
@@ -179,14 +179,14 @@
     }
 }
 
-impl Line {
+impl ServiceQueue {
     fn new(memory: &Memory) -> Self {
         let bytes = (memory.limit() as f64 * MEMORY_SHARE) as usize;
         let queue = Queue::new(Limits { requests: REQUESTS_MAX, bytes });
-        Self { queue, waiters: HashMap::new(), is_driven: false }
+        Self { queue, waiters: HashMap::new(), has_task: false }
     }
 
-    fn tell(&mut self, ticket: Ticket, event: Event) {
+    fn notify(&mut self, ticket: Ticket, event: Event) {
         if let Some(waiter) = self.waiters.remove(&ticket) {
             // The request may have ended; a retry that it does not receive is returned.
             let _ = waiter.send(event);
@@ -195,7 +195,7 @@
 }
 
 /// Releases the requests that wait for a service, until none does.
-async fn drive(shared: Arc<Shared>, service: Arc<str>) {
+async fn run_queue(shared: Arc<Shared>, service: Arc<str>) {
     let mut borrows = FuturesUnordered::new();
     let mut lent = None;
     let mut may_ask = true;
@@ -220,7 +220,7 @@
     }
 }
 
-impl Applicant<'_> {
+impl WaitRequest<'_> {
     /// Waits until the request may be sent; returns the retry that was charged if `need` is a token.
     ///
     /// # Errors
@@ -246,7 +246,7 @@
 
 /// A request's place in the queue, which is free once it is dropped.
 struct Place<'a> {
-    applicant: Applicant<'a>,
+    request: WaitRequest<'a>,
     need: Need,
     since: Duration,
     work: Duration,
@@ -257,61 +257,63 @@
 }
 
 impl<'a> Place<'a> {
-    fn new(applicant: Applicant<'a>, need: Need) -> Self {
-        let since = applicant.shared.clock.now();
+    fn new(request: WaitRequest<'a>, need: Need) -> Self {
+        let since = request.shared.clock.now();
         let work = Duration::ZERO;
-        Self { applicant, need, since, work, ahead: 0, ticket: None, outcome: LEFT }
+        Self { request, need, since, work, ahead: 0, ticket: None, outcome: LEFT }
     }
 
     fn join(&mut self) -> Result<oneshot::Receiver<Event>, Refusal> {
-        let Applicant { shared, route, service, received_at, deadline, .. } = self.applicant;
+        let WaitRequest { shared, route, service, received_at, deadline, .. } = self.request;
         let mut state = shared.waiting.state.lock();
         let time = deadline.saturating_sub(received_at);
         let work = state.work.get(&route.name).copied().unwrap_or_default();
         self.work = work.expected(route.objective, time);
         let request = Request {
-            customer: self.applicant.customer.unwrap_or_default(),
-            priority: self.applicant.priority,
+            customer: self.request.customer.unwrap_or_default(),
+            priority: self.request.priority,
             need: self.need,
             work: self.work,
             received_at,
             objective_at: received_at + route.objective,
             deadline,
-            bytes: REQUEST_BYTES + self.applicant.body_bytes,
+            bytes: REQUEST_BYTES + self.request.body_bytes,
         };
-        let line =
-            state.lines.entry(Arc::clone(service)).or_insert_with(|| Line::new(&shared.memory));
-        self.ahead = line.queue.len();
-        let (ticket, displaced) = line.queue.push(&request, self.since)?;
+        let entry = state
+            .queues
+            .entry(Arc::clone(service))
+            .or_insert_with(|| ServiceQueue::new(&shared.memory));
+        self.ahead = entry.queue.len();
+        let (ticket, displaced) = entry.queue.push(&request, self.since)?;
         for other in displaced {
-            line.tell(other, Event::Refused(Refusal::QueueFull));
+            entry.notify(other, Event::Refused(Refusal::QueueFull));
         }
         self.ticket = Some(ticket);
         let (waiter, event) = oneshot::channel();
-        line.waiters.insert(ticket, waiter);
-        if !std::mem::replace(&mut line.is_driven, true) {
-            tokio::spawn(drive(Arc::clone(shared), Arc::clone(service)));
+        entry.waiters.insert(ticket, waiter);
+        if !std::mem::replace(&mut entry.has_task, true) {
+            tokio::spawn(run_queue(Arc::clone(shared), Arc::clone(service)));
         }
         Ok(event)
     }
 
     fn retry_after(&self) -> Duration {
-        let state = self.applicant.shared.waiting.state.lock();
-        let line = state.lines.get(self.applicant.service);
-        line.map_or(Duration::ZERO, |line| line.queue.expected_wait()).min(RETRY_AFTER_MAX)
+        let state = self.request.shared.waiting.state.lock();
+        let entry = state.queues.get(self.request.service);
+        entry.map_or(Duration::ZERO, |entry| entry.queue.expected_wait()).min(RETRY_AFTER_MAX)
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        let Applicant { shared, id, route, service, customer, priority, deadline, .. } =
-            self.applicant;
+        let WaitRequest { shared, id, route, service, customer, priority, deadline, .. } =
+            self.request;
         let now = shared.clock.now();
         if let Some(ticket) = self.ticket
-            && let Some(line) = shared.waiting.state.lock().lines.get_mut(service)
+            && let Some(entry) = shared.waiting.state.lock().queues.get_mut(service)
         {
-            line.queue.cancel(ticket);
-            line.waiters.remove(&ticket);
+            entry.queue.cancel(ticket);
+            entry.waiters.remove(&ticket);
         }
         let waited = now.saturating_sub(self.since);
         let label = route.priority.to_string();
--- a/crates/citron-gateway/tests/quota.rs
+++ b/crates/citron-gateway/tests/quota.rs
@@ -33,9 +33,20 @@
         {"name": "north", "apiKeys": ["key-1"], "ratePerS": rate_per_s, "burst": burst},
         {"name": "south", "apiKeys": ["key-2"]},
     ]);
+    // Each of these has one owner.
+    for n in 0..SMALL_CUSTOMERS {
+        let customer = json!({
+            "name": format!("small-{n}"), "apiKeys": [format!("small-key-{n}")],
+            "ratePerS": 0.05, "burst": 1,
+        });
+        config["tenants"].as_array_mut().expect("customers").push(customer);
+    }
     config
 }
 
+/// The customers with a quota of one request.
+const SMALL_CUSTOMERS: usize = 12;
+
 /// Returns the settings of a gateway of a system that starts for the first time.
 fn first_start(host: &str, store: &Store) -> support::Settings {
     support::Settings { is_first_start: true, ..settings(host, store.addr(), BOUND) }
@@ -145,6 +156,17 @@
     assert_eq!(count, 4);
 }
 
+/// One owner numbers the tickets of each customer by itself: a grant to one customer must not be taken
+/// for a repeated grant to another.
+#[tokio::test]
+async fn customers_of_one_owner_get_a_token_each() {
+    let (fleet, _others) = gateways(&["entry-1", "entry-2"], 0.05, 4.0).await;
+    for n in 0..SMALL_CUSTOMERS {
+        let answer = answer(&fleet.gateway, &format!("id-{n}"), &format!("small-key-{n}")).await;
+        assert_eq!(answer.status, 200, "small-{n}: {answer:?}");
+    }
+}
+
 /// Tokens that were saved under a higher quota must not be spent under a lower one.
 #[tokio::test]
 async fn a_lower_quota_applies_at_once() {
--- a/crates/citron/src/attempt/mod.rs
+++ b/crates/citron/src/attempt/mod.rs
@@ -186,6 +186,11 @@
             && self.may_retry()
     }
 
+    /// Returns true if the next attempt is a retry that is charged to the budget.
+    pub fn needs_charge(&self) -> bool {
+        self.results.last().is_some_and(|&last| !self.is_free_retry(last))
+    }
+
     /// Returns the step to take at `now`; a retry is made only if `charge_retry` charged a budget.
     ///
     /// A retry after a failure to connect is not charged, up to the limit of the policy.
--- a/crates/citron/src/gray/choice.rs
+++ b/crates/citron/src/gray/choice.rs
@@ -128,7 +128,7 @@
     pub calm: usize,
 }
 
-/// Returns how many new requests [`no_capacity`] would not refuse.
+/// Returns the free places at the healthy targets, or at all if too few are healthy.
 pub fn places(candidates: &[Candidate]) -> Places {
     let is_healthy = |candidate: &Candidate| candidate.failure_probability < SUSPECT_THRESHOLD;
     let healthy = candidates.iter().filter(|candidate| is_healthy(candidate)).count();
--- a/crates/citron/src/gray/view.rs
+++ b/crates/citron/src/gray/view.rs
@@ -35,7 +35,7 @@
 /// The failure probability above which such a request is not risked.
 const LATE_TRIAL_PROBABILITY_MAX: f64 = 0.4;
 /// The same while fewer targets than [`IN_USE_SHARE_MIN`] of the service are in use.
-const LATE_TRIAL_PROBABILITY_MAX_SHORT: f64 = 0.65;
+const LATE_TRIAL_PROBABILITY_MAX_FEW_IN_USE: f64 = 0.65;
 /// The share of a service's targets that should be in use, a little above the floor that the platform
 /// asks for.
 const IN_USE_SHARE_MIN: f64 = 0.75;
@@ -155,12 +155,12 @@
         let mut candidates: Vec<Candidate> =
             targets.iter().map(|target| self.candidate(catalog, target, now)).collect();
         let in_use = candidates.iter().filter(|candidate| !candidate.needs_trial()).count();
-        let is_short = (in_use as f64) < candidates.len() as f64 * IN_USE_SHARE_MIN;
+        let few_in_use = (in_use as f64) < candidates.len() as f64 * IN_USE_SHARE_MIN;
         for (candidate, target) in candidates.iter_mut().zip(&targets) {
             if eligibility.allows_trial()
                 && candidate.needs_trial()
                 && candidate.own_in_flight == 0
-                && self.may_try(target, eligibility, is_short, now)
+                && self.may_try(target, eligibility, few_in_use, now)
             {
                 candidate.trial_due_for = self.trial_due_for(target, &trial_rank, now);
             }
@@ -323,12 +323,12 @@
     }
 
     /// Returns true if a request of this eligibility may be a trial of a target that needs one.
-    /// `is_short` tells whether few targets of the service are in use.
+    /// `few_in_use` tells whether few targets of the service are in use.
     fn may_try(
         &self,
         target: &Target,
         eligibility: Eligibility,
-        is_short: bool,
+        few_in_use: bool,
         now: Duration,
     ) -> bool {
         let Some(state) = self.states.get(&target.id) else { return false };
@@ -336,8 +336,8 @@
             return true;
         }
         let is_late = now.saturating_sub(state.last_attempt_at) >= LATE_TRIAL_INTERVAL;
-        let probability_max = match is_short {
-            true => LATE_TRIAL_PROBABILITY_MAX_SHORT,
+        let probability_max = match few_in_use {
+            true => LATE_TRIAL_PROBABILITY_MAX_FEW_IN_USE,
             false => LATE_TRIAL_PROBABILITY_MAX,
         };
         (is_late || state.last_succeeded) && state.failure_probability(now) <= probability_max
--- a/crates/citron/src/key_lease.rs
+++ b/crates/citron/src/key_lease.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-/// The part of the bound that the lease may have; the rest is for clocks of unlike speed.
+/// The share of the bound that the lease may last; the rest allows for clock drift.
 const LEASE_PART: f64 = 0.95;
 /// How much shorter the lease is besides: what may be missed of suspensions of the host, and how long
 /// a peer's report may take on its way.
--- a/crates/citron/src/queue/wait.rs
+++ b/crates/citron/src/queue/wait.rs
@@ -16,7 +16,8 @@
 use super::departure::DepartureInterval;
 
 /// The share of a request's time after which it moves up by one priority, as long as it can meet its
-/// objective. With later ones moving up too, fewer requests meet their objective in overload.
+/// objective. Ageing those that already miss it
+/// lowered the share that met it in overload.
 const AGEING_SHARE: f64 = 0.25;
 /// The time before its deadline that a request needs beside its work, so that its refusal reaches the
 /// caller in time.
@@ -39,7 +40,7 @@
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Need {
-    /// Room at a target, for its first attempt.
+    /// Room at a target: its next attempt is not charged to the retry budget.
     Room,
     /// A retry token and room, as a target has rejected it.
     Token,
--- a/crates/citron/src/quota.rs
+++ b/crates/citron/src/quota.rs
@@ -8,11 +8,11 @@
 mod asks;
 mod bucket;
 mod owners;
-mod tenure;
+mod eligibility;
 
 pub use self::{
     asks::{Asks, Candidate},
     bucket::{Bucket, RETURN_TERM, Share, Ticket},
+    eligibility::{GrantEligibility, Ineligible, JOIN_PERIOD},
     owners::{Member, OWNERS_MAX, Owners, Standing},
-    tenure::{Barred, JOIN_PERIOD, Tenure},
 };
--- a/crates/citron/src/quota/asks.rs
+++ b/crates/citron/src/quota/asks.rs
@@ -62,10 +62,12 @@
         order.into_iter().map(|(.., index)| index).collect()
     }
 
-    /// Returns when the first of the candidates that are empty has its next token.
+    /// Returns when the first of the candidates that are empty, or were a moment ago, has its next
+    /// token. A time that has just passed is still an answer: the quota is exceeded.
     pub fn next_token_at(&self, candidates: &[Candidate<'_>], now: Duration) -> Option<Duration> {
         let known = candidates.iter().filter_map(|candidate| self.get(candidate.host));
-        known.map(|known| known.empty_until).filter(|until| *until > now).min()
+        let answered = known.map(|known| known.empty_until).filter(|until| !until.is_zero());
+        answered.filter(|until| *until + SILENCE_PAUSE > now).min()
     }
 
     /// Records that an owner has no token until `until`.
--- a/crates/citron/src/quota/bucket.rs
+++ b/crates/citron/src/quota/bucket.rs
@@ -15,7 +15,7 @@
 /// Tokens within this of a whole one count as whole.
 const ROUNDING: f64 = 1e-9;
 
-/// The number of a granted token, unique in the process that granted it.
+/// The number of a granted token, unique in its bucket.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash)]
 pub struct Ticket(pub u64);
 
--- a/crates/citron/src/quota/tenure.rs
+++ b/crates/citron/src/quota/eligibility.rs
@@ -22,7 +22,7 @@
 /// Why a host may not grant tokens.
 #[derive(Debug, Copy, Clone, Eq, PartialEq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
-pub enum Barred {
+pub enum Ineligible {
     /// It is not active.
     Joining,
     /// It has no list of the members.
@@ -33,14 +33,14 @@
 
 /// What decides whether this host may grant.
 #[derive(Debug, Default)]
-pub struct Tenure {
+pub struct GrantEligibility {
     standing: Option<Standing>,
     listed_at: Option<Duration>,
     ticked_at: Duration,
     resumed_at: Duration,
 }
 
-impl Tenure {
+impl GrantEligibility {
     /// Sets this host's standing, as the store or a peer's list has it.
     pub fn set_standing(&mut self, standing: Standing) {
         self.standing = Some(standing);
@@ -74,18 +74,18 @@
     ///
     /// # Errors
     /// Fails with the reason if it may not.
-    pub fn check(&self, others_in_contact: bool, now: Duration) -> Result<(), Barred> {
+    pub fn check(&self, others_in_contact: bool, now: Duration) -> Result<(), Ineligible> {
         if self.standing != Some(Standing::Active) {
-            return Err(Barred::Joining);
+            return Err(Ineligible::Joining);
         }
-        let listed_at = self.listed_at.ok_or(Barred::NoList)?;
+        let listed_at = self.listed_at.ok_or(Ineligible::NoList)?;
         if now < listed_at + LIST_MAX_AGE {
             return Ok(());
         }
         let has_stood_still = now >= self.ticked_at + TICK_MAX;
         let has_heard = !has_stood_still && now >= self.resumed_at + HEARING_TIME;
         if others_in_contact || !has_heard {
-            return Err(Barred::ListOld);
+            return Err(Ineligible::ListOld);
         }
         Ok(())
     }
--- a/crates/citron/src/spread.rs
+++ b/crates/citron/src/spread.rs
@@ -40,12 +40,12 @@
 const ANSWER_MAX: usize = 64;
 /// A gateway whose process runs later than this is excluded.
 const LATENESS_MAX: Duration = Duration::from_millis(100);
-/// A gateway whose process runs later than this counts as stretched, so that the subset grows.
-const LATENESS_STRETCHED: Duration = Duration::from_millis(50);
+/// A gateway whose process runs later than this counts as near its limits, so that the subset grows.
+const LATENESS_NEAR_LIMIT: Duration = Duration::from_millis(50);
 /// A gateway that uses more of its link or memory than this share is excluded.
 const FULLNESS_MAX: f64 = 0.9;
-/// A gateway that uses more of its link or memory than this share counts as stretched.
-const FULLNESS_STRETCHED: f64 = 0.6;
+/// A gateway that uses more of its link or memory than this share counts as near its limits.
+const FULLNESS_NEAR_LIMIT: f64 = 0.6;
 /// How long an excluded gateway must be well before it is readmitted.
 const READMIT_AFTER: Duration = Duration::from_secs(3);
 /// The least time between two readmissions.
@@ -94,8 +94,8 @@
     }
 
     /// Returns true if the gateway is near its limits.
-    pub fn is_stretched(&self) -> bool {
-        self.lateness > LATENESS_STRETCHED || self.fullness > FULLNESS_STRETCHED
+    pub fn is_near_limit(&self) -> bool {
+        self.lateness > LATENESS_NEAR_LIMIT || self.fullness > FULLNESS_NEAR_LIMIT
     }
 
     /// Returns how many requests a second the gateway should receive at most.
@@ -134,7 +134,7 @@
     Lost,
     /// A gateway has become usable.
     Joined,
-    /// The demand has risen, or members of the subset are stretched.
+    /// The demand has risen, or members of the subset are near their limits.
     Demand,
     /// The demand has been lower for some time.
     Calm,
@@ -300,22 +300,22 @@
     /// Returns the gateways that may be named, in order. Those that have just become ready and those
     /// that are excluded are among them only if there are too few others.
     fn usable<'a>(&self, ranked: &[Ranked<'a>], now: Duration) -> Vec<Ranked<'a>> {
-        let rung = |host: &str| {
+        let tier = |host: &str| {
             let watched = &self.watched[host];
             let is_settled = watched.ready_since.is_some_and(|since| now >= since + SETTLE_TIME);
             (watched.excluded.is_some(), !is_settled)
         };
         let ready = ranked.iter().filter(|(candidate, _)| candidate.is_ready).copied();
-        let mut ready: Vec<_> = ready.map(|entry| (rung(entry.0.host), entry)).collect();
-        // The sort is stable, so that gateways of one rung keep their order.
-        ready.sort_by_key(|(rung, _)| *rung);
-        let well = ready.iter().filter(|(rung, _)| *rung == (false, false)).count();
-        ready.truncate(well.max(ANSWER_MIN));
+        let mut ready: Vec<_> = ready.map(|entry| (tier(entry.0.host), entry)).collect();
+        // The sort is stable, so that gateways of one tier keep their order.
+        ready.sort_by_key(|(tier, _)| *tier);
+        let settled_count = ready.iter().filter(|(tier, _)| *tier == (false, false)).count();
+        ready.truncate(settled_count.max(ANSWER_MIN));
         ready.into_iter().map(|(_, entry)| entry).collect()
     }
 
     /// Returns how many requests a second the subset should be able to carry. It rises where members
-    /// of the subset are stretched, as they carry less than expected.
+    /// of the subset are near their limits, as they carry less than expected.
     fn effective_demand(&self, candidates: &[Candidate<'_>]) -> f64 {
         let demand: f64 = candidates
             .iter()
@@ -323,11 +323,11 @@
             .filter_map(|candidate| Some(candidate.load?.requests_per_s))
             .sum();
         let Some(subset) = &self.subset else { return demand };
-        let stretched = candidates.iter().filter(|candidate| {
+        let near_limit = candidates.iter().filter(|candidate| {
             subset.contains(&candidate.callers)
-                && candidate.load.is_some_and(|load| load.is_stretched())
+                && candidate.load.is_some_and(|load| load.is_near_limit())
         });
-        demand * (1.0 + stretched.count() as f64 / subset.len().max(1) as f64)
+        demand * (1.0 + near_limit.count() as f64 / subset.len().max(1) as f64)
     }
 
     /// Chooses the subset from the usable gateways, in order.
--- a/crates/citron/tests/quota.rs
+++ b/crates/citron/tests/quota.rs
@@ -5,7 +5,10 @@
 
 use citron::{
     customer::Quota,
-    quota::{Asks, Barred, Bucket, Candidate, Member, Owners, Share, Standing, Tenure, Ticket},
+    quota::{
+        Asks, Bucket, Candidate, GrantEligibility, Ineligible, Member, Owners, Share, Standing,
+        Ticket,
+    },
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -367,20 +370,28 @@
 #[test]
 fn a_host_grants_only_under_a_recent_list() {
     let s = Duration::from_secs;
-    let mut tenure = Tenure::default();
-    assert_eq!(tenure.check(false, s(0)), Err(Barred::Joining));
-    tenure.set_standing(Standing::Active);
-    assert_eq!(tenure.check(false, s(0)), Err(Barred::NoList));
-    tenure.record_list(s(0));
-    (0..40).for_each(|second| tenure.tick(s(second)));
-    assert_eq!(tenure.check(true, s(19)), Ok(()));
-    assert_eq!(tenure.check(true, s(40)), Err(Barred::ListOld));
-    assert_eq!(tenure.check(false, s(40)), Ok(()), "nobody is in contact with the store");
-    assert_eq!(tenure.check(false, s(90)), Err(Barred::ListOld), "it stood still and heard nobody");
-    tenure.tick(s(90));
-    assert_eq!(tenure.check(false, s(91)), Err(Barred::ListOld), "it has not heard its peers yet");
-    (91..95).for_each(|second| tenure.tick(s(second)));
-    assert_eq!(tenure.check(false, s(94)), Ok(()));
+    let mut eligibility = GrantEligibility::default();
+    assert_eq!(eligibility.check(false, s(0)), Err(Ineligible::Joining));
+    eligibility.set_standing(Standing::Active);
+    assert_eq!(eligibility.check(false, s(0)), Err(Ineligible::NoList));
+    eligibility.record_list(s(0));
+    (0..40).for_each(|second| eligibility.tick(s(second)));
+    assert_eq!(eligibility.check(true, s(19)), Ok(()));
+    assert_eq!(eligibility.check(true, s(40)), Err(Ineligible::ListOld));
+    assert_eq!(eligibility.check(false, s(40)), Ok(()), "nobody is in contact with the store");
+    assert_eq!(
+        eligibility.check(false, s(90)),
+        Err(Ineligible::ListOld),
+        "it stood still and heard nobody"
+    );
+    eligibility.tick(s(90));
+    assert_eq!(
+        eligibility.check(false, s(91)),
+        Err(Ineligible::ListOld),
+        "it has not heard its peers yet"
+    );
+    (91..95).for_each(|second| eligibility.tick(s(second)));
+    assert_eq!(eligibility.check(false, s(94)), Ok(()));
 }
 
 #[test]
