--- a/review/world-2/store.rs
+++ b/review/world-2/store.rs
@@ -166,9 +166,9 @@
             true => state.as_of(Instant::now() - state.stale_by),
             false => (state.revision, state.objects.clone()),
         };
-        let of_kind = objects.iter().filter(|((k, name), _)| {
-            k == kind && after.is_none_or(|after| name.as_str() > *after)
-        });
+        let of_kind = objects
+            .iter()
+            .filter(|((k, name), _)| k == kind && after.is_none_or(|after| name.as_str() > *after));
         let items: Vec<&str> = of_kind.map(|(_, object)| object.as_str()).collect();
         let items = items.join(",");
         (200, format!("{{\"items\":[{items}],\"hasMore\":false,\"asOf\":{revision}}}"))
