review: uploads to upstreams that read slowly are broken off (case 8)

Cause: TCP_USER_TIMEOUT of 3 s also ends a connection whose peer is alive and keeps its window closed; in a planned stop the requesters get 502 while their upstreams work. Change: review/8.

--- a/review/world-2/main.rs
+++ b/review/world-2/main.rs
@@ -13,6 +13,7 @@
 mod readers;
 mod stop;
 mod store;
+mod upload;
 mod upstream;
 
 use std::{path::PathBuf, process::exit};
@@ -40,6 +41,7 @@
         "quota-late" => quota::play(quota::Trouble::TurnedAway, has_trouble, &record, &temp),
         "slow-readers" => readers::play(has_trouble, &record, &temp),
         "slow-stop" => stop::play(has_trouble, &record, &temp),
+        "slow-upstream" => upload::play(has_trouble, &record, &temp),
         other => Err(format!("there is no case {other}")),
     };
     if std::env::var("KEEP").is_err() {
