--- a/review/world-2/caller.rs
+++ b/review/world-2/caller.rs
@@ -20,8 +20,6 @@
     pub status: u16,
     /// The reason that the gateway named, if it answered by itself.
     pub reason: String,
-    /// The id that the answer bears.
-    pub echoed: String,
 }
 
 /// One kept channel to a gateway.
@@ -103,7 +101,6 @@
             answered: Instant::now(),
             status: answer.status(),
             reason: text("citron-reason"),
-            echoed: text("attempt-id"),
         }
     }
 
--- a/review/world-2/fleet.rs
+++ b/review/world-2/fleet.rs
@@ -74,7 +74,6 @@
 
 /// One process of the system; dropping it ends it.
 pub struct Process {
-    pub machine: Machine,
     child: Child,
 }
 
@@ -105,10 +104,6 @@
         SocketAddr::from((self.ip, ports.front))
     }
 
-    pub fn ready(&self, ports: &Ports) -> SocketAddr {
-        SocketAddr::from((self.ip, ports.ready))
-    }
-
     fn settings(&self, ports: &Ports, terms: &Terms, seeds: &[Ipv4Addr]) -> String {
         let Self { name, zone, ip, store, power } = self;
         let Power { cpu_share, memory_mb, link_mbps, max_fds } = power;
@@ -197,15 +192,7 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
-        Ok(Self { machine: machine.clone(), child })
-    }
-
-    /// Returns how much memory the process has in RAM, in bytes; `None` once it has ended.
-    pub fn resident_bytes(&self) -> Option<u64> {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        let kib: u64 = line.trim().split(' ').next()?.parse().ok()?;
-        Some(kib * 1024)
+        Ok(Self { child })
     }
 
     /// Sends a signal by its name, such as `STOP`.
--- a/review/world-2/main.rs
+++ b/review/world-2/main.rs
@@ -3,8 +3,6 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. The variable
 //! `TROUBLE=0` leaves the disturbance out.
 
-#![allow(dead_code)]
-
 mod caller;
 mod fleet;
 mod http;
