Grant quotas only under a list that shows all hosts that may grant (review/7, review/6)

Callers saw nothing wrong: after a first start, requests over a customer's quota were served, 1,084 runs in 5 s (review/7, lists 3 s behind) and 1,242 (review/6, three hosts turned away for 9 s) where 812 are allowed.

Cause: a host of a first start was active from its registration on, under whatever list it had. Its first list shows only those that registered before it; the second one could be stale, and hosts that register late are in no list of the others for up to 8 s. Several hosts then took themselves for the owner of the same part.

Change: a host registers as joining, reads a current list, and becomes active once every host that is active there reports a list with it; it grants under a current list that it read after it had become active (citron::quota::Join, Membership; why this holds: docs/design/quotas.md). No wait is needed where nobody is active. Related paths: hosts that join, buckets that earned tokens while another host granted, the age of a peer's list, members that a restored store has lost, and the retry bucket of a host that registers late.

--- a/crates/citron-gateway/src/budget.rs
+++ b/crates/citron-gateway/src/budget.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use citron::attempt::{Denial, RetryBucket, RetryShare, Standstill, Ticket};
+use citron::attempt::{Denial, LOAN_TERM, RetryBucket, RetryShare, Standstill, Ticket};
 use parking_lot::Mutex;
 use tokio::time;
 
@@ -55,9 +55,10 @@
     }
 
     /// Records that no earlier process of this host can have made retries, so that all tokens of its
-    /// share are there at the start.
-    pub fn start_full(&self) {
-        self.state.lock().starts_full = true;
+    /// share are there at the start. Without effect once hosts that started with this one may have made
+    /// retries, as they did not count it among those that share the slack.
+    pub fn start_full(&self, now: Duration) {
+        self.state.lock().starts_full |= now < RETRY_FLIGHT + LOAN_TERM;
     }
 
     /// Records a request to a service, which adds to its budget unless it may have waited while
--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::quota::{JOIN_PERIOD, Standing};
+use citron::quota::{SETTLE_TIME, Standing};
 use citron_adapter::{
     gateways,
     pages::Pages,
@@ -22,33 +22,29 @@
 const TICK: Duration = Duration::from_millis(500);
 /// The age at which the list is read again while customers have quotas.
 const LIST_MAX_AGE: Duration = Duration::from_secs(8);
-/// The time after the first registration at which the list is read again, as other gateways that
-/// start at the same time may be missing in the first one.
-const SECOND_LIST_DELAY: Duration = Duration::from_secs(1);
-
 /// Registers this gateway in the store and reads the entries of the others, and again each time the
 /// store comes back from an older copy or has another address. While customers have quotas, reads them
 /// at intervals too. Runs until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Store, own: SocketAddr) {
     let mut latest_era = shared.store_era.subscribe();
     let mut moves = shared.store_moves.subscribe();
-    let mut registrar = Registrar { shared: Arc::clone(&shared), store, own, active_at: None };
-    let mut is_registered = false;
+    let mut registrar = Registrar { shared: Arc::clone(&shared), store, own, list_due: None };
     registrar.find_standing().await;
     loop {
         let Written { era, existed } = registrar.register().await;
-        if !is_registered && !existed && shared.settings().is_first_start {
-            shared.budgets.start_full();
-            members::start_full(&shared);
+        if registrar.list_due.is_none() && shared.settings().is_first_start {
+            registrar.list_due = Some(shared.clock.now() + SETTLE_TIME);
+            if !existed {
+                shared.budgets.start_full(shared.clock.now());
+            }
         }
         registrar.learn_all().await;
         // The senders live as long as `shared`.
         tokio::select! {
             _ = latest_era.wait_for(|latest| *latest > era) => {}
             _ = moves.changed() => {}
-            () = registrar.maintain(!is_registered) => {}
+            () = registrar.maintain() => {}
         }
-        is_registered = true;
         time::sleep(turn(&shared)).await;
     }
 }
@@ -63,16 +59,26 @@
     shared: Arc<Shared>,
     store: Store,
     own: SocketAddr,
-    /// When this gateway becomes active, if it is joining.
-    active_at: Option<Duration>,
+    /// When the list is read again after the first start of the system, as gateways that started at
+    /// the same time may be missing in the first one. Far in the future once it was.
+    list_due: Option<Duration>,
+}
+
+/// A call that is due.
+#[derive(Debug, Copy, Clone, Eq, PartialEq)]
+enum Due {
+    /// Writes that this gateway is active, and reads the list.
+    Activation,
+    /// Reads the list.
+    List(Recency),
 }
 
 impl Registrar {
-    /// Finds this gateway's standing: a host that is new while others run is joining.
+    /// Finds this gateway's standing: a host without an entry is joining.
     async fn find_standing(&self) {
         let shared = &self.shared;
         if shared.settings().is_first_start {
-            return members::set_standing(shared, Standing::Active);
+            return members::set_standing(shared, Standing::Joining);
         }
         let host = shared.settings().host.clone();
         let mut backoff = Backoff::default();
@@ -94,17 +100,16 @@
     }
 
     /// Registers this gateway.
-    async fn register(&mut self) -> Written {
+    async fn register(&self) -> Written {
         let mut backoff = Backoff::default();
         loop {
             match self.put_entry().await {
                 Ok(written) => {
                     let Written { era, existed } = written;
                     log::info!("event=registered era={era} existed={existed}");
-                    if members::standing(&self.shared) == Some(Standing::Joining) {
-                        self.active_at.get_or_insert(self.shared.clock.now() + JOIN_PERIOD);
+                    if members::record_registration(&self.shared, era, existed) {
+                        return written;
                     }
-                    return written;
                 }
                 Err(error) => {
                     backoff.record_failure("register", &error);
@@ -136,60 +141,78 @@
         }
     }
 
-    /// Ends the joining when it is due, and reads the list again when it is old; does not return.
-    async fn maintain(&mut self, is_first: bool) {
+    /// Makes the calls that are due; does not return.
+    async fn maintain(&mut self) {
         let shared = Arc::clone(&self.shared);
-        let mut list_due = is_first.then(|| shared.clock.now() + SECOND_LIST_DELAY);
         let mut backoff = Backoff::default();
         loop {
-            time::sleep(TICK).await;
-            let now = shared.clock.now();
-            if self.active_at.is_some_and(|at| now >= at) {
-                match self.put_entry_as(Standing::Active).await {
-                    Ok(_) => {
-                        self.active_at = None;
-                        backoff = Backoff::default();
-                        members::set_standing(&shared, Standing::Active);
-                    }
-                    Err(error) => backoff.record_failure("register", &error),
-                }
+            tokio::select! {
+                () = time::sleep(TICK) => {}
+                () = shared.quotas.list_awaited.notified() => time::sleep(turn(&shared)).await,
             }
-            if !shared.routes().is_some_and(|table| quota::is_enabled(&table)) {
-                continue;
-            }
-            let is_old = members::list_age(&shared).is_none_or(|age| age >= LIST_MAX_AGE);
-            if !is_old && list_due.is_none_or(|due| now < due) {
-                continue;
-            }
-            match self.learn(Recency::MaybeStale).await {
-                Ok(is_applied) => {
-                    backoff = Backoff::default();
-                    // One that is older than the current list is read again.
-                    list_due = list_due.filter(|_| !is_applied);
-                }
-                Err(error) => {
-                    backoff.record_failure("list-gateways", &error);
-                    backoff.wait(&shared, gateways::KIND, CallKind::List).await;
-                }
+            let Some(due) = self.due() else { continue };
+            if let Err(error) = self.call(due).await {
+                backoff.record_failure("gateways", &error);
+                backoff.wait(&shared, gateways::KIND, CallKind::List).await;
+            } else {
+                backoff = Backoff::default();
             }
         }
     }
 
-    /// Reads the list of the others; returns false if it is older than the current one.
-    async fn learn(&self, recency: Recency) -> Result<bool, Error> {
+    /// Returns the next call that is due.
+    fn due(&self) -> Option<Due> {
+        let shared = &self.shared;
+        let has_quotas = shared.routes().is_some_and(|table| quota::is_enabled(&table));
+        if has_quotas && members::may_activate(shared) {
+            return Some(Due::Activation);
+        }
+        let is_due = self.list_due.is_some_and(|due| shared.clock.now() >= due);
+        if is_due || has_quotas && members::is_list_awaited(shared) {
+            return Some(Due::List(Recency::Current));
+        }
+        let is_old = members::list_age(shared).is_none_or(|age| age >= LIST_MAX_AGE);
+        (has_quotas && is_old).then_some(Due::List(Recency::MaybeStale))
+    }
+
+    async fn call(&mut self, due: Due) -> Result<(), Error> {
+        match due {
+            Due::Activation => self.activate().await?,
+            Due::List(recency) => self.learn(recency).await?,
+        }
+        if due != Due::List(Recency::MaybeStale) && self.list_due.is_some() {
+            self.list_due = Some(Duration::MAX);
+        }
+        Ok(())
+    }
+
+    /// Makes this gateway active. It grants only under a list that was read since.
+    async fn activate(&self) -> Result<(), Error> {
+        let Written { era, .. } = self.put_entry_as(Standing::Active).await?;
+        self.learn(Recency::Current).await?;
+        members::activate(&self.shared, era);
+        Ok(())
+    }
+
+    /// Reads the list of the others.
+    async fn learn(&self, recency: Recency) -> Result<(), Error> {
         let shared = &self.shared;
         let begun_at = shared.clock.now() + shared.clock.suspended();
         let (pages, progress) = (Pages::default(), Progress::default());
         let list = self.store.list_at(gateways::KIND, recency, &pages, &progress).await;
         record_call(shared, CallKind::List, &list);
-        Ok(self.apply(&list?, begun_at))
+        self.apply(&list?, recency, begun_at);
+        Ok(())
     }
 
-    fn apply(&self, list: &List, begun_at: Duration) -> bool {
+    fn apply(&self, list: &List, recency: Recency, begun_at: Duration) {
         let shared = &self.shared;
         let now = shared.clock.now();
         let host = shared.settings().host.clone();
         let mut listed = gateways::decode_list(&list.objects);
+        if recency == Recency::Current {
+            members::record_current_list(shared, &listed, list.position);
+        }
         let mut is_changed = false;
         for member in listed.iter().filter(|member| *member.host != *host) {
             if shared.gateways.lock().learn(&member.host, member.address, now) {
@@ -203,14 +226,13 @@
         let standing = members::standing(shared).unwrap_or(Standing::Joining);
         listed.push(members::own(shared, self.own, standing));
         listed.sort_by(|a, b| a.host.cmp(&b.host));
-        let is_applied = members::apply(shared, listed, list.position, begun_at);
+        members::apply(shared, listed, list.position, begun_at);
         let is_first = shared.gateways.lock().fleet_hosts() == 0;
         shared.gateways.lock().record_list();
         shared.update_retry_share();
         if is_changed || is_first {
             shared.state_changed.notify_one();
         }
-        is_applied
     }
 }
 
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -27,6 +27,7 @@
     gray::Verdict,
     outage::{Contact, Silence},
     position::Position,
+    quota::ListReport,
     spread::{Load, Power},
     statement::{Origin, Statement},
 };
@@ -38,7 +39,11 @@
     broadcast::{relay, send, state_datagram},
     message::{DATAGRAM_LIMIT_BYTES, Datagram, KnownGateway, Outcome, State},
 };
-use crate::{budget::loan, quota::exchange, shared::Shared};
+use crate::{
+    budget::loan,
+    quota::{exchange, members},
+    shared::Shared,
+};
 
 /// The delay before receiving again after a failure.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(5);
@@ -105,6 +110,7 @@
         log::info!("event=gateway-heard host={} address={address}", datagram.host);
     }
     shared.notice_era();
+    members::notice_awaited(shared);
     // The report may show that an outage of the store was none.
     shared.expire_targets();
     if state.wants_reply && address == from {
@@ -197,6 +203,10 @@
         routes_version: state.routes_version,
         targets_position: Position { era: state.targets_era, revision: state.targets_revision },
         fleet_hosts: state.fleet_hosts,
+        members: ListReport {
+            granting: state.granting.map(Position::from),
+            awaited: state.awaited.map(Position::from),
+        },
         store_contact,
         confirmed_at: state.confirmed_age_ms.map(ago),
         store_silence: state.store_silence.map(|silence| Silence {
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -13,9 +13,9 @@
 
 use super::{
     KNOWN_GATEWAYS_LIMIT,
-    message::{self, Datagram, State},
+    message::{self, Datagram, ListPosition, State},
 };
-use crate::shared::Shared;
+use crate::{quota::members, shared::Shared};
 
 /// The interval between reports of a state that does not change.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
@@ -258,6 +258,7 @@
     let contact = shared.link.contact(now);
     let position = shared.targets.lock().catalog.position();
     let load = shared.load();
+    let list = members::report(shared);
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
     let state = State {
         born_ms: shared.born_ms,
@@ -270,6 +271,8 @@
         targets_revision: position.revision,
         targets_era: position.era,
         fleet_hosts: shared.gateways.lock().fleet_hosts(),
+        granting: list.granting.map(ListPosition::from),
+        awaited: list.awaited.map(ListPosition::from),
         power: Some(message::Power {
             cpu_share: load.power.cpu_share,
             link_mbps: load.power.link_mbps,
--- a/crates/citron-gateway/src/peer/join.rs
+++ b/crates/citron-gateway/src/peer/join.rs
@@ -56,8 +56,9 @@
     {
         shared.apply_routes(table, Source::Peer);
     }
-    // Quotas need the list; a store that responds gives it, and a newer one.
-    if members::list_age(shared).is_none()
+    // Quotas need the list; a store that responds gives it, and a newer one, unless it has lately come
+    // back from an older copy.
+    if members::needs_peer_list(shared)
         && let Some(list) = try_fetch(shared, http, peer, "members", "members").await
     {
         members::import(shared, list);
--- a/crates/citron-gateway/src/peer/message.rs
+++ b/crates/citron-gateway/src/peer/message.rs
@@ -1,6 +1,6 @@
 //! The datagrams that gateways exchange.
 
-use citron::attempt::LoanId;
+use citron::{attempt::LoanId, position::Position};
 use prost::{Enumeration, Message};
 
 /// The maximum size of a datagram, in bytes.
@@ -230,11 +230,42 @@
     /// valid.
     #[prost(bool, tag = "22")]
     pub refuses_keys: bool,
+    /// The position of the list of members under which the sender grants tokens of quotas, absent if it
+    /// grants none.
+    #[prost(message, optional, tag = "23")]
+    pub granting: Option<ListPosition>,
+    /// The position that such lists must reach before the sender becomes active, absent if it waits for
+    /// none.
+    #[prost(message, optional, tag = "24")]
+    pub awaited: Option<ListPosition>,
     /// Whether the sender requests a reply with the gateways that the receiver knows.
     #[prost(bool, tag = "8")]
     pub wants_reply: bool,
 }
 
+/// Where a list is in the history of the store.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct ListPosition {
+    /// The era of the store.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// The revision within the era.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+
+impl From<Position> for ListPosition {
+    fn from(Position { era, revision }: Position) -> Self {
+        Self { era, revision }
+    }
+}
+
+impl From<ListPosition> for Position {
+    fn from(ListPosition { era, revision }: ListPosition) -> Self {
+        Self { era, revision }
+    }
+}
+
 /// What a host offers to its gateway.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Power {
--- a/crates/citron-gateway/src/quota.rs
+++ b/crates/citron-gateway/src/quota.rs
@@ -13,16 +13,14 @@
 
 use citron::{
     customer::{Customer, Quota},
-    position::Position,
-    quota::{
-        Asks, Bucket, Candidate, GrantEligibility, Ineligible, Member, OWNERS_MAX, Owners, Share,
-        Standing,
-    },
+    gateways::Gateways,
+    quota::{Asks, Bucket, Candidate, Ineligible, Member, Membership, OWNERS_MAX, Share, Standing},
     route::Table,
 };
 use parking_lot::Mutex;
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
+use tokio::sync::Notify;
 
 use self::exchange::{Exchange, Token};
 use crate::{peer::message::QuotaMessage, shared::Shared};
@@ -82,13 +80,27 @@
 }
 
 /// The quotas at this host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quotas {
     state: Mutex<State>,
     exchange: Exchange,
+    /// Wakes the task that reads the list of members when a peer waits for a newer one.
+    pub list_awaited: Notify,
 }
 
 impl Quotas {
+    /// Creates the quotas of a host that has not registered yet; `is_first_start` is whether the whole
+    /// system starts for the first time.
+    pub fn new(is_first_start: bool) -> Self {
+        let membership = Membership::new(is_first_start);
+        let state = State { membership, ..State::default() };
+        Self {
+            state: Mutex::new(state),
+            exchange: Exchange::default(),
+            list_awaited: Notify::new(),
+        }
+    }
+
     /// Returns the next message to send and its receiver, `None` once there will be none.
     pub async fn next_message(&self) -> Option<(SocketAddr, QuotaMessage)> {
         self.exchange.outbox.next().await
@@ -97,12 +109,11 @@
 
 #[derive(Debug, Default)]
 struct State {
-    owners: Owners,
-    eligibility: GrantEligibility,
-    /// Where the list of members is in the store.
-    position: Option<Position>,
-    /// Whether no process of this host can have granted tokens before.
+    membership: Membership,
+    /// Whether nobody can have granted tokens of this host's parts before it.
     starts_full: bool,
+    /// Since when this process may grant, zero if its host was active before it.
+    owned_since: Duration,
     buckets: HashMap<Arc<str>, Bucket>,
     asks: HashMap<Arc<str>, Asks>,
     /// The customers that metrics name, and the version of the routes that they are from.
@@ -111,8 +122,11 @@
 
 impl State {
     fn bucket(&mut self, customer: &Arc<str>, share: Share) -> &mut Bucket {
-        let starts_full = self.starts_full;
-        let create = || if starts_full { Bucket::full(share) } else { Bucket::new(share) };
+        let (starts_full, owned_since) = (self.starts_full, self.owned_since);
+        let create = || match starts_full {
+            true => Bucket::full(share),
+            false => Bucket::new(share, owned_since),
+        };
         self.buckets.entry(Arc::clone(customer)).or_insert_with(create)
     }
 
@@ -140,18 +154,16 @@
         let settings = shared.settings();
         let (members, own) = {
             let state = &mut *shared.quotas.state.lock();
-            let own = state.owners.share_of(&settings.host, customer, quota);
-            let owners = state.owners.of(customer, quota);
-            let others = owners.into_iter().filter(|member| {
-                *member.host != *settings.host && member.standing == Standing::Active
-            });
+            let own = state.membership.owners().share_of(&settings.host, customer, quota);
+            let owners = state.membership.owners().of(customer, quota);
+            let others = owners.into_iter().filter(|member| *member.host != *settings.host);
             (others.cloned().collect::<SmallVec<[Member; OWNERS_MAX]>>(), own)
         };
         let now = shared.clock.now();
         let gateways = shared.gateways.lock();
         let other = |member: Member| Other {
             is_near: *member.domain == *settings.domain,
-            is_live: gateways.has_reported(&member.host, now),
+            is_live: is_ready_to_grant(&gateways, &member, now),
             member,
         };
         Self { others: members.into_iter().map(other).collect(), own }
@@ -167,6 +179,13 @@
     }
 }
 
+/// Returns true if a member is alive and known to be active, in the list or by a later report.
+fn is_ready_to_grant(gateways: &Gateways, member: &Member, now: Duration) -> bool {
+    let is_active = member.standing == Standing::Active
+        || gateways.report(&member.host).is_some_and(|report| report.members.granting.is_some());
+    is_active && gateways.has_reported(&member.host, now)
+}
+
 /// Takes a token for a request of a customer, if it has a quota.
 ///
 /// # Errors
@@ -218,9 +237,14 @@
 
 /// Decides whether this host may grant tokens.
 fn check_eligibility(shared: &Shared) -> Result<(), Ineligible> {
-    let now = shared.clock.now();
-    let others_in_contact = shared.gateways.lock().store_contacts(now).next().is_some();
-    shared.quotas.state.lock().eligibility.check(others_in_contact, time_with_suspension(shared))
+    let others_in_contact = others_in_contact(shared);
+    let now = time_with_suspension(shared);
+    shared.quotas.state.lock().membership.check(others_in_contact, now)
+}
+
+/// Returns true if a live peer reports contact with the store.
+fn others_in_contact(shared: &Shared) -> bool {
+    shared.gateways.lock().store_contacts(shared.clock.now()).next().is_some()
 }
 
 /// Returns the time since the process's start, that in which the host was suspended included.
@@ -237,14 +261,14 @@
 pub fn sweep(shared: &Shared) {
     let now = time_with_suspension(shared);
     let state = &mut *shared.quotas.state.lock();
-    state.eligibility.tick(now);
+    state.membership.tick(now);
     let Some(table) =
         shared.routes().filter(|_| !state.asks.is_empty() || !state.buckets.is_empty())
     else {
         return;
     };
     let has_quota = |customer: &str| quota_of(&table, customer).is_some();
-    state.owners.retain(has_quota);
+    state.membership.owners().retain(has_quota);
     state.asks.retain(|customer, _| has_quota(customer));
     state.buckets.retain(|customer, _| has_quota(customer));
 }
--- a/crates/citron-gateway/src/quota/exchange.rs
+++ b/crates/citron-gateway/src/quota/exchange.rs
@@ -293,7 +293,7 @@
     let now = shared.clock.now();
     let host = shared.settings().host.clone();
     let state = &mut *shared.quotas.state.lock();
-    let Some(share) = state.owners.share_of(&host, &customer.name, quota) else {
+    let Some(share) = state.membership.owners().share_of(&host, &customer.name, quota) else {
         count(shared, Event::Ineligible);
         return answer(QuotaStep::Unable);
     };
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -130,6 +130,7 @@
     pub fn new(settings: Settings, clock: Clock, metrics: Metrics, seed: u64) -> Self {
         let targets = Targets::new(&settings.domain, seed);
         let memory = Memory::new(settings.memory_bytes);
+        let is_first_start = settings.is_first_start;
         Self {
             settings: RwLock::new(Arc::new(settings)),
             clock,
@@ -142,7 +143,7 @@
             pool: Pool::new(POOL_IDLE_TIMEOUT),
             budgets: RetryBudgets::default(),
             loans: Loans::default(),
-            quotas: Quotas::default(),
+            quotas: Quotas::new(is_first_start),
             waiting: Waiting::default(),
             pending_outcomes: Mutex::default(),
             outcomes_added: Notify::new(),
--- a/crates/citron-gateway/tests/quota.rs
+++ b/crates/citron-gateway/tests/quota.rs
@@ -52,6 +52,17 @@
     support::Settings { is_first_start: true, ..settings(host, store.addr(), BOUND) }
 }
 
+/// Waits until all hosts in the store are active.
+async fn all_active(store: &Store) {
+    eventually("all hosts are active", async || {
+        let entries = store.objects("citron-gateways");
+        entries.values().all(|entry| entry["standing"] == "active")
+    })
+    .await;
+    // Until they have listed each other since, and have reported it.
+    time::sleep(Duration::from_millis(700)).await;
+}
+
 /// Starts gateways of a system that starts for the first time, each of which knows all others.
 async fn gateways(hosts: &[&str], rate_per_s: f64, burst: f64) -> (TestFleet, Vec<Gateway>) {
     let store = Store::bind().await;
@@ -65,8 +76,7 @@
         eventually("a gateway is ready", async || ready(&gateway).await == 200).await;
         started.push(gateway);
     }
-    // Until each has listed all others.
-    time::sleep(Duration::from_millis(2200)).await;
+    all_active(&store).await;
     let gateway = started.remove(0);
     (TestFleet { store, targets: vec![target], gateway }, started)
 }
@@ -103,6 +113,42 @@
     assert_eq!(answer(&fleet.gateway, "south", "key-2").await.status, 200, "another customer");
 }
 
+/// Hosts that start together have partial lists, and stale ones after that: each took itself for the
+/// owner of the whole quota.
+#[tokio::test]
+async fn hosts_that_start_with_stale_lists_serve_one_burst() {
+    let store = Store::bind().await;
+    store.put("config", "main", limited("r1", 0.05, 9.0));
+    let target = Target::bind("t0").await;
+    store.put("servers", &target.id, target.entry("ready"));
+    store.list_stale(store.copy());
+    let mut gateways = Vec::new();
+    for host in ["entry-1", "entry-2", "entry-3"] {
+        let gateway = Gateway::bind(first_start(host, &store), None, running_clock()).await;
+        gateways.push(gateway.expect("a gateway"));
+    }
+    all_active(&store).await;
+    let mut served = 0;
+    for gateway in &gateways {
+        served += spend(gateway, "id").await.0;
+    }
+    assert!((8..=10).contains(&served), "{served} served");
+}
+
+/// A host that the store turned away at the first start registers late, when others have granted its
+/// parts: it must not grant them again.
+#[tokio::test]
+async fn a_host_that_registers_late_at_the_first_start_serves_no_second_burst() {
+    let (fleet, _others) = gateways(&["entry-1"], 0.05, 9.0).await;
+    assert_eq!(spend(&fleet.gateway, "first").await.0, 9);
+    let settings = first_start("entry-2", &fleet.store);
+    let late = Gateway::bind(settings, None, running_clock()).await.expect("a gateway");
+    eventually("it is ready", async || ready(&late).await == 200).await;
+    assert_eq!(spend(&late, "at once").await.0, 0);
+    all_active(&fleet.store).await;
+    assert_eq!(spend(&late, "active").await.0, 0);
+}
+
 /// A time to retry that is too early would make callers come in vain.
 #[tokio::test]
 async fn a_request_over_the_quota_is_served_at_the_time_it_is_told() {
--- a/crates/citron-stand/src/bench/target_limit.rs
+++ b/crates/citron-stand/src/bench/target_limit.rs
@@ -10,6 +10,7 @@
     gateways::{Gateways, Report},
     placement::Host,
     position::Position,
+    quota::ListReport,
     target_limit::Limits,
 };
 use rand::{Rng, SeedableRng};
@@ -231,6 +232,7 @@
             routes_version: 1,
             targets_position: Position::default(),
             fleet_hosts: 0,
+            members: ListReport::default(),
             store_contact: None,
             confirmed_at: None,
             store_silence: None,
--- a/crates/citron/src/gateways.rs
+++ b/crates/citron/src/gateways.rs
@@ -22,6 +22,7 @@
     placement,
     poller::{self, Member},
     position::Position,
+    quota::ListReport,
     spread::{Candidate, Load, Reason, Spread, Subset},
     target_limit,
 };
@@ -105,6 +106,8 @@
     pub targets_position: Position,
     /// The number of hosts that it knows, 0 if it does not know of all that the platform lists.
     pub fleet_hosts: u32,
+    /// Under which list of members it grants tokens of quotas, and which it waits for.
+    pub members: ListReport,
     /// Its contact with the store by the receiver's clock, `None` if the store does not respond.
     pub store_contact: Option<Contact>,
     /// When the store confirmed to it that these routes and targets are current, by the receiver's
@@ -448,6 +451,20 @@
         outage::last_return(silences.chain(&own), &contacts)
     }
 
+    /// Returns the live gateways that grant tokens of quotas, with the positions of the lists under
+    /// which they do.
+    pub fn granting(&self, now: Duration) -> impl Iterator<Item = (&str, Position)> {
+        let reports = self.alive(now).filter_map(|(host, g)| Some((host, g.report.as_ref()?)));
+        reports.filter_map(|(host, report)| Some((&**host, report.members.granting?)))
+    }
+
+    /// Returns the position that the lists of the gateways that grant must reach before all live
+    /// gateways that are joining become active, `None` if none waits.
+    pub fn awaited_list(&self, now: Duration) -> Option<Position> {
+        let reports = self.alive(now).filter_map(|(_, gateway)| gateway.report.as_ref());
+        reports.filter_map(|report| report.members.awaited).max()
+    }
+
     /// Returns the latest era of the store that a live gateway reported, and since when the store
     /// has responded in it.
     pub fn store_era(&self, now: Duration) -> Option<(u64, Duration)> {
--- a/crates/citron/src/quota.rs
+++ b/crates/citron/src/quota.rs
@@ -7,12 +7,16 @@
 
 mod asks;
 mod bucket;
-mod owners;
 mod eligibility;
+mod join;
+mod membership;
+mod owners;
 
 pub use self::{
     asks::{Asks, Candidate},
     bucket::{Bucket, RETURN_TERM, Share, Ticket},
-    eligibility::{GrantEligibility, Ineligible, JOIN_PERIOD},
+    eligibility::{GrantEligibility, Ineligible, JOIN_PERIOD, LIST_AGE_MAX},
+    join::{Join, ListReport, SETTLE_TIME},
+    membership::{MemberList, Membership},
     owners::{Member, OWNERS_MAX, Owners, Standing},
 };
--- a/crates/citron/src/quota/asks.rs
+++ b/crates/citron/src/quota/asks.rs
@@ -17,7 +17,7 @@
     pub host: &'a str,
     /// Whether it is in the failure domain of this host.
     pub is_near: bool,
-    /// Whether it has reported recently.
+    /// Whether it has reported recently and is known to be active.
     pub is_live: bool,
 }
 
--- a/crates/citron/src/quota/bucket.rs
+++ b/crates/citron/src/quota/bucket.rs
@@ -51,22 +51,21 @@
 }
 
 impl Bucket {
-    /// Creates the bucket of a process that started at time zero, with no tokens at that time.
-    pub fn new(share: Share) -> Self {
+    /// Creates the bucket of a host that owns its part since `at`, with no tokens at that time.
+    pub fn new(share: Share, at: Duration) -> Self {
         Self {
             share,
             tokens: 0.0,
-            updated_at: Duration::ZERO,
+            updated_at: at,
             granted: VecDeque::new(),
             next_ticket: 0,
             promised: 0.0,
         }
     }
 
-    /// Creates a full bucket, for the first process of a host in a system that starts for the first
-    /// time.
+    /// Creates a full bucket, for a part that nobody granted before.
     pub fn full(share: Share) -> Self {
-        Self { tokens: share.burst, ..Self::new(share) }
+        Self { tokens: share.burst, ..Self::new(share, Duration::ZERO) }
     }
 
     /// Takes a token under the current share.
--- a/crates/citron/src/quota/eligibility.rs
+++ b/crates/citron/src/quota/eligibility.rs
@@ -8,11 +8,11 @@
 
 use super::Standing;
 
-/// How long a host is joining before it becomes active. It exceeds [`LIST_MAX_AGE`] by the time that
-/// a list may be outdated when it arrives.
+/// After this time a host that reports nothing does not grant under a list that it read before. It
+/// exceeds [`LIST_AGE_MAX`] by the time that a list may be outdated when it arrives.
 pub const JOIN_PERIOD: Duration = Duration::from_secs(30);
 /// How old the list of members may be while the store is in use.
-const LIST_MAX_AGE: Duration = Duration::from_secs(20);
+pub const LIST_AGE_MAX: Duration = Duration::from_secs(20);
 /// The longest time between two ticks of a process that runs.
 const TICK_MAX: Duration = Duration::from_secs(2);
 /// How long after a standstill this host waits for reports of its peers before it concludes that none
@@ -35,11 +35,25 @@
 #[derive(Debug, Default)]
 pub struct GrantEligibility {
     standing: Option<Standing>,
-    listed_at: Option<Duration>,
+    list: Option<ListTime>,
     ticked_at: Duration,
     resumed_at: Duration,
 }
 
+/// When a list was requested.
+#[derive(Debug, Copy, Clone)]
+struct ListTime {
+    recorded_at: Duration,
+    /// How old it was then. It may be older than this process.
+    age: Duration,
+}
+
+impl ListTime {
+    fn age(&self, now: Duration) -> Duration {
+        self.age + now.saturating_sub(self.recorded_at)
+    }
+}
+
 impl GrantEligibility {
     /// Sets this host's standing, as the store or a peer's list has it.
     pub fn set_standing(&mut self, standing: Standing) {
@@ -51,14 +65,15 @@
         self.standing
     }
 
-    /// Records that the call that returned the list was begun at `at`.
-    pub fn record_list(&mut self, at: Duration) {
-        self.listed_at = self.listed_at.max(Some(at));
+    /// Records a list whose call was begun `age` ago.
+    pub fn record_list(&mut self, age: Duration, now: Duration) {
+        let age = self.list_age(now).map_or(age, |current| current.min(age));
+        self.list = Some(ListTime { recorded_at: now, age });
     }
 
-    /// Returns when the list was made, `None` if there is none.
-    pub fn listed_at(&self) -> Option<Duration> {
-        self.listed_at
+    /// Returns how long ago the call for the list was begun, `None` if there is none.
+    pub fn list_age(&self, now: Duration) -> Option<Duration> {
+        self.list.map(|list| list.age(now))
     }
 
     /// Records that the process runs; called at least once a second.
@@ -78,8 +93,8 @@
         if self.standing != Some(Standing::Active) {
             return Err(Ineligible::Joining);
         }
-        let listed_at = self.listed_at.ok_or(Ineligible::NoList)?;
-        if now < listed_at + LIST_MAX_AGE {
+        let age = self.list_age(now).ok_or(Ineligible::NoList)?;
+        if age < LIST_AGE_MAX {
             return Ok(());
         }
         let has_stood_still = now >= self.ticked_at + TICK_MAX;
--- a/crates/citron/src/quota/owners.rs
+++ b/crates/citron/src/quota/owners.rs
@@ -23,7 +23,7 @@
     /// It may be an owner, but grants nothing yet, as hosts with an older list may still grant its
     /// parts.
     Joining,
-    /// It grants the parts that it owns.
+    /// It grants the parts that it owns, under a list that was read since it is active.
     #[default]
     Active,
 }
--- a/crates/citron/tests/follower.rs
+++ b/crates/citron/tests/follower.rs
@@ -8,6 +8,7 @@
     outage::Contact,
     poller,
     position::Position,
+    quota::ListReport,
     spread::{Load, Power},
 };
 
@@ -46,6 +47,7 @@
         routes_version: 1,
         targets_position: Position { era: 1, revision: 5 },
         fleet_hosts: 0,
+        members: ListReport::default(),
         store_contact: in_contact.then_some(CONTACT),
         confirmed_at: None,
         store_silence: None,
--- a/crates/citron/tests/gateways.rs
+++ b/crates/citron/tests/gateways.rs
@@ -9,6 +9,7 @@
     outage::{Contact, Silence},
     poller::{Member, POLLERS},
     position::Position,
+    quota::ListReport,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -28,6 +29,7 @@
         routes_version: u64::from(port),
         targets_position: Position { era: 1, revision: 5 },
         fleet_hosts: 0,
+        members: ListReport::default(),
         store_contact: None,
         confirmed_at: None,
         store_silence: None,
--- a/crates/citron/tests/quota.rs
+++ b/crates/citron/tests/quota.rs
@@ -115,7 +115,8 @@
             host.added -= 1;
             return Ok(u64::MAX);
         }
-        let create = || if starts_full { Bucket::full(share) } else { Bucket::new(share) };
+        let create =
+            || if starts_full { Bucket::full(share) } else { Bucket::new(share, Duration::ZERO) };
         let bucket = host.bucket.get_or_insert_with(create);
         let granted = if for_itself { bucket.take(&share, age) } else { bucket.grant(&share, age) };
         granted.map(|Ticket(ticket)| ticket)
@@ -281,7 +282,7 @@
         acts in prop::collection::vec((0u64..600, prop::bool::ANY), 1..200),
     ) {
         let share = Share { rate_per_s: 7.0, burst: 3.0 };
-        let mut bucket = Bucket::new(share);
+        let mut bucket = Bucket::new(share, Duration::ZERO);
         let (mut now, mut taken) = (Duration::ZERO, Vec::new());
         for (wait_ms, takes) in acts {
             now += Duration::from_millis(wait_ms);
@@ -374,7 +375,7 @@
     assert_eq!(eligibility.check(false, s(0)), Err(Ineligible::Joining));
     eligibility.set_standing(Standing::Active);
     assert_eq!(eligibility.check(false, s(0)), Err(Ineligible::NoList));
-    eligibility.record_list(s(0));
+    eligibility.record_list(s(0), s(0));
     (0..40).for_each(|second| eligibility.tick(s(second)));
     assert_eq!(eligibility.check(true, s(19)), Ok(()));
     assert_eq!(eligibility.check(true, s(40)), Err(Ineligible::ListOld));
