--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -43,6 +43,8 @@
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// How long a caller may take to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// The rate, in bytes per second, below which a caller that receives a response is not waited for.
+const READ_RATE_MIN: usize = 32 * 1024;
 /// The limits until the operator's configuration is known.
 const DEFAULT_LIMITS: Limits = Limits {
     head_bytes: 16 * 1024,
@@ -79,7 +81,7 @@
         read_state: ReadState::Head,
         pipeline: Pipeline::default(),
         since: Instant::now(),
-        responded_at: None,
+        received_by: None,
         closing: None,
     };
     match connection.run(&mut reader).await {
@@ -90,6 +92,11 @@
     connection.close(&mut reader).await;
 }
 
+/// Returns how long a caller may take to receive so many bytes.
+fn receive_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / READ_RATE_MIN as f64)
+}
+
 /// How a connection ended.
 enum End {
     /// The caller closed it.
@@ -108,8 +115,8 @@
     pipeline: Pipeline,
     /// When the connection became idle, or when the head or body that is being read began.
     since: Instant,
-    /// When the latest response was written.
-    responded_at: Option<Instant>,
+    /// By when the caller has received the latest response, or is not waited for.
+    received_by: Option<Instant>,
     /// Keeps the process running until the connection is closed.
     closing: Option<InFlight>,
 }
--- a/crates/citron-gateway/src/caller/close.rs
+++ b/crates/citron-gateway/src/caller/close.rs
@@ -15,8 +15,9 @@
 
 use super::{Connection, READ_BUFFER_BYTES, ReadState};
 
-/// How long a connection that was closed is still read, so that its last response arrives.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a connection that was closed is still read, so that its last response arrives, besides the
+/// time that the caller may take to receive it.
+pub(super) const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long the same goes on after the time in which a stopping process may have requests in flight.
 const LINGER_IN_GRACE: Duration = Duration::from_millis(200);
 /// The maximum number of bytes that are read and dropped meanwhile.
@@ -52,8 +53,8 @@
     /// Closing it with bytes unread would reset it, and a reset discards what the caller has not
     /// received yet. So what still comes in is read and dropped until the caller closes.
     pub(super) async fn close(&mut self, reader: &mut ReadHalf<'_>) {
-        let has_responded = self.responded_at.is_some_and(|at| at.elapsed() < LINGER_TIMEOUT);
-        if has_responded && self.closing.is_none() {
+        let is_receiving = self.received_by.is_some_and(|by| Instant::now() < by);
+        if is_receiving && self.closing.is_none() {
             self.closing = Some(self.shared.track_request());
         }
         self.pipeline.clear();
@@ -73,7 +74,8 @@
 
     /// Reads and drops what comes in until the caller closes, or for a bounded time and size.
     async fn drop_input(&mut self, reader: &mut ReadHalf<'_>) {
-        let until = Instant::now() + LINGER_TIMEOUT;
+        let at_least = Instant::now() + LINGER_TIMEOUT;
+        let until = self.received_by.map_or(at_least, |by| by.max(at_least));
         let mut dropped = 0;
         while dropped < LINGER_LIMIT_BYTES {
             self.buffer.clear();
--- a/crates/citron-gateway/src/caller/respond.rs
+++ b/crates/citron-gateway/src/caller/respond.rs
@@ -12,7 +12,7 @@
     time::{self, Instant},
 };
 
-use super::{Connection, REQUEST_BYTES, ReadState};
+use super::{Connection, REQUEST_BYTES, ReadState, close::LINGER_TIMEOUT, receive_time};
 use crate::{
     http1::{self, Response},
     memory::Reservation,
@@ -24,6 +24,8 @@
 const COMPLETE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// How long a write of a response to a caller may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How much of a response the kernel may hold that the caller has not received, in bytes.
+const SEND_BUFFER_BYTES: usize = 4 * 1024 * 1024;
 /// The interval at which a connection whose response is awaited is checked for its end.
 const DISCONNECT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -54,9 +56,10 @@
         if response.head_only.is_none() {
             write_part(&mut out, &response.body, chunked);
         }
+        let mut written = out.len();
         self.write(&out, Instant::now() + WRITE_TIMEOUT).await?;
         if let Some(rest) = response.rest.take() {
-            self.write_rest(rest, chunked).await?;
+            written += self.write_rest(rest, chunked).await?;
         }
         if !keep_alive {
             // Requests pipelined after the last response of a connection count as not read.
@@ -64,7 +67,8 @@
             self.read_state = ReadState::Closed;
         }
         self.since = Instant::now();
-        self.responded_at = Some(self.since);
+        let linger = LINGER_TIMEOUT + receive_time(written.min(SEND_BUFFER_BYTES));
+        self.received_by = Some(self.since + linger);
         Ok(())
     }
 
@@ -100,19 +104,27 @@
         response
     }
 
-    /// Forwards the rest of a response; an error closes the connection before the response looks
-    /// complete.
-    async fn write_rest(&mut self, mut rest: http1::BodyStream, chunked: bool) -> io::Result<()> {
+    /// Forwards the rest of a response, and returns its size in bytes; an error closes the connection
+    /// before the response looks complete.
+    async fn write_rest(
+        &mut self,
+        mut rest: http1::BodyStream,
+        chunked: bool,
+    ) -> io::Result<usize> {
         let until = rest.deadline;
-        let mut out = BytesMut::new();
+        let (mut out, mut written) = (BytesMut::new(), 0);
         let broken = |_| io::Error::from(io::ErrorKind::BrokenPipe);
         while let Some(part) = self.next_part(&mut rest).await.map_err(broken)? {
             write_part(&mut out, &part, chunked);
             self.write(&out, until).await?;
+            written += out.len();
             out.clear();
         }
         rest.attempt.end(rest.verdict);
-        if chunked { self.write(b"0\r\n\r\n", until).await } else { Ok(()) }
+        if chunked {
+            self.write(b"0\r\n\r\n", until).await?;
+        }
+        Ok(written)
     }
 
     /// Returns the next part of a body, `None` after the last one.
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -172,3 +172,39 @@
     drop(caller);
     shutdown.await.expect("the shutdown task ends without a panic");
 }
+
+/// The caller may be receiving a response for longer than three seconds, and send the next request
+/// meanwhile: a reset would discard what it has not received yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_waits_for_a_caller_that_receives_a_response_slowly() {
+    /// How long the response lasts.
+    const READ_TIME: Duration = Duration::from_millis(4500);
+    let fleet = TestFleet::start(1).await;
+    fleet.targets[0].set(Act::ServeLong);
+    let mut caller = slow_connection(fleet.gateway.callers()).await;
+    caller.write_all(lookup("id-1").text().as_bytes()).await.expect("a sent request");
+    eventually("the target runs it", async || fleet.targets[0].runs("id-1") == 1).await;
+    let TestFleet { gateway, targets: _targets, store: _store } = fleet;
+    let shutdown = tokio::spawn(gateway.shut_down());
+    let stopped_at = Instant::now();
+    let (mut total, mut part, mut has_sent) = (0, vec![0; 8192], false);
+    loop {
+        let due = stopped_at.elapsed().as_secs_f64() / READ_TIME.as_secs_f64() * LONG_BYTES as f64;
+        if due < total as f64 {
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        }
+        match caller.read(&mut part).await.expect("no reset") {
+            0 => break,
+            count => total += count,
+        }
+        if !has_sent && stopped_at.elapsed() > Duration::from_millis(3800) {
+            caller.write_all(lookup("id-2").text().as_bytes()).await.expect("a sent request");
+            has_sent = true;
+        }
+    }
+    assert!(has_sent && total > LONG_BYTES, "{total} bytes of a body of {LONG_BYTES}");
+    drop(caller);
+    shutdown.await.expect("the shutdown task ends without a panic");
+    assert!(stopped_at.elapsed() < GRACE);
+}
