--- a/crates/citron-gateway/src/caller/respond.rs
+++ b/crates/citron-gateway/src/caller/respond.rs
@@ -22,7 +22,7 @@
 /// The size, in bytes, up to which a response is complete before it is written while requests behind
 /// it are being forwarded.
 const COMPLETE_LIMIT_BYTES: usize = 4 * 1024 * 1024;
-/// How long a write of a response to a caller may take.
+/// How long a write of a response to a caller may take, besides the time to receive it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much of a response the kernel may hold that the caller has not received, in bytes.
 const SEND_BUFFER_BYTES: usize = 4 * 1024 * 1024;
@@ -57,7 +57,7 @@
             write_part(&mut out, &response.body, chunked);
         }
         let mut written = out.len();
-        self.write(&out, Instant::now() + WRITE_TIMEOUT).await?;
+        self.write(&out, Instant::now() + WRITE_TIMEOUT + receive_time(written)).await?;
         if let Some(rest) = response.rest.take() {
             written += self.write_rest(rest, chunked).await?;
         }
--- a/crates/citron-stand/src/gateway/target.rs
+++ b/crates/citron-stand/src/gateway/target.rs
@@ -72,6 +72,8 @@
     ServeTwice,
     /// Sends a longer body than callers hold in memory.
     ServeLong,
+    /// Responds with a body of so many bytes.
+    ServeBytes(usize),
     /// Runs the request and breaks off in the middle of such a body.
     CutLong,
     /// Sends `start`, with the request's id in place of `{id}`, and then `repeat` until the
@@ -313,6 +315,10 @@
             let rest = format!("Content-Length: {LONG_BYTES}\r\n");
             head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES)
         }
+        Act::ServeBytes(length) => {
+            let rest = format!("Content-Length: {length}\r\n");
+            head("200 OK", &id, &signature, &rest) + &"x".repeat(length)
+        }
         Act::CutLong => {
             let rest = format!("Content-Length: {LONG_BYTES}\r\n");
             let text = head("200 OK", &id, &signature, &rest) + &"x".repeat(LONG_BYTES / 2);
