--- a/crates/citron-gateway/src/follow/registry.rs
+++ b/crates/citron-gateway/src/follow/registry.rs
@@ -22,6 +22,7 @@
 const TICK: Duration = Duration::from_millis(500);
 /// The age at which the list is read again while customers have quotas.
 const LIST_MAX_AGE: Duration = Duration::from_secs(8);
+
 /// Registers this gateway in the store and reads the entries of the others, and again each time the
 /// store comes back from an older copy or has another address. While customers have quotas, reads them
 /// at intervals too. Runs until the process ends.
