review/13: an entry with fields missing is used as an upstream (ROUTE)

Cause: the decoder of entries has defaults for born, sequence and warmupLeftS and does not look at version, so that another writer's entry under an upstream's id sends that upstream requests of another service. Ruled out: the upstreams' own entries, rewritten at each heartbeat, cause none.

--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" || exit 2
+command -v python3 >/dev/null || exit 2
+exec python3 play.py
