--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,89 +1,73 @@
-"""ROUTE: an entry with fields missing, from another writer, sends requests to a server of another service."""
+"""CONFIG: a version with a fractional weight is never in force, and the keys that it takes away stay valid."""
 
 import asyncio
 import os
-import random
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from lab3 import FRONT, GONE, LINE_LIMIT, UPSTREAM, Lab, new_id, play, read_answer, request, route
+from lab3 import FRONT, KEY, Lab, new_id, play, read_answer, request, route, tenant
 
-HEARTBEAT_S = 1.5
-SECONDS = 20.0
-REQUESTERS = 9
+# The part of the second service, of 100; whole without the trouble.
+FRACTION, WHOLE = 0.5, 1
+LOST_KEY = "nr26tta828m82thhkmgj"
+# How long requests are sent after the ack of the version.
+WATCHED_S = 12.0
 
-sent, runs = {}, []
+runs = {}
 
 
 async def handle(upstream, received, writer):
-    runs.append((received["id"], upstream.service, upstream.id, time.monotonic()))
+    runs.setdefault(received["id"], []).append(upstream.service)
     await asyncio.sleep(0.02)
-    writer.write(upstream.encode(received, "200 OK", f"{upstream.service}".encode()))
+    writer.write(upstream.encode(received, "200 OK", b"done"))
 
 
-async def requester(lab, gateway, until):
-    writer = None
-    while time.monotonic() < until:
-        kind = random.choice(["redeem", "balance"])
-        number = new_id()
-        line = f"POST /redeem/{number}" if kind == "redeem" else f"GET /balance/{number}"
-        sent[number] = kind
-        try:
-            if writer is None:
-                reader, writer = await asyncio.open_connection(gateway.ip, FRONT, limit=LINE_LIMIT)
-            writer.write(request(line, {"Attempt-Id": number, "Deadline-Remaining-Ms": "4000"}))
-            lab.answers[number] = await read_answer(reader, 5)
-        except (*GONE, asyncio.TimeoutError, OSError):
-            if writer is not None:
-                writer.close()
-            writer = None
-        await asyncio.sleep(random.uniform(0, 0.05))
-
-
-async def heartbeats(lab):
-    """Each upstream writes its own entry, as it does at each heartbeat."""
-    while True:
-        for upstream in lab.upstreams:
-            await lab.store.put("servers", upstream.id, upstream.entry())
-            await asyncio.sleep(HEARTBEAT_S / len(lab.upstreams))
+async def send(gateway, line, key):
+    number, sent_at = new_id(), time.monotonic()
+    reader, writer = await asyncio.open_connection(gateway.ip, FRONT)
+    headers = {"Attempt-Id": number, "Deadline-Remaining-Ms": "4000", "Api-Key": key}
+    writer.write(request(line, headers))
+    status, _, _ = await read_answer(reader, 5)
+    writer.close()
+    return number, sent_at, status
 
 
 async def run(lab, record, trouble):
-    lab.answers = {}
-    services = {"redeem": "innlosning", "balance": "saldo"}
     for index in range(4):
         lab.add_upstream("saldo", "abc"[index % 3], 6, handle)
         lab.add_upstream("innlosning", "abc"[index % 3], 6, handle)
-    await lab.start([route("balance", "/balance/", "safe", "saldo", 3, 1),
-                     route("redeem", "/redeem/", "unsafe", "innlosning", 3, 1)])
-    beats = asyncio.ensure_future(heartbeats(lab))
-    until = time.monotonic() + SECONDS
-    tasks = [asyncio.ensure_future(requester(lab, lab.gateways[index % 3], until))
-             for index in range(REQUESTERS)]
-    while time.monotonic() < until - 3:
-        await asyncio.sleep(2)
-        if trouble:
-            # Another writer's idea of a server: the wrong service, and fields missing.
-            upstream = random.choice([u for u in lab.upstreams if u.service == "saldo"])
-            entry = {"address": f"{upstream.ip}:{UPSTREAM}", "status": {"state": "ready"},
-                     "info": {"service": "innlosning", "zone": upstream.zone, "slots": 6}}
-            await lab.store.put("servers", upstream.id, entry)
-            record(f"another writer's entry for {upstream.id} of saldo, without version, sequence,"
-                   f" warmupLeftS and born, says innlosning")
-    await asyncio.gather(*tasks)
-    beats.cancel()
-    wrong = 0
-    for number, service, ident, _ in runs:
-        if number in sent and services[sent[number]] != service:
-            wrong += 1
-            status, _, body = lab.answers.get(number, (None, None, None))
-            record(f"ROUTE {sent[number]} {number} was run by {ident} of {service}; the requester got"
-                   f" {status} {body!r}")
-    summary = f"sent {len(sent)}, run {len(runs)}, run by a service that no configuration allows: {wrong}"
+    balance = route("balance", "/balance/", "safe", "saldo", 3, 1)
+    redeem = route("redeem", "/redeem/", "unsafe", "innlosning", 3, 1)
+    both = [tenant("sese880", [KEY]), tenant("dovo114", [LOST_KEY])]
+    await lab.start([balance, redeem], tenants=both)
+    # The next version sends a small part of the balances to another service and takes a key away.
+    part = FRACTION if trouble else WHOLE
+    split = {name: value for name, value in balance.items() if name != "service"}
+    split["backends"] = [{"service": "saldo", "weight": 100 - part},
+                         {"service": "innlosning", "weight": part}]
+    left = [tenant("sese880", [KEY]), tenant("dovo114", [])]
+    config = lab.config([split, redeem], tenants=left)
+    await lab.store.put("config", "main", config)
+    acked_at = time.monotonic()
+    record(f"ack of {config['version']}: weights {100 - part} and {part}, key of dovo114 taken away")
+    late_runs = 0
+    while time.monotonic() < acked_at + WATCHED_S:
+        for gateway in lab.gateways:
+            number, sent_at, status = await send(gateway, "POST /redeem/x", LOST_KEY)
+            age = sent_at - acked_at
+            has_run = number in runs
+            late = has_run and age > lab.bounds["revokeS"]
+            late_runs += late
+            record(f"{'CONFIG ' if late else ''}{gateway.name} {number} with the key, sent {age:.2f} s"
+                   f" after the ack: {status}, {'run' if has_run else 'not run'}")
+        await asyncio.sleep(0.25)
+    kept = [await send(gateway, "POST /redeem/x", KEY) for gateway in lab.gateways]
+    record(f"with the key that stays: {[status for _, _, status in kept]}")
+    summary = f"requests with the key that ran, sent over {lab.bounds['revokeS']} s after the ack: {late_runs}"
     record(summary)
     print(summary)
-    return wrong > 0
+    return late_runs > 0
 
 
 play(__file__, Lab, run)
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -233,7 +233,7 @@
 bootstrap = {json.dumps(bootstrap)}
 [self.limits]
 cpuShare = 0.5
-cores = 1
+cores = {lab.cores}
 memoryMb = 512
 maxFds = 8192
 linkMbps = 200.0
@@ -306,8 +306,8 @@
 class Lab:
     """A small deployment."""
 
-    def __init__(self, gateways=3, zones=("a", "b", "c"), contracts=CONTRACTS, **bounds):
-        self.contracts, self.bounds = contracts, {**BOUNDS, **bounds}
+    def __init__(self, gateways=3, zones=("a", "b", "c"), cores=1):
+        self.contracts, self.bounds, self.cores = CONTRACTS, BOUNDS, cores
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self.command = tomllib.load(file)["roles"]["gateway"]["run"].split(" ")
         self.net = free_net(gateways)
