--- a/crates/citron-gateway/src/quota.rs
+++ b/crates/citron-gateway/src/quota.rs
@@ -257,11 +257,12 @@
     table.customers.as_ref().is_some_and(|list| list.iter().any(|c| c.quota.is_some()))
 }
 
-/// Records that the process runs, and forgets customers that have no quota any more.
+/// Records that the process runs, and forgets customers that have no quota any more. Tokens that they
+/// spent are remembered until they would have earned them back, as a customer may return.
 pub fn sweep(shared: &Shared) {
-    let now = time_with_suspension(shared);
+    let now = shared.clock.now();
     let state = &mut *shared.quotas.state.lock();
-    state.membership.tick(now);
+    state.membership.tick(time_with_suspension(shared));
     let Some(table) =
         shared.routes().filter(|_| !state.asks.is_empty() || !state.buckets.is_empty())
     else {
@@ -270,7 +271,7 @@
     let has_quota = |customer: &str| quota_of(&table, customer).is_some();
     state.membership.owners().retain(has_quota);
     state.asks.retain(|customer, _| has_quota(customer));
-    state.buckets.retain(|customer, _| has_quota(customer));
+    state.buckets.retain(|customer, bucket| has_quota(customer) || !bucket.is_full(now));
 }
 
 fn quota_of<'a>(table: &'a Table, customer: &str) -> Option<(&'a Arc<Customer>, &'a Quota)> {
--- a/crates/citron-gateway/tests/quota.rs
+++ b/crates/citron-gateway/tests/quota.rs
@@ -113,6 +113,24 @@
     assert_eq!(answer(&fleet.gateway, "south", "key-2").await.status, 200, "another customer");
 }
 
+/// Guards against a burst that is granted twice: the tokens that a customer had spent were forgotten while
+/// a version of the configuration did not name it, or gave it no limit (review/15).
+#[tokio::test]
+async fn a_customer_that_returns_to_the_configuration_has_no_second_burst() {
+    let (fleet, _others) = gateways(&["entry-1"], 0.05, 9.0).await;
+    assert_eq!(spend(&fleet.gateway, "first").await.0, 9);
+    let mut without = limited("r2", 0.05, 9.0);
+    without["tenants"].as_array_mut().expect("customers").remove(0);
+    let unlimited = limited("r4", 0.0, 0.0);
+    for (n, (config, version)) in [(without, "r3"), (unlimited, "r5")].into_iter().enumerate() {
+        fleet.store.put("config", "main", config);
+        time::sleep(Duration::from_millis(1200)).await;
+        fleet.store.put("config", "main", limited(version, 0.05, 9.0));
+        time::sleep(Duration::from_millis(1200)).await;
+        assert_eq!(spend(&fleet.gateway, &format!("again-{n}")).await.0, 0);
+    }
+}
+
 /// Hosts that start together have partial lists, and stale ones after that: each took itself for the
 /// owner of the whole quota.
 #[tokio::test]
--- a/crates/citron/src/quota/bucket.rs
+++ b/crates/citron/src/quota/bucket.rs
@@ -111,6 +111,13 @@
         true
     }
 
+    /// Returns true if it has all its tokens again, so that it is no different from a new one that starts
+    /// full.
+    pub fn is_full(&self, now: Duration) -> bool {
+        let earned = now.saturating_sub(self.updated_at).as_secs_f64() * self.share.rate_per_s;
+        self.tokens + earned >= self.share.burst
+    }
+
     /// Returns the tokens at the time of the last update.
     pub fn tokens(&self) -> f64 {
         self.tokens
