--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -217,15 +217,13 @@
     async fn receive(&self, target: &Target, response: hyper::Response<ResponseBody>) -> Attempt {
         let (head, mut body) = response.into_parts();
         let attempt = |result, verdict| Attempt::new(result, Some(verdict));
-        let echoed = text(&head.headers, ATTEMPT_ID);
-        let is_own = echoed == Some(self.id);
+        // Only the id tells which request a response is for: an earlier one may have been sent once more,
+        // and what comes after a complete response belongs to none.
+        let is_own = text(&head.headers, ATTEMPT_ID) == Some(self.id);
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         let is_refusal = head.headers.contains_key(NOT_RUN) || is_misdirected;
         let is_signed = head.headers.contains_key(SIGNATURE);
-        // An earlier response may have been sent once more; only the id tells which request it is
-        // for.
-        let needs_id = is_refusal || head.status.is_success();
-        if !is_own && (echoed.is_some() || needs_id) {
+        if !is_own {
             return attempt(AttemptResult::Foreign, Verdict::Failed);
         }
         if is_misdirected {
--- a/crates/citron-gateway/tests/attempt.rs
+++ b/crates/citron-gateway/tests/attempt.rs
@@ -56,6 +56,10 @@
 attempt_test!(a_lookup_with_a_truncated_response_is_tried_twice, Act::CutBody, lookup, 502, runs 2..=2);
 attempt_test!(a_reset_does_not_end_a_body, Act::ResetUnframed, order, 502, runs 1..=1);
 attempt_test!(a_response_to_another_request_is_dropped, Act::WrongId, order, 502, runs 1..=1);
+// Guard against bytes that belong to no request, and reach the next caller as the answer to its own
+// (review/12).
+attempt_test!(an_error_page_without_an_id_is_dropped, Act::BreakOff("HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\npage"), order, 502, runs 1..=1);
+attempt_test!(a_server_error_without_an_id_is_dropped, Act::BreakOff("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\npage"), order, 502, runs 1..=1);
 attempt_test!(an_unsigned_response_is_dropped, Act::Unsigned, order, 502, runs 1..=1);
 attempt_test!(an_invalid_response_is_dropped, Act::Garbage, order, 502, runs 1..=1);
 attempt_test!(a_second_response_is_dropped, Act::ServeTwice, lookup, 200, runs 1..=1);
