--- a/crates/citron-gateway/src/connection.rs
+++ b/crates/citron-gateway/src/connection.rs
@@ -27,15 +27,15 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::{net::TcpStream, time};
 
-use self::metered::{Allowance, Metered};
+use self::metered::{Allowance, Metered, UserTimeout};
 use crate::http1::Sending;
 
 /// How long connecting to a target may take.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long sent bytes may stay unacknowledged before the kernel closes the connection.
+/// How long sent bytes may stay unacknowledged, or without room at the target, before the kernel closes
+/// the connection, unless the request says otherwise.
 pub const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The maximum size of the head of a target's response.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
@@ -53,6 +53,7 @@
     sender: SendRequest<Sending>,
     driver: Option<Driver>,
     allowance: Allowance,
+    user_timeout: UserTimeout,
 }
 
 impl fmt::Debug for Connection {
@@ -80,15 +81,15 @@
     pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = time::timeout(timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let allowance = Allowance::default();
+        let (allowance, user_timeout) = (Allowance::default(), UserTimeout::default());
+        let metered = Metered::new(stream, allowance.clone(), user_timeout.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
             .max_headers(HEADERS_LIMIT)
-            .handshake(TokioIo::new(Metered::new(stream, allowance.clone())))
+            .handshake(TokioIo::new(metered))
             .await
             .map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), allowance })
+        Ok(Self { sender, driver: Some(Box::pin(driver)), allowance, user_timeout })
     }
 
     /// Returns true if the connection is open and has received nothing since its last response.
@@ -97,7 +98,8 @@
         polled.is_ok() && !self.sender.is_closed() && self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the head of the final response; interim ones are skipped.
+    /// Sends a request and waits for the head of the final response; interim ones are skipped. The
+    /// target may leave sent bytes unacknowledged or unread for `user_timeout`.
     ///
     /// # Errors
     /// Fails if the connection was closed or breaks, or if the response is malformed or its status
@@ -105,7 +107,9 @@
     pub async fn send(
         mut self,
         request: Request<Sending>,
+        user_timeout: Duration,
     ) -> Result<Response<ResponseBody>, Error> {
+        self.user_timeout.set(user_timeout);
         self.allowance.reset(AHEAD_LIMIT_BYTES);
         let mut pending = Box::pin(self.sender.send_request(request));
         let result = poll_fn(|cx| {
--- a/crates/citron-gateway/src/connection/metered.rs
+++ b/crates/citron-gateway/src/connection/metered.rs
@@ -5,11 +5,14 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
+use socket2::SockRef;
+
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -22,11 +25,27 @@
 #[derive(Debug, Clone, Default)]
 pub struct Allowance(Arc<AtomicU64>);
 
+/// How long the kernel keeps a connection whose sent bytes the target neither acknowledges nor has room
+/// for, in milliseconds.
+#[derive(Debug, Clone, Default)]
+pub struct UserTimeout(Arc<AtomicU32>);
+
 /// A connection to a target whose reads fail once its allowance is used up.
 #[derive(Debug)]
 pub struct Metered {
     stream: TcpStream,
     allowance: Allowance,
+    user_timeout: UserTimeout,
+    /// The timeout that the kernel was told last.
+    applied_ms: u32,
+}
+
+impl UserTimeout {
+    /// Sets the timeout from the next write on.
+    pub fn set(&self, timeout: Duration) {
+        let millis = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+        self.0.store(millis, Ordering::Relaxed);
+    }
 }
 
 impl Allowance {
@@ -48,9 +67,19 @@
 }
 
 impl Metered {
-    /// Limits what is read from `stream` to `allowance`.
-    pub fn new(stream: TcpStream, allowance: Allowance) -> Self {
-        Self { stream, allowance }
+    /// Limits what is read from `stream` to `allowance`, and keeps it as long as `user_timeout` tells.
+    pub fn new(stream: TcpStream, allowance: Allowance, user_timeout: UserTimeout) -> Self {
+        Self { stream, allowance, user_timeout, applied_ms: 0 }
+    }
+
+    fn apply_user_timeout(&mut self) -> io::Result<()> {
+        let millis = self.user_timeout.0.load(Ordering::Relaxed);
+        if millis != self.applied_ms {
+            let timeout = Duration::from_millis(millis.into());
+            SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))?;
+            self.applied_ms = millis;
+        }
+        Ok(())
     }
 }
 
@@ -76,6 +105,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_user_timeout()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -84,6 +114,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_user_timeout()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -25,7 +25,7 @@
 };
 use crate::{
     budget::Retry,
-    connection::{self, CONNECT_TIMEOUT, Connection, ResponseBody},
+    connection::{self, CONNECT_TIMEOUT, Connection, ResponseBody, USER_TIMEOUT},
     http1::{BodyStream, Response, Sending},
     refusal,
 };
@@ -33,6 +33,8 @@
 /// A response up to this size is buffered until it is complete, so that the request can be retried
 /// if the response breaks off.
 const BUFFER_LIMIT_BYTES: usize = 64 * 1024;
+/// The size, in bytes, from which the body of a request may fill what a connection holds.
+const LONG_BODY_BYTES: u64 = 16 * 1024;
 /// The maximum idle time of a connection that a non-idempotent request may reuse.
 const NON_IDEMPOTENT_IDLE_LIMIT: Duration = Duration::from_millis(500);
 /// The maximum idle time of a connection that an idempotent request may reuse.
@@ -165,7 +167,7 @@
             retry.set_sent(true);
         }
         self.pass.record_sent();
-        match connection.send(request).await {
+        match connection.send(request, self.user_timeout(retry.is_some())).await {
             Ok(response) => {
                 if let Some(retry) = retry {
                     retry.record_arrival();
@@ -191,6 +193,17 @@
         }
     }
 
+    /// Returns how long a target may leave sent bytes unread. One that works on a long request may read
+    /// its body late; the request may run then, and is not sent to another target. Retries are given up
+    /// sooner, as the retry budget counts on that.
+    fn user_timeout(&self, is_retry: bool) -> Duration {
+        let is_long = self.body.len() >= LONG_BODY_BYTES;
+        if self.route.idempotent || is_retry || !is_long {
+            return USER_TIMEOUT;
+        }
+        self.deadline.saturating_sub(self.shared.clock.now()).max(USER_TIMEOUT)
+    }
+
     /// Builds the request as the target receives it.
     fn build_request(&self, target: &Target) -> Option<Request<Sending>> {
         let mut request = Request::new(self.body.send());
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpSocket, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::{self, Instant},
 };
 
@@ -208,3 +208,54 @@
     shutdown.await.expect("the shutdown task ends without a panic");
     assert!(stopped_at.elapsed() < GRACE);
 }
+
+/// A target that reads the start of a request, and the rest of its body when it has done its work.
+async fn serve_late(listener: TcpListener, bytes: usize) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut head = vec![0; 2048];
+    let mut read = stream.read(&mut head).await.expect("the start of a request");
+    let text = String::from_utf8_lossy(&head[..read]).into_owned();
+    let id = text
+        .lines()
+        .find_map(|line| line.to_lowercase().strip_prefix("attempt-id: ").map(str::to_owned));
+    time::sleep(Duration::from_millis(3600)).await;
+    let mut part = vec![0; 64 * 1024];
+    while read < bytes {
+        let count = stream.read(&mut part).await.expect("the rest of the body");
+        assert!(count > 0, "the request is cut after {read} bytes");
+        read += count;
+    }
+    let id = id.expect("an id");
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nUpstream-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+    );
+    stream.write_all(answer.as_bytes()).await.expect("a connection");
+    let _ = stream.read(&mut part).await;
+}
+
+/// Guards against a long request that is cut while its target works on it and does not read: the kernel
+/// gives up a connection whose peer has no room for longer than the user timeout (review/8).
+#[tokio::test]
+async fn a_request_whose_target_reads_it_late_is_answered() {
+    let fleet = TestFleet::start(0).await;
+    let mut config = support::config("r2", 10.0);
+    config["limits"]["maxBodyBytes"] = serde_json::json!(10_000_000);
+    fleet.store.put("config", "main", config);
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
+    let entry = serde_json::json!({
+        "address": listener.local_addr().expect("its address"), "born": 1,
+        "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 3},
+        "status": {"state": "ready", "sequence": 1, "warmupLeftS": 0},
+    });
+    fleet.store.put("servers", "late", entry);
+    time::sleep(Duration::from_millis(1000)).await;
+    let body = "x".repeat(8_000_000);
+    let target = tokio::spawn(serve_late(listener, body.len()));
+    let mut caller = fleet.caller().await;
+    caller.send(&Request { body: &body, remaining_ms: 12_000, ..order("upload") }.text()).await;
+    assert_eq!(caller.answer().await.status, 200);
+    target.abort();
+}
