Refill the room of a retry only from its end on

Change: record_arrival and refund take the time and settle first; a retry that is given up leaves room from then on.

--- a/crates/citron-gateway/src/budget.rs
+++ b/crates/citron-gateway/src/budget.rs
@@ -176,7 +176,8 @@
     pub fn record_arrival(&self) {
         match &self.token {
             Token::Own(ticket) => {
-                self.shared.budgets.with_known(&self.service, |b| b.record_arrival(*ticket));
+                let now = self.shared.clock.now();
+                self.shared.budgets.with_known(&self.service, |b| b.record_arrival(*ticket, now));
             }
             Token::Lent(lent) => loan::end(&self.shared, lent, loan::End::Arrived),
         }
@@ -190,7 +191,8 @@
         }
         match &self.token {
             Token::Own(ticket) => {
-                self.shared.budgets.with_known(&self.service, |bucket| bucket.refund(*ticket));
+                let now = self.shared.clock.now();
+                self.shared.budgets.with_known(&self.service, |b| b.refund(*ticket, now));
             }
             Token::Lent(lent) => loan::end(&self.shared, lent, loan::End::Returned),
         }
--- a/crates/citron-gateway/src/budget/loan.rs
+++ b/crates/citron-gateway/src/budget/loan.rs
@@ -278,9 +278,10 @@
         return Err(Ignored::EarlierProcess);
     }
     let ticket = Ticket(message.ticket);
+    let now = shared.clock.now();
     shared.budgets.with_known(&message.service, |bucket| match end {
-        End::Arrived => bucket.record_arrival(ticket),
-        End::Returned => bucket.refund(ticket),
+        End::Arrived => bucket.record_arrival(ticket, now),
+        End::Returned => bucket.refund(ticket, now),
     });
     Ok(())
 }
--- a/crates/citron-proxy/src/forward.rs
+++ b/crates/citron-proxy/src/forward.rs
@@ -85,7 +85,7 @@
         let mut disconnected = std::pin::pin!(disconnected);
         let mut tried = SmallVec::<[String; 4]>::new();
         let mut response = None;
-        let mut retry = Charge::new(service);
+        let mut retry = Charge::new(service, self.shared.clock);
         loop {
             let now = self.shared.clock.now();
             match series.next_step(now, || retry.withdraw(now)) {
--- a/crates/citron-proxy/src/retry.rs
+++ b/crates/citron-proxy/src/retry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use citron::attempt::{AttemptResult, Ticket};
+use citron_daemon::Clock;
 
 use crate::service::{RETRY_SHARE, Service};
 
@@ -11,13 +12,14 @@
 #[derive(Debug)]
 pub struct Charge<'a> {
     service: &'a Service,
+    clock: Clock,
     ticket: Option<Ticket>,
 }
 
 impl<'a> Charge<'a> {
     /// Creates the charge of a request's first attempt, which costs nothing.
-    pub fn new(service: &'a Service) -> Self {
-        Self { service, ticket: None }
+    pub fn new(service: &'a Service, clock: Clock) -> Self {
+        Self { service, clock, ticket: None }
     }
 
     /// Charges a retry, unless one is charged that was not sent; returns false if the budget does
@@ -41,7 +43,7 @@
             | AttemptResult::Shed
             | AttemptResult::Foreign => {
                 if let Some(ticket) = self.ticket.take() {
-                    self.service.retry_budget.lock().record_arrival(ticket);
+                    self.service.retry_budget.lock().record_arrival(ticket, self.clock.now());
                 }
             }
         }
@@ -51,7 +53,7 @@
 impl Drop for Charge<'_> {
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket.take() {
-            self.service.retry_budget.lock().refund(ticket);
+            self.service.retry_budget.lock().refund(ticket, self.clock.now());
         }
     }
 }
--- a/crates/citron/src/attempt/bucket.rs
+++ b/crates/citron/src/attempt/bucket.rs
@@ -168,15 +168,16 @@
         self.spend(now, self.flight + LOAN_TERM)
     }
 
-    /// Records that a retry has arrived.
-    pub fn record_arrival(&mut self, ticket: Ticket) {
+    /// Records that a retry has arrived. The room that it leaves is refilled from now on.
+    pub fn record_arrival(&mut self, ticket: Ticket, now: Duration) {
+        self.settle(now);
         self.in_flight.retain(|(other, _)| *other != ticket);
     }
 
     /// Returns the token of a retry that was not sent.
-    pub fn refund(&mut self, ticket: Ticket) {
+    pub fn refund(&mut self, ticket: Ticket, now: Duration) {
         let before = self.in_flight.len();
-        self.record_arrival(ticket);
+        self.record_arrival(ticket, now);
         if self.in_flight.len() < before {
             self.add_tokens(1.0);
         }
@@ -194,15 +195,31 @@
 
     /// Applies the time that has passed, and the current share.
     fn update(&mut self, share: &RetryShare, now: Duration) {
-        self.in_flight.retain(|(_, until)| *until > now);
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.updated_at = self.updated_at.max(now);
         self.share = *share;
+        self.settle(now);
         if self.starts_full && now >= self.starts_at && share.burst > 0.0 {
             self.starts_full = false;
             self.add_tokens(share.burst);
         }
-        self.add_tokens(elapsed * share.refill_per_s);
+    }
+
+    /// Adds the tokens of the time that has passed. A retry that is given up as lost leaves room from then
+    /// on, and not for the time before.
+    fn settle(&mut self, now: Duration) {
+        let ends = |in_flight: &[(Ticket, Duration)]| {
+            in_flight.iter().map(|(_, until)| *until).filter(|until| *until <= now).min()
+        };
+        while let Some(end) = ends(&self.in_flight) {
+            self.refill(end);
+            self.in_flight.retain(|(_, until)| *until > end);
+        }
+        self.refill(now);
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        self.add_tokens(elapsed * self.share.refill_per_s);
     }
 
     /// Spends a token for a retry that arrives within `flight` or never.
--- a/crates/citron/tests/attempt.rs
+++ b/crates/citron/tests/attempt.rs
@@ -44,7 +44,7 @@
         let mut bucket = self.bucket.borrow_mut();
         let ticket = bucket.withdraw(&self.share, Self::NOW);
         ticket.is_ok_and(|ticket| {
-            bucket.record_arrival(ticket);
+            bucket.record_arrival(ticket, Self::NOW);
             true
         })
     }
--- a/crates/citron/tests/retry_bucket.rs
+++ b/crates/citron/tests/retry_bucket.rs
@@ -39,7 +39,7 @@
 fn spend(bucket: &mut RetryBucket, share: &RetryShare, now: Duration) -> (usize, Denial) {
     for count in 0.. {
         match bucket.withdraw(share, now) {
-            Ok(ticket) => bucket.record_arrival(ticket),
+            Ok(ticket) => bucket.record_arrival(ticket, now),
             Err(denial) => return (count, denial),
         }
     }
@@ -129,13 +129,32 @@
     assert!(bucket.withdraw(&share(), at(63.0)).is_ok());
 }
 
+/// Guards against a bucket that refills, once a retry has arrived or is given up, for the time in which
+/// that retry left it no room.
+#[test]
+fn the_room_of_a_retry_is_refilled_only_from_its_end_on() {
+    let arrives: fn(&mut RetryBucket, Ticket) =
+        |bucket, ticket| bucket.record_arrival(ticket, at(62.9));
+    let is_lost: fn(&mut RetryBucket, Ticket) = |_, _| {};
+    for end in [arrives, is_lost] {
+        let mut bucket = full();
+        let ticket = bucket.withdraw(&share(), at(60.0)).expect("a token");
+        let before = bucket.tokens();
+        end(&mut bucket, ticket);
+        bucket.record_request(&RetryShare { ratio: 0.0, ..share() }, at(63.0));
+        let refilled = bucket.tokens() - before;
+        let possible = share().refill_per_s * 0.1;
+        assert!(refilled <= possible + 1e-6, "{refilled} of {possible}");
+    }
+}
+
 #[test]
 fn a_retry_that_was_not_sent_returns_its_token_once() {
     let mut bucket = full();
     let ticket: Ticket = bucket.withdraw(&share(), at(60.0)).expect("a token");
     assert!(bucket.withdraw(&share(), at(60.0)).is_ok());
-    bucket.refund(ticket);
-    bucket.refund(ticket);
+    bucket.refund(ticket, at(60.0));
+    bucket.refund(ticket, at(60.0));
     assert!(bucket.withdraw(&share(), at(60.0)).is_ok());
     assert!(bucket.withdraw(&share(), at(60.0)).is_err());
 }
@@ -220,7 +239,7 @@
                 bucket.record_request(&share(), now);
                 requests.push_back(now);
             } else if let Ok(ticket) = bucket.withdraw(&share(), now) {
-                bucket.record_arrival(ticket);
+                bucket.record_arrival(ticket, now);
                 retries.push_back(now);
             }
             let span = Duration::from_millis(rng.random_range(1..20_000));
--- a/crates/citron/tests/retry_fleet.rs
+++ b/crates/citron/tests/retry_fleet.rs
@@ -279,7 +279,7 @@
                 }
             }
             Event::Arrival { process: number, ticket } if number == process.number => {
-                process.bucket.record_arrival(ticket);
+                process.bucket.record_arrival(ticket, process.now(at));
             }
             Event::Arrival { .. } => {}
             Event::Asked(ask) => {
@@ -304,9 +304,9 @@
             Event::Lent { .. } => {}
             Event::Told { token, used } if token.process == process.number => {
                 if used {
-                    process.bucket.record_arrival(token.ticket);
+                    process.bucket.record_arrival(token.ticket, process.now(at));
                 } else {
-                    process.bucket.refund(token.ticket);
+                    process.bucket.refund(token.ticket, process.now(at));
                 }
             }
             Event::Told { .. } => {}
--- a/crates/citron/tests/wait_world/mod.rs
+++ b/crates/citron/tests/wait_world/mod.rs
@@ -253,7 +253,7 @@
     fn withdraw(&mut self, host: usize, now: u64) -> bool {
         let Host { bucket, share, .. } = &mut self.hosts[host];
         let ticket = bucket.withdraw(share, ms(now));
-        ticket.map(|ticket| bucket.record_arrival(ticket)).is_ok()
+        ticket.map(|ticket| bucket.record_arrival(ticket, ms(now))).is_ok()
     }
 
     fn borrow(&mut self, host: usize, now: u64) -> bool {
@@ -264,7 +264,7 @@
             let lender = self.rng.random_range(0..HOSTS);
             let Host { bucket, share, .. } = &mut self.hosts[lender];
             if let Ok(ticket) = bucket.lend(share, ms(now)) {
-                bucket.record_arrival(ticket);
+                bucket.record_arrival(ticket, ms(now));
                 return true;
             }
         }
