Refuse a chunk of the largest size by the limit of a body

Change: the size is compared with what the limit leaves.

Evidence: a_chunk_of_the_largest_size panicked in the decoder before (debug build), and gets 413 now.

--- a/crates/citron-gateway/src/http1/body.rs
+++ b/crates/citron-gateway/src/http1/body.rs
@@ -76,7 +76,7 @@
                 State::ChunkSize => {
                     let Some(line) = take_line(buffer)? else { return Ok(None) };
                     let size = chunk_size(&line)?;
-                    if self.collected.len() + size > self.limit {
+                    if size > self.limit.saturating_sub(self.collected.len()) {
                         return Err(ParseError::BodyTooLong);
                     }
                     self.state = if size == 0 { State::Trailer } else { State::ChunkData(size) };
--- a/crates/citron-gateway/tests/request.rs
+++ b/crates/citron-gateway/tests/request.rs
@@ -154,6 +154,13 @@
         .to_owned(),
     413
 );
+// Guards against a sum of the sizes that wraps, so that the limit does not hold.
+refused!(
+    a_chunk_of_the_largest_size,
+    "POST /orders/1 HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nffffffffffffffff\r\nyz"
+        .to_owned(),
+    413
+);
 refused!(slow_head, "GET /lots/1 HTTP/1.1\r\nHost: one".to_owned(), 408);
 
 #[tokio::test]
