Take a list that an earlier call began for no confirmation

Change: List::is_resumed; the response to such a call is not current, and the next call, which waits for nothing, confirms.

--- a/crates/citron-gateway/src/follow/call.rs
+++ b/crates/citron-gateway/src/follow/call.rs
@@ -158,7 +158,7 @@
         list.objects.len(),
         shared.clock.now().saturating_sub(begun_at).as_millis()
     );
-    let is_current = query.recency == Recency::Current;
+    let is_current = query.recency == Recency::Current && !list.is_resumed;
     Ok(Response { cursor: Some(list.position), has_news: true, is_current })
 }
 
