--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -43,6 +43,8 @@
         metrics_port: Option<u16>,
         clock: Clock,
     ) -> eyre::Result<Self> {
+        // Before anything tells that the process runs.
+        let hangup = reload::listen().wrap_err("cannot handle SIGHUP")?;
         let metrics = Metrics::open().wrap_err("cannot register the metrics")?;
         let store = Store::open(settings.store, settings.object_bytes)
             .wrap_err("cannot create the store client")?;
@@ -90,7 +92,7 @@
         tokio::spawn(peer::send_loans(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::send_quotas(Arc::clone(&shared), Arc::clone(&socket)));
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
-        reload::spawn(Arc::clone(&shared), store.clone()).wrap_err("cannot handle SIGHUP")?;
+        reload::spawn(Arc::clone(&shared), store.clone(), hangup);
         tokio::spawn(sweep(Arc::clone(&shared)));
         tokio::spawn(budget::watch_standstill(Arc::clone(&shared)));
         tokio::spawn(load::watch(Arc::clone(&shared)));
--- a/crates/citron-gateway/src/reload.rs
+++ b/crates/citron-gateway/src/reload.rs
@@ -13,14 +13,17 @@
 /// The interval at which the settings file is read without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Starts a task that reloads the settings on SIGHUP and when the file has changed.
+/// Handles SIGHUP from now on, which would end the process.
 ///
 /// # Errors
 /// Fails if the signal cannot be handled.
-pub fn spawn(shared: Arc<Shared>, store: Store) -> std::io::Result<()> {
-    let hangup = signal(SignalKind::hangup())?;
+pub fn listen() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Starts a task that reloads the settings on SIGHUP and when the file has changed.
+pub fn spawn(shared: Arc<Shared>, store: Store, hangup: Signal) {
     tokio::spawn(watch(shared, store, hangup));
-    Ok(())
 }
 
 async fn watch(shared: Arc<Shared>, store: Store, mut hangup: Signal) {
