Read a confirmation before the state that it is taken to confirm

Cause: a report named the edition of the routes and read when they were confirmed afterwards; and a request looked its key up in the table before the lease was read.

Change: both read the confirmation first; what is read later can only be newer.

Evidence: by reading; no run showed it.

--- a/crates/citron-gateway/src/access.rs
+++ b/crates/citron-gateway/src/access.rs
@@ -51,7 +51,9 @@
     }
 }
 
-/// Decides as whose a request that arrived at `arrived_at` is accepted.
+/// Decides as whose a request that arrived at `arrived_at` is accepted. The routes were last known to be
+/// complete at `confirmed_at`, which must have been read before `table`: a later confirmation may be of
+/// newer routes.
 ///
 /// # Errors
 /// Fails with the reason if it must not run.
@@ -61,12 +63,13 @@
     route: &Route,
     headers: &HeaderMap,
     arrived_at: Duration,
+    confirmed_at: Option<Duration>,
 ) -> Result<Access, Denied> {
     let Some(customers) = &table.customers else { return Ok(Access::Unrestricted) };
     if route.open {
         return Ok(Access::Open);
     }
-    if !shared.key_lease_covers(arrived_at) {
+    if !shared.key_lease_covers_since(confirmed_at, arrived_at) {
         return Err(Denied::KeysUnconfirmed);
     }
     let mut keys = headers.get_all(KEY).iter();
@@ -83,7 +86,6 @@
     if table.unsettled.may_lack_keys {
         return Err(Denied::KeysUnconfirmed);
     }
-    let confirmed_at = shared.routes_confirmed_at();
     let now = shared.clock.now();
     match confirmed_at.is_some_and(|at| now.saturating_sub(at) < UNKNOWN_KEY_MAX_AGE) {
         true => Err(Denied::KeyInvalid),
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -112,6 +112,7 @@
     let id = text(&head.headers, ATTEMPT_ID).unwrap_or("-").to_owned();
     let host = text(&head.headers, HOST.as_str()).unwrap_or_default();
     let path = head.uri.path();
+    let confirmed_at = shared.keys_confirmed_at();
     let Some(routes) = shared.routes().filter(|_| shared.has_joined()) else {
         log::info!("event=request id={id} outcome=not-run reason=routes-unknown status=503");
         shared.metrics.record_refusal("routes-unknown");
@@ -132,7 +133,9 @@
         shared.metrics.record_refusal("no-route");
         return refusal::no_route();
     };
-    let access = match access::authorize(&shared, &routes, &route, &head.headers, received_at) {
+    let authorized =
+        access::authorize(&shared, &routes, &route, &head.headers, received_at, confirmed_at);
+    let access = match authorized {
         Ok(access) => access,
         Err(denied) => {
             let response = refusal::denied(denied);
--- a/crates/citron-gateway/src/peer/broadcast.rs
+++ b/crates/citron-gateway/src/peer/broadcast.rs
@@ -256,6 +256,8 @@
     let settings = shared.settings();
     let now = shared.clock.now();
     let contact = shared.link.contact(now);
+    // Before what it confirms, which may be newer by then, but must not be older.
+    let confirmed_at = shared.own_confirmed_at();
     let position = shared.targets.lock().catalog.position();
     let load = shared.load();
     let list = members::report(shared);
@@ -290,7 +292,7 @@
         store_response_age_ms: contact.map(|contact| age_ms(contact.last)),
         store_era: contact.map_or(0, |contact| contact.era),
         sent_ms: now.as_millis() as u64,
-        confirmed_age_ms: shared.own_confirmed_at().map(age_ms),
+        confirmed_age_ms: confirmed_at.map(age_ms),
         store_silence: shared.link.silence().map(|silence| message::Silence {
             unanswered_age_ms: age_ms(silence.unanswered_at),
             returned_age_ms: silence.returned_at.map(age_ms),
--- a/crates/citron-gateway/src/shared/key_lease.rs
+++ b/crates/citron-gateway/src/shared/key_lease.rs
@@ -22,6 +22,13 @@
         self.key_lease.lock().covers(arrived_at, confirmed_at, bound)
     }
 
+    /// Returns when the keys in force were last known to be complete, if there are customers.
+    pub fn keys_confirmed_at(&self) -> Option<Duration> {
+        let has_customers =
+            self.routes.read().as_ref().is_some_and(|table| table.customers.is_some());
+        if has_customers { self.routes_confirmed_at() } else { None }
+    }
+
     /// Returns true if this gateway accepts requests with keys now, or if there are no customers.
     pub fn accepts_keys(&self) -> bool {
         let has_customers = self.routes().is_some_and(|routes| routes.customers.is_some());
