--- a/crates/citron-gateway/src/caller.rs
+++ b/crates/citron-gateway/src/caller.rs
@@ -28,7 +28,7 @@
     http1::{self, BodyDecoder, Head, Length, ParseError, Response, Segments},
     memory::Reservation,
     refusal,
-    shared::{InFlight, Shared},
+    shared::{InFlight, Receiving, Shared},
 };
 
 /// The maximum number of requests of one connection that are forwarded concurrently.
@@ -75,6 +75,7 @@
         pipeline: Pipeline::default(),
         since: Instant::now(),
         received_by: None,
+        receiving: None,
         closing: None,
     };
     match connection.run(&mut reader).await {
@@ -82,6 +83,7 @@
         Ok(End::Closed) => {}
         Err(error) => log::debug!("event=caller-lost reason={:?}", error.to_string()),
     }
+    connection.receiving = None;
     connection.close(&mut reader).await;
 }
 
@@ -110,6 +112,8 @@
     since: Instant,
     /// By when the caller has received the latest response, or is not waited for.
     received_by: Option<Instant>,
+    /// Keeps the process running while a request is being received.
+    receiving: Option<Receiving>,
     /// Keeps the process running until the connection is closed.
     closing: Option<InFlight>,
 }
@@ -119,6 +123,7 @@
         let shared = Arc::clone(&self.shared);
         loop {
             self.parse_requests().await?;
+            self.track_receiving();
             // Created before `is_finished` checks for a shutdown, so that one in between still wakes
             // this task.
             let shutdown = shared.shutdown_started.notified();
@@ -248,7 +253,10 @@
         }
         let shared = Arc::clone(&self.shared);
         let received_at = shared.clock.now();
-        let in_flight = Some(shared.track_request());
+        let in_flight = shared.track_request();
+        if in_flight.is_none() {
+            return self.refuse_at_end();
+        }
         shared.own_load.count_request();
         self.pipeline.push(async move {
             let response = forward::forward(shared, *head, body, received_at).await;
@@ -279,11 +287,28 @@
         self.push_refusal(refusal::memory_full(), keep_alive);
     }
 
+    /// Refuses a request that is complete when the process already ends.
+    fn refuse_at_end(&mut self) {
+        log::info!("event=refused id=- outcome=not-run reason=stopping status=503");
+        self.shared.metrics.record_refusal("stopping");
+        self.read_state = ReadState::Closed;
+        self.push_refusal(refusal::stopping(), false);
+    }
+
     fn push_refusal(&mut self, response: Response, keep_alive: bool) {
         self.pipeline
             .push(async move { Reply { response, keep_alive, in_flight: None, memory: None } });
     }
 
+    /// Counts a request of which a part has arrived, so that a shutdown waits for the rest.
+    fn track_receiving(&mut self) {
+        let is_closed = matches!(self.read_state, ReadState::Closed);
+        let is_receiving = !is_closed && !self.is_between_requests();
+        if is_receiving != self.receiving.is_some() {
+            self.receiving = is_receiving.then(|| self.shared.track_receiving());
+        }
+    }
+
     fn is_finished(&self) -> bool {
         let no_more_requests = matches!(self.read_state, ReadState::Closed)
             || (self.is_between_requests() && self.shared.is_shutting_down());
--- a/crates/citron-gateway/src/caller/close.rs
+++ b/crates/citron-gateway/src/caller/close.rs
@@ -55,7 +55,7 @@
     pub(super) async fn close(&mut self, reader: &mut ReadHalf<'_>) {
         let is_receiving = self.received_by.is_some_and(|by| Instant::now() < by);
         if is_receiving && self.closing.is_none() {
-            self.closing = Some(self.shared.track_request());
+            self.closing = self.shared.track_request();
         }
         self.pipeline.clear();
         if self.writer.shutdown().await.is_err() {
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -144,12 +144,17 @@
             log::info!("event=leaving in_flight={}", self.shared.in_flight());
             self.shared.begin_shutdown();
         }
+        let mut may_end = false;
         loop {
-            match shutdown.step(clock.now(), self.shared.in_flight()) {
+            match shutdown.step(clock.now(), self.shared.unfinished()) {
                 Some(Action::StopAccepting) => self.accept.abort(),
-                Some(Action::ShutDown) => break,
+                Some(Action::ShutDown) => may_end = true,
                 Some(Action::Announce) | None => time::sleep(SHUTDOWN_POLL_INTERVAL).await,
             }
+            // A request that became complete since is answered first.
+            if may_end && self.shared.close() {
+                break;
+            }
         }
         log::info!("event=stopped");
         drop(self.servers);
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -6,7 +6,7 @@
 mod store;
 mod update;
 
-pub use self::lifecycle::InFlight;
+pub use self::lifecycle::{InFlight, Receiving};
 
 use std::{
     collections::HashMap,
@@ -121,6 +121,7 @@
     /// Wakes the task that pulls targets when a peer has a newer list.
     pub targets_behind: Notify,
     in_flight: AtomicUsize,
+    receiving: AtomicUsize,
     /// What this gateway measures of itself.
     pub own_load: OwnLoad,
 }
@@ -168,6 +169,7 @@
             routes_behind: Notify::new(),
             targets_behind: Notify::new(),
             in_flight: AtomicUsize::new(0),
+            receiving: AtomicUsize::new(0),
             own_load: OwnLoad::default(),
         }
     }
--- a/crates/citron-gateway/src/shared/lifecycle.rs
+++ b/crates/citron-gateway/src/shared/lifecycle.rs
@@ -10,10 +10,17 @@
 
 use super::Shared;
 
+/// The bit of the number of requests in flight that is set once no request may begin any more.
+const CLOSED: usize = 1 << (usize::BITS - 1);
+
 /// A guard that counts a request as in flight until it is dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<Shared>);
 
+/// A guard that counts a request as being received until it is dropped.
+#[derive(Debug)]
+pub struct Receiving(Arc<Shared>);
+
 impl Shared {
     /// Returns true if this gateway accepts callers.
     pub fn is_ready(&self) -> bool {
@@ -65,20 +72,51 @@
         self.shutdown_started.notify_waiters();
     }
 
-    /// Counts a request as in flight until the returned guard is dropped.
-    pub fn track_request(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight(Arc::clone(self))
+    /// Counts a request as in flight until the returned guard is dropped; `None` if no request may
+    /// begin, as the process ends.
+    pub fn track_request(self: &Arc<Self>) -> Option<InFlight> {
+        let begin = |count| (count & CLOSED == 0).then_some(count + 1);
+        let begun = self.in_flight.fetch_update(Ordering::AcqRel, Ordering::Acquire, begin);
+        begun.ok().map(|_| InFlight(Arc::clone(self)))
     }
 
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
+        self.in_flight.load(Ordering::Acquire) & !CLOSED
+    }
+
+    /// Counts a request of which a part has arrived as being received until the returned guard is
+    /// dropped.
+    pub fn track_receiving(self: &Arc<Self>) -> Receiving {
+        self.receiving.fetch_add(1, Ordering::AcqRel);
+        Receiving(Arc::clone(self))
+    }
+
+    /// Returns how many requests a shutdown waits for: those in flight, and as long as they could be
+    /// answered those that are being received.
+    pub fn unfinished(&self) -> usize {
+        let now = self.clock.now();
+        let waits = self.serve_until().is_none_or(|until| now < until);
+        let receiving = if waits { self.receiving.load(Ordering::Acquire) } else { 0 };
+        self.in_flight() + receiving
+    }
+
+    /// Ends the acceptance of requests if none is in flight; returns true once it has ended.
+    pub fn close(&self) -> bool {
+        let closed =
+            self.in_flight.compare_exchange(0, CLOSED, Ordering::AcqRel, Ordering::Acquire);
+        closed.is_ok() || closed == Err(CLOSED)
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Drop for Receiving {
+    fn drop(&mut self) {
+        self.0.receiving.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/citron-gateway/tests/planned_stop.rs
+++ b/crates/citron-gateway/tests/planned_stop.rs
@@ -46,6 +46,48 @@
     shutdown.await.expect("the shutdown task ends without a panic");
 }
 
+/// Guards against a process that ends while requests are coming in: those that became complete as it ended
+/// were passed on, run and never answered (review/11).
+#[tokio::test]
+async fn a_request_that_is_being_received_at_the_stop_is_answered() {
+    let fleet = TestFleet::start(1).await;
+    let text = order("slow").text();
+    let mut callers = Vec::new();
+    // Parts of the head, all of it, and all but the last byte.
+    for length in [20, text.len() - 7, text.len() - 1] {
+        let mut caller = fleet.caller().await;
+        caller.send(&text[..length]).await;
+        callers.push((caller, length));
+    }
+    time::sleep(Duration::from_millis(100)).await;
+    let TestFleet { gateway, targets, store: _store } = fleet;
+    let stopped_at = Instant::now();
+    let shutdown = tokio::spawn(gateway.shut_down());
+    for (n, (mut caller, length)) in callers.into_iter().enumerate() {
+        time::sleep_until(stopped_at + Duration::from_millis(200 + 700 * n as u64)).await;
+        assert!(!shutdown.is_finished(), "the process must wait for caller {n}");
+        caller.send(&text[length..]).await;
+        assert_eq!(caller.answer().await.status, 200, "caller {n}");
+    }
+    assert_eq!(targets[0].runs("slow"), 3);
+    shutdown.await.expect("the shutdown task ends without a panic");
+    assert!(stopped_at.elapsed() < Duration::from_secs(3), "nothing is left to wait for");
+}
+
+#[tokio::test]
+async fn a_request_that_never_becomes_complete_does_not_outlast_the_grace() {
+    let fleet = TestFleet::start(1).await;
+    let text = order("endless").text();
+    let mut caller = fleet.caller().await;
+    caller.send(&text[..text.len() - 1]).await;
+    time::sleep(Duration::from_millis(100)).await;
+    let TestFleet { gateway, targets, store: _store } = fleet;
+    let stopped_at = Instant::now();
+    gateway.shut_down().await;
+    assert!(stopped_at.elapsed() < GRACE, "{:?}", stopped_at.elapsed());
+    assert_eq!(targets[0].runs("endless"), 0);
+}
+
 #[tokio::test]
 async fn a_request_that_would_outlast_the_grace_is_answered_before_its_end() {
     let fleet = TestFleet::start(1).await;
