--- a/crates/citron-gateway/tests/odd_config.rs
+++ b/crates/citron-gateway/tests/odd_config.rs
@@ -35,11 +35,21 @@
 
 /// Starts a gateway under `config`, which accepts the key of `north`.
 async fn fleet(config: Value) -> TestFleet {
+    fleet_with(config, false).await
+}
+
+/// Starts the same as the first process of its host, so that quotas are granted at once.
+async fn fleet_of_new_hosts(config: Value) -> TestFleet {
+    fleet_with(config, true).await
+}
+
+async fn fleet_with(config: Value, is_first_start: bool) -> TestFleet {
     let store = Store::bind().await;
     store.put("config", "main", config);
     let target = Target::bind("t0").await;
     store.put("servers", &target.id, target.entry("ready"));
-    let gateway = support::Gateway::bind(settings(&store), None, running_clock()).await;
+    let settings = support::Settings { is_first_start, ..settings(&store) };
+    let gateway = support::Gateway::bind(settings, None, running_clock()).await;
     let fleet = TestFleet { store, targets: vec![target], gateway: gateway.expect("a gateway") };
     fleet.wait_ready().await;
     eventually("the keys are confirmed", async || status(&fleet, NORTH).await == 200).await;
@@ -131,3 +141,33 @@
     assert!(answer.header("retry-after").is_some());
     assert_eq!(status(&fleet, "Api-Key: key-9\r\n").await, 401, "all keys are known");
 }
+
+/// Numbers of any size are allowed: none makes a sum overflow, and requests are served under all of them.
+#[tokio::test]
+async fn numbers_of_any_size_are_in_force() {
+    for (version, number) in [("r2", 1e300), ("r3", 1e-300), ("r4", 1e18), ("r5", 0.5)] {
+        let mut config = customers(version, true);
+        for limit in ["maxHeaderBytes", "maxBodyBytes", "headerTimeoutS", "idleTimeoutS"] {
+            config["limits"][limit] = json!(f64::max(number, 9000.0));
+        }
+        config["services"][0]["maxConns"] = json!(f64::max(number, 1.0));
+        config["tenants"][0]["ratePerS"] = json!(number);
+        config["tenants"][0]["burst"] = json!(f64::max(number, 3.0));
+        config["tenants"][0]["priority"] = json!(number);
+        let route = &mut config["hosts"][0]["paths"][0];
+        route["timeoutS"] = json!(f64::max(number, 1.0));
+        route["targetLatencyS"] = json!(number);
+        route["maxAttempts"] = json!(number);
+        route["priority"] = json!(number);
+        route["backends"] =
+            json!([{"service": "desk", "weight": number}, {"service": "desk", "weight": 1}]);
+        let fleet = fleet_of_new_hosts(config).await;
+        assert_eq!(status(&fleet, NORTH).await, 200, "{number}");
+        assert_eq!(status(&fleet, SOUTH).await, 200, "{number}");
+        for _ in 0..4 {
+            let answer = fleet.send(&Request { extra: NORTH, ..lookup("more") }).await;
+            assert!([200, 429].contains(&answer.status), "{number}: {answer:?}");
+        }
+        assert_eq!(fleet.send(&support::download("open")).await.status, 200, "{number}");
+    }
+}
--- a/crates/citron/src/quota/bucket.rs
+++ b/crates/citron/src/quota/bucket.rs
@@ -12,6 +12,9 @@
 /// again. Without it, all of them would ask for the same token.
 const STAGGER_MAX: Duration = Duration::from_secs(1);
 
+/// The longest time after which a host is told to ask again.
+const WAIT_MAX: Duration = Duration::from_secs(3600);
+
 /// Tokens within this of a whole one count as whole.
 const ROUNDING: f64 = 1e-9;
 
@@ -141,7 +144,7 @@
     }
 
     fn time_for(&self, tokens: f64) -> Duration {
-        Duration::try_from_secs_f64(tokens / self.share.rate_per_s)
-            .unwrap_or(Duration::from_secs(3600))
+        let time = Duration::try_from_secs_f64(tokens / self.share.rate_per_s);
+        time.unwrap_or(WAIT_MAX).min(WAIT_MAX)
     }
 }
