Take the retry budgets, loans and the load's counters out of the import circle

shared.rs imported budget.rs, budget/loan.rs and load.rs, which imported it. The state that Shared holds stands by itself now: budget.rs (the buckets), loans.rs (what this gateway borrows) and load.rs (its counters). What needs Shared is retry.rs (a retry and its token), retry/loan.rs (the messages) and shared/load.rs (the load, and to which gateways callers are sent). No behaviour changes. waiting.rs and quota.rs with its two parts still import Shared and are imported by it.

--- a/crates/citron-gateway/src/budget.rs
+++ b/crates/citron-gateway/src/budget.rs
@@ -1,24 +1,17 @@
 //! The retry budgets of the services.
 
-pub mod loan;
-
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use citron::attempt::{Denial, LOAN_TERM, RetryBucket, RetryShare, Standstill, Ticket};
 use parking_lot::Mutex;
-use tokio::time;
 
-use self::loan::Lent;
-use crate::{
-    connection::{CONNECT_TIMEOUT, USER_TIMEOUT},
-    shared::Shared,
-};
+use crate::connection::{CONNECT_TIMEOUT, USER_TIMEOUT};
 
 /// How long after its withdrawal a retry may still arrive: then its connection was not established,
 /// or the kernel has given up bytes that are not acknowledged.
 const RETRY_FLIGHT: Duration = CONNECT_TIMEOUT.saturating_add(USER_TIMEOUT);
 /// The interval between two looks at whether the process stands still.
-const TICK: Duration = Duration::from_millis(100);
+pub const TICK: Duration = Duration::from_millis(100);
 
 /// This host's shares of the fleet's retry budgets, by service.
 #[derive(Debug)]
@@ -71,13 +64,19 @@
     }
 
     /// Spends a token of a service's budget.
-    fn withdraw(&self, service: &Arc<str>, now: Duration) -> Result<Ticket, Denial> {
+    ///
+    /// # Errors
+    /// Fails with the reason if there is none.
+    pub fn withdraw(&self, service: &Arc<str>, now: Duration) -> Result<Ticket, Denial> {
         let mut state = self.state.lock();
         state.with_bucket(service, |bucket, share| bucket.withdraw(share, now))
     }
 
     /// Spends a token of a service's budget for a retry of another host.
-    fn lend(&self, service: &Arc<str>, now: Duration) -> Result<Ticket, Denial> {
+    ///
+    /// # Errors
+    /// Fails with the reason if there is none.
+    pub fn lend(&self, service: &Arc<str>, now: Duration) -> Result<Ticket, Denial> {
         let mut state = self.state.lock();
         state.with_bucket(service, |bucket, share| bucket.lend(share, now))
     }
@@ -89,7 +88,13 @@
         levels.map(|(name, b)| (Arc::clone(name), b.tokens(), b.in_flight())).collect()
     }
 
-    fn with_known(&self, service: &str, update: impl FnOnce(&mut RetryBucket)) {
+    /// Records that this process runs; returns how long it stood still before, if it did.
+    pub fn tick(&self, now: Duration) -> Option<Duration> {
+        self.state.lock().standstill.tick(now)
+    }
+
+    /// Updates the budget of a service, if there is one.
+    pub fn with_known(&self, service: &str, update: impl FnOnce(&mut RetryBucket)) {
         if let Some(bucket) = self.state.lock().buckets.get_mut(service) {
             update(bucket);
         }
@@ -110,91 +115,3 @@
         update(bucket, &self.share)
     }
 }
-
-/// Records that this process runs, until it ends.
-pub async fn watch_standstill(shared: Arc<Shared>) {
-    loop {
-        let stood_for = shared.budgets.state.lock().standstill.tick(shared.clock.now());
-        if let Some(stood_for) = stood_for {
-            log::warn!("event=stood-still for_ms={}", stood_for.as_millis());
-        }
-        time::sleep(TICK).await;
-    }
-}
-
-/// A retry that the budget allowed. Dropping it returns its token if it was not sent.
-#[derive(Debug)]
-pub struct Retry {
-    shared: Arc<Shared>,
-    service: Arc<str>,
-    token: Token,
-    sent: bool,
-}
-
-/// What a retry is paid with.
-#[derive(Debug)]
-enum Token {
-    /// A token of this host.
-    Own(Ticket),
-    /// A token that another host lent.
-    Lent(Lent),
-}
-
-impl Retry {
-    /// Spends a token of a service's budget.
-    ///
-    /// # Errors
-    /// Fails with the reason if no retry is allowed.
-    pub fn withdraw(shared: &Arc<Shared>, service: &Arc<str>) -> Result<Self, Denial> {
-        let ticket = shared.budgets.withdraw(service, shared.clock.now())?;
-        Ok(Self::new(shared, service, Token::Own(ticket)))
-    }
-
-    /// Creates a retry that is paid with a token that another host lent.
-    fn lent(shared: &Arc<Shared>, service: &Arc<str>, lent: Lent) -> Self {
-        Self::new(shared, service, Token::Lent(lent))
-    }
-
-    fn new(shared: &Arc<Shared>, service: &Arc<str>, token: Token) -> Self {
-        Self { shared: Arc::clone(shared), service: Arc::clone(service), token, sent: false }
-    }
-
-    /// Returns true if it may be sent now: a lent token has a term.
-    pub fn is_usable(&self) -> bool {
-        match &self.token {
-            Token::Own(_) => true,
-            Token::Lent(lent) => lent.loan.is_usable(self.shared.clock.now()),
-        }
-    }
-
-    /// Records whether some of it may have been sent.
-    pub fn set_sent(&mut self, sent: bool) {
-        self.sent = sent;
-    }
-
-    /// Records that it has arrived at its target.
-    pub fn record_arrival(&self) {
-        match &self.token {
-            Token::Own(ticket) => {
-                let now = self.shared.clock.now();
-                self.shared.budgets.with_known(&self.service, |b| b.record_arrival(*ticket, now));
-            }
-            Token::Lent(lent) => loan::end(&self.shared, lent, loan::End::Arrived),
-        }
-    }
-}
-
-impl Drop for Retry {
-    fn drop(&mut self) {
-        if self.sent {
-            return;
-        }
-        match &self.token {
-            Token::Own(ticket) => {
-                let now = self.shared.clock.now();
-                self.shared.budgets.with_known(&self.service, |b| b.refund(*ticket, now));
-            }
-            Token::Lent(lent) => loan::end(&self.shared, lent, loan::End::Returned),
-        }
-    }
-}
--- a/crates/citron-gateway/src/forward.rs
+++ b/crates/citron-gateway/src/forward.rs
@@ -25,10 +25,10 @@
 use self::header::text;
 use crate::{
     access::{self, Access},
-    budget::{Retry, loan},
     http1::{Head, Response, Segments},
     quota::{self, Pass},
     refusal,
+    retry::{Retry, loan},
     shared::Shared,
 };
 
--- a/crates/citron-gateway/src/forward/attempt.rs
+++ b/crates/citron-gateway/src/forward/attempt.rs
@@ -24,10 +24,10 @@
     header::{end_to_end, is_hop_by_hop, keep_alive_timeout, text},
 };
 use crate::{
-    budget::Retry,
     connection::{self, CONNECT_TIMEOUT, Connection, ResponseBody, USER_TIMEOUT},
     http1::{BodyStream, Response, Sending},
     refusal,
+    retry::Retry,
 };
 
 /// A response up to this size is buffered until it is complete, so that the request can be retried
--- a/crates/citron-gateway/src/forward/wait.rs
+++ b/crates/citron-gateway/src/forward/wait.rs
@@ -10,9 +10,9 @@
 
 use super::{Forwarder, Tried};
 use crate::{
-    budget::Retry,
     http1::Response,
     refusal,
+    retry::Retry,
     waiting::{Refused, WaitRequest},
 };
 
--- a/crates/citron-gateway/src/gateway.rs
+++ b/crates/citron-gateway/src/gateway.rs
@@ -9,7 +9,10 @@
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
 use crate::{
-    budget, caller, directory, follow, load, metrics::Metrics, peer, quota, reload, shared::Shared,
+    caller, directory, follow,
+    metrics::Metrics,
+    peer, quota, reload, retry,
+    shared::{self, Shared},
 };
 
 /// How long a gateway still accepts connections after it announced its shutdown, so that callers
@@ -94,8 +97,8 @@
         tokio::spawn(peer::repeat_statements(Arc::clone(&shared), socket));
         reload::spawn(Arc::clone(&shared), store.clone(), hangup);
         tokio::spawn(sweep(Arc::clone(&shared)));
-        tokio::spawn(budget::watch_standstill(Arc::clone(&shared)));
-        tokio::spawn(load::watch(Arc::clone(&shared)));
+        tokio::spawn(retry::watch_standstill(Arc::clone(&shared)));
+        tokio::spawn(shared::watch_load(Arc::clone(&shared)));
         servers.extend([directory, ready]);
         Ok(Self { shared, store, accept, servers })
     }
--- a/crates/citron-gateway/src/peer.rs
+++ b/crates/citron-gateway/src/peer.rs
@@ -41,8 +41,8 @@
     message::{DATAGRAM_LIMIT_BYTES, Datagram, KnownGateway, Outcome, State},
 };
 use crate::{
-    budget::loan,
     quota::{exchange, members},
+    retry::loan,
     shared::Shared,
 };
 
--- a/crates/citron-gateway/src/budget/loan.rs
+++ b/crates/citron-gateway/src/retry/loan.rs
@@ -5,10 +5,9 @@
 //! lent token as a retry on its way until it is told that it arrived or was returned, or until it
 //! cannot arrive any more, so that lost datagrams cost tokens and never create any.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citron::attempt::{Asks, Denial, Loan, LoanId, Ticket};
-use parking_lot::Mutex;
+use citron::attempt::{Denial, Loan, LoanId, Ticket};
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
 use tokio::{
@@ -18,28 +17,14 @@
 
 use super::Retry;
 use crate::{
-    outbox::Outbox,
+    loans::{LENDERS, Lent, Pending},
     peer::message::{LoanMessage, LoanStep},
     shared::Shared,
 };
 
-/// How many gateways are asked at once.
-const LENDERS: usize = 2;
 /// How long an answer is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// The answer of one gateway that was asked: a loan, or `None`.
-type Answer = Option<Lent>;
-
-/// A loan with the address of its lender.
-#[derive(Debug)]
-pub struct Lent {
-    /// The token.
-    pub loan: Loan,
-    /// Where the lender receives datagrams.
-    pub lender: SocketAddr,
-}
-
 /// What became of a lent token.
 #[derive(Debug, Copy, Clone, Eq, PartialEq)]
 pub enum End {
@@ -79,30 +64,6 @@
     UnknownStep,
 }
 
-/// An ask that waits for answers.
-#[derive(Debug)]
-struct Pending {
-    service: Arc<str>,
-    asked_at: Duration,
-    lenders: SmallVec<[SocketAddr; LENDERS]>,
-    answers: mpsc::Sender<Answer>,
-}
-
-/// What this gateway borrows, and the messages that it sends about loans.
-#[derive(Debug, Default)]
-pub struct Loans {
-    state: Mutex<State>,
-    /// The messages to send.
-    pub outbox: Outbox<LoanMessage>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    asks: HashMap<Arc<str>, Asks>,
-    pending: HashMap<u64, Pending>,
-    last_ask: u64,
-}
-
 /// Borrows a token for a retry, or returns `None` if none of those that were asked lends one.
 pub async fn borrow(shared: &Arc<Shared>, service: &Arc<str>) -> Option<Retry> {
     let now = shared.clock.now();
--- a/crates/citron-gateway/src/shared.rs
+++ b/crates/citron-gateway/src/shared.rs
@@ -3,10 +3,14 @@
 mod attempt;
 mod key_lease;
 mod lifecycle;
+mod load;
 mod store;
 mod update;
 
-pub use self::lifecycle::{InFlight, Receiving};
+pub use self::{
+    lifecycle::{InFlight, Receiving},
+    load::watch_load,
+};
 
 use std::{
     collections::HashMap,
@@ -32,16 +36,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget::{RetryBudgets, loan::Loans},
-    connection::Pool,
-    load::OwnLoad,
-    memory::Memory,
-    metrics::Metrics,
-    peer::message::Outcome,
-    quota::Quotas,
-    store_link::StoreLink,
-    targets::Targets,
-    waiting::Waiting,
+    budget::RetryBudgets, connection::Pool, load::OwnLoad, loans::Loans, memory::Memory,
+    metrics::Metrics, peer::message::Outcome, quota::Quotas, store_link::StoreLink,
+    targets::Targets, waiting::Waiting,
 };
 
 /// How long an idle connection to a target stays in the pool.
--- a/crates/citron-gateway/src/waiting.rs
+++ b/crates/citron-gateway/src/waiting.rs
@@ -18,9 +18,9 @@
 };
 
 use crate::{
-    budget::{Retry, loan},
     caller::REQUEST_BYTES,
     memory::Memory,
+    retry::{Retry, loan},
     shared::Shared,
 };
 
